Workspace with shared types, platform clients and the peer protocol

Cause: the parts need one set of types, a key-value client, a peer link, supervision, logs and metrics before they can be written in parallel. Before: no code.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/core/src/error.rs
@@ -0,0 +1,101 @@
+use std::fmt;
+
+/// Result of the decision code.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Error of the decision code: a category, a message and, for text input, its position.
+///
+/// # Examples
+///
+/// ```
+/// use carobwick_core::Category;
+/// use carobwick_core::Manifest;
+///
+/// let err = Manifest::from_json("{\n  broken").unwrap_err();
+/// assert_eq!(err.category(), Category::Syntax);
+/// assert_eq!(err.line(), 2);
+/// ```
+pub struct Error {
+    inner: Box<Inner>,
+}
+
+/// Kind of an [`Error`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Category {
+    /// The input is not well-formed.
+    Syntax,
+    /// The input is well-formed, but a value in it is wrong.
+    Data,
+    /// Another writer was first.
+    Conflict,
+    /// The change does not fit, for example in memory.
+    Capacity,
+}
+
+struct Inner {
+    category: Category,
+    message: String,
+    line: usize,
+    column: usize,
+}
+
+impl Error {
+    /// Builds an error of [`Category::Data`].
+    pub fn data(message: impl Into<String>) -> Self {
+        Self::new(Category::Data, message)
+    }
+
+    /// Builds an error of [`Category::Conflict`].
+    pub fn conflict(message: impl Into<String>) -> Self {
+        Self::new(Category::Conflict, message)
+    }
+
+    /// Builds an error of [`Category::Capacity`].
+    pub fn capacity(message: impl Into<String>) -> Self {
+        Self::new(Category::Capacity, message)
+    }
+
+    /// Returns the kind of the error.
+    pub fn category(&self) -> Category {
+        self.inner.category
+    }
+
+    /// Returns the line of the input at which the error was found, from 1, or 0 if it has none.
+    pub fn line(&self) -> usize {
+        self.inner.line
+    }
+
+    /// Returns the column of the input at which the error was found, from 1, or 0 if it has none.
+    pub fn column(&self) -> usize {
+        self.inner.column
+    }
+
+    fn new(category: Category, message: impl Into<String>) -> Self {
+        Self { inner: Box::new(Inner { category, message: message.into(), line: 0, column: 0 }) }
+    }
+}
+
+impl From<serde_json::Error> for Error {
+    fn from(err: serde_json::Error) -> Self {
+        let category = match err.classify() {
+            serde_json::error::Category::Data => Category::Data,
+            _ => Category::Syntax,
+        };
+        let (line, column) = (err.line(), err.column());
+        Self { inner: Box::new(Inner { category, message: err.to_string(), line, column }) }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.inner.message)
+    }
+}
+
+impl fmt::Debug for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Error({:?}, {:?})", self.inner.category, self.inner.message)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,51 @@
+use std::ops::Add;
+use std::ops::Sub;
+use std::time::Duration;
+
+use carobwick_derive::key;
+
+/// Point in time, in microseconds since an origin that the process or run chooses.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use carobwick_core::Time;
+///
+/// let start = Time::ZERO;
+/// let later = start + Duration::from_millis(3);
+/// assert_eq!(later - start, Duration::from_millis(3));
+/// assert_eq!(start - later, Duration::ZERO);
+/// ```
+#[key]
+#[derive(Copy, Default)]
+#[serde(transparent)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The origin.
+    pub const ZERO: Self = Self(0);
+
+    /// Returns the time in whole milliseconds since the origin.
+    pub fn millis(self) -> u64 {
+        self.0 / 1_000
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_add(rhs.as_micros() as u64))
+    }
+}
+
+impl Sub for Time {
+    type Output = Duration;
+
+    /// Returns the span since `rhs`, or zero if `rhs` is later.
+    fn sub(self, rhs: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(rhs.0))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/crates/runtime/src/engine.rs
@@ -0,0 +1,41 @@
+use std::time::Duration;
+
+use carobwick_core::EngineState;
+use carobwick_core::Order;
+use carobwick_core::OrderResult;
+
+use crate::HttpClient;
+use crate::Result;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Client for the orders and state of model engines.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    http: HttpClient,
+}
+
+impl Engine {
+    /// Opens a client.
+    pub fn open() -> Self {
+        Self { http: HttpClient::open(TIMEOUT) }
+    }
+
+    /// Sends an order to the engine at `addr` (`IP:port`) and returns what became of it so far.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`HttpClient::send`] does; after [`crate::Error::Lost`] the order may still take effect.
+    pub async fn order(&self, addr: &str, order: &Order) -> Result<OrderResult> {
+        self.http.post(&format!("http://{addr}/admin/orders"), order).await
+    }
+
+    /// Reads the state of the engine at `addr` (`IP:port`).
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`HttpClient::send`] does.
+    pub async fn state(&self, addr: &str) -> Result<EngineState> {
+        self.http.get(&format!("http://{addr}/admin/state")).await
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/kv.rs
@@ -0,0 +1,240 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::Method;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::Error;
+use crate::HttpClient;
+use crate::Result;
+use crate::kv_wire::KeepAliveResponse;
+use crate::kv_wire::LeaseResponse;
+use crate::kv_wire::RangeRequest;
+use crate::kv_wire::RangeResponse;
+use crate::kv_wire::TxnResponse;
+use crate::kv_wire::WatchResponse;
+use crate::kv_wire::encode;
+use crate::kv_wire::number;
+use crate::kv_wire::prefix_end;
+
+/// Client of the platform's key-value service, in the JSON form of the etcd v3 API.
+#[derive(Debug, Clone)]
+pub struct KeyValue {
+    http: HttpClient,
+    base: String,
+}
+
+/// A key with its value and the revision of its last write.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KvEntry {
+    /// The key.
+    pub key: String,
+    /// The value, at most 1 MB.
+    pub value: Vec<u8>,
+    /// Revision of the last write; it never goes down.
+    pub revision: u64,
+}
+
+/// Identifies a lease of the key-value service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseId(pub u64);
+
+/// What a write expects of the key.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Expect {
+    /// The key does not exist.
+    Absent,
+    /// The last write of the key has this revision.
+    Revision(u64),
+}
+
+/// Outcome of a compare-and-swap.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Put {
+    /// The value was written at this revision.
+    Written(u64),
+    /// The expectation did not hold; the key is as given.
+    Conflict(Option<KvEntry>),
+}
+
+/// A running watch on the keys with a prefix.
+#[derive(Debug)]
+pub struct Watch {
+    body: Incoming,
+    buffer: BytesMut,
+}
+
+impl KeyValue {
+    /// Opens a client of the service at `base`, such as `http://127.0.0.1:7001`; each call ends after `timeout`.
+    pub fn open(base: &str, timeout: Duration) -> Self {
+        Self { http: HttpClient::open(timeout), base: base.trim_end_matches('/').to_owned() }
+    }
+
+    /// Reads a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer in time.
+    pub async fn get(&self, key: &str) -> Result<Option<KvEntry>> {
+        let request = RangeRequest { key: encode(key.as_bytes()), range_end: None };
+        Ok(self.range(&request).await?.pop())
+    }
+
+    /// Reads all keys with a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer in time.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<KvEntry>> {
+        let request = RangeRequest { key: encode(prefix.as_bytes()), range_end: Some(prefix_end(prefix)) };
+        self.range(&request).await
+    }
+
+    /// Writes a key if it is as expected, bound to `lease` if one is given.
+    ///
+    /// # Errors
+    ///
+    /// After an error for which [`Error::is_ambiguous`] holds, the write may have taken effect.
+    pub async fn put_if(
+        &self,
+        key: &str,
+        expect: Expect,
+        value: &[u8],
+        lease: Option<LeaseId>,
+    ) -> Result<Put> {
+        let name = encode(key.as_bytes());
+        let lease = lease.map_or(0, |lease| lease.0).to_string();
+        let put = json!({"requestPut": {"key": name, "value": encode(value), "lease": lease}});
+        self.swap(&name, expect, put).await
+    }
+
+    /// Deletes a key if it is as expected.
+    ///
+    /// # Errors
+    ///
+    /// After an error for which [`Error::is_ambiguous`] holds, the deletion may have taken effect.
+    pub async fn delete_if(&self, key: &str, expect: Expect) -> Result<Put> {
+        let name = encode(key.as_bytes());
+        let delete = json!({"requestDeleteRange": {"key": name}});
+        self.swap(&name, expect, delete).await
+    }
+
+    /// Creates a lease that ends `ttl` after its last keep-alive; whole seconds count.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer in time.
+    pub async fn grant(&self, ttl: Duration) -> Result<LeaseId> {
+        let request = json!({"TTL": ttl.as_secs().to_string()});
+        let response: LeaseResponse = self.http.post(&self.url("/v3/lease/grant"), &request).await?;
+        Ok(LeaseId(number(&response.id)?))
+    }
+
+    /// Renews a lease and returns whether it was still there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer in time; the lease may have been renewed.
+    pub async fn keep_alive(&self, lease: LeaseId) -> Result<bool> {
+        let request = json!({"ID": lease.0.to_string()});
+        let response: KeepAliveResponse = self.http.post(&self.url("/v3/lease/keepalive"), &request).await?;
+        Ok(number(&response.result.ttl)? > 0)
+    }
+
+    /// Ends a lease and deletes its keys.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer in time; the lease may have ended.
+    pub async fn revoke(&self, lease: LeaseId) -> Result<()> {
+        let request = json!({"ID": lease.0.to_string()});
+        let _: Value = self.http.post(&self.url("/v3/lease/revoke"), &request).await?;
+        Ok(())
+    }
+
+    /// Watches all keys with a prefix from `revision` on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not accept the watch.
+    pub async fn watch(&self, prefix: &str, revision: u64) -> Result<Watch> {
+        let request = json!({"create_request": {
+            "key": encode(prefix.as_bytes()),
+            "range_end": prefix_end(prefix),
+            "start_revision": revision.to_string(),
+        }});
+        let body = Bytes::from(serde_json::to_vec(&request)?);
+        let response = self.http.open_stream(Method::POST, &self.url("/v3/watch"), body).await?;
+        if response.status().is_success() {
+            return Ok(Watch { body: response.into_body(), buffer: BytesMut::new() });
+        }
+        Err(Error::Status(response.status().as_u16(), "watch refused".to_owned()))
+    }
+
+    async fn range(&self, request: &RangeRequest) -> Result<Vec<KvEntry>> {
+        let response: RangeResponse = self.http.post(&self.url("/v3/kv/range"), request).await?;
+        response.kvs.into_iter().map(crate::kv_wire::WireEntry::decode).collect()
+    }
+
+    async fn swap(&self, name: &str, expect: Expect, operation: Value) -> Result<Put> {
+        let compare = match expect {
+            Expect::Absent => {
+                json!({"result": "EQUAL", "target": "CREATE", "key": name, "create_revision": "0"})
+            }
+            Expect::Revision(revision) => {
+                json!({"result": "EQUAL", "target": "MOD", "key": name, "mod_revision": revision.to_string()})
+            }
+        };
+        let request = json!({
+            "compare": [compare],
+            "success": [operation],
+            "failure": [{"requestRange": {"key": name}}],
+        });
+        let response: TxnResponse = self.http.post(&self.url("/v3/kv/txn"), &request).await?;
+        if response.succeeded {
+            return Ok(Put::Written(number(&response.header.revision)?));
+        }
+        let found = response.responses.into_iter().flat_map(|response| response.response_range.kvs).next();
+        Ok(Put::Conflict(found.map(crate::kv_wire::WireEntry::decode).transpose()?))
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.base)
+    }
+}
+
+impl Watch {
+    /// Waits for the next changes; a deleted key comes with an empty value.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the watch broke off; changes may have been missed, so the keys must be read again.
+    pub async fn next(&mut self) -> Result<Vec<KvEntry>> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let line = self.buffer.split_to(end + 1);
+                let response: WatchResponse = serde_json::from_slice(&line)?;
+                let entries: Result<Vec<KvEntry>> =
+                    response.result.events.into_iter().map(|event| event.kv.decode()).collect();
+                let entries = entries?;
+                if !entries.is_empty() {
+                    return Ok(entries);
+                }
+                continue;
+            }
+            match self.body.frame().await {
+                None => return Err(Error::Lost("watch ended".to_owned())),
+                Some(Err(err)) => return Err(Error::Lost(err.to_string())),
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.buffer.extend_from_slice(data);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/kv_wire.rs
@@ -0,0 +1,118 @@
+//! JSON form of the etcd v3 API, as far as it is used: 64-bit numbers are texts, keys and values are base64.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Error;
+use crate::KvEntry;
+use crate::Result;
+
+#[derive(Debug, Serialize)]
+pub(crate) struct RangeRequest {
+    pub key: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub range_end: Option<String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct RangeResponse {
+    pub kvs: Vec<WireEntry>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct WireEntry {
+    pub key: String,
+    pub value: String,
+    pub mod_revision: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct TxnResponse {
+    pub succeeded: bool,
+    pub header: Header,
+    pub responses: Vec<OpResponse>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Header {
+    pub revision: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct OpResponse {
+    pub response_range: RangeResponse,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct LeaseResponse {
+    #[serde(rename = "ID")]
+    pub id: String,
+    #[serde(rename = "TTL")]
+    pub ttl: String,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct KeepAliveResponse {
+    pub result: LeaseResponse,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct WatchResponse {
+    pub result: WatchResult,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct WatchResult {
+    pub events: Vec<WatchEvent>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct WatchEvent {
+    /// `DELETE` for a removed key; absent for a put.
+    #[serde(rename = "type")]
+    pub kind: String,
+    pub kv: WireEntry,
+}
+
+impl WireEntry {
+    pub(crate) fn decode(self) -> Result<KvEntry> {
+        let key = String::from_utf8(decode(&self.key)?).map_err(|err| Error::Codec(err.to_string()))?;
+        Ok(KvEntry { key, value: decode(&self.value)?, revision: number(&self.mod_revision)? })
+    }
+}
+
+pub(crate) fn encode(bytes: &[u8]) -> String {
+    STANDARD.encode(bytes)
+}
+
+pub(crate) fn number(text: &str) -> Result<u64> {
+    if text.is_empty() {
+        return Ok(0);
+    }
+    text.parse().map_err(|err| Error::Codec(format!("number `{text}`: {err}")))
+}
+
+/// Returns the end of the range of all keys with a prefix: the prefix with its last byte raised by one.
+pub(crate) fn prefix_end(prefix: &str) -> String {
+    let mut end = prefix.as_bytes().to_vec();
+    if let Some(last) = end.last_mut() {
+        *last += 1;
+    }
+    encode(&end)
+}
+
+fn decode(text: &str) -> Result<Vec<u8>> {
+    STANDARD.decode(text).map_err(|err| Error::Codec(err.to_string()))
+}
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,47 @@
+//! The parts that carobwick's processes share: clients of the platform, the peer protocol, supervision, logs,
+//! metrics and the timeline.
+//!
+//! # Tour
+//!
+//! A process starts its logs with [`start_logs`], opens a [`Node`] that holds the state it shares with its peers,
+//! and runs its tasks under a [`Supervisor`]. [`KeyValue`] is the client of the platform's key-value service,
+//! [`PeerClient`] and [`PeerServer`] speak the peer protocol, and [`Engine`] sends orders to a model engine.
+
+mod clock;
+mod engine;
+mod error;
+mod http;
+mod instances;
+mod kv;
+mod kv_wire;
+mod logs;
+mod metrics;
+mod node;
+mod peer;
+mod supervisor;
+mod timeline;
+
+pub use clock::now;
+pub use clock::wall_ms;
+pub use clock::wall_us;
+pub use engine::Engine;
+pub use error::Error;
+pub use error::Result;
+pub use http::HttpClient;
+pub use instances::InstanceKind;
+pub use instances::InstanceList;
+pub use instances::InstanceStatus;
+pub use instances::ListedInstance;
+pub use kv::Expect;
+pub use kv::KeyValue;
+pub use kv::KvEntry;
+pub use kv::LeaseId;
+pub use kv::Put;
+pub use kv::Watch;
+pub use logs::start_logs;
+pub use metrics::Metrics;
+pub use node::Node;
+pub use peer::PeerClient;
+pub use peer::PeerServer;
+pub use supervisor::Supervisor;
+pub use timeline::Timeline;
--- /dev/null
+++ b/crates/runtime/src/peer.rs
@@ -0,0 +1,185 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use carobwick_core::PeerMessage;
+use h2::RecvStream;
+use h2::client::SendRequest;
+use h2::server::SendResponse;
+use http::Request;
+use http::Response;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
+
+use crate::Error;
+use crate::Result;
+
+/// Largest message in bytes; a full manifest and the views of all zones at the target scale stay below it.
+const MAX_MESSAGE: usize = 4 << 20;
+
+/// Client side of the peer protocol: one h2 connection per peer, one stream per exchange.
+#[derive(Debug, Clone)]
+pub struct PeerClient {
+    connections: Arc<Mutex<HashMap<String, SendRequest<Bytes>>>>,
+    timeout: Duration,
+}
+
+/// Server side of the peer protocol.
+#[derive(Debug)]
+pub struct PeerServer {
+    addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl PeerClient {
+    /// Opens a client whose exchanges end after `timeout`.
+    pub fn open(timeout: Duration) -> Self {
+        Self { connections: Arc::default(), timeout }
+    }
+
+    /// Sends a message to the peer at `addr` (`IP:port`) and returns its reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer does not reply in time. The connection is then closed, and the next exchange makes a new
+    /// one, since a connection can go silent while new ones work.
+    pub async fn exchange(&self, addr: &str, message: &PeerMessage) -> Result<PeerMessage> {
+        let result = tokio::time::timeout(self.timeout, self.try_exchange(addr, message)).await;
+        let result = result.unwrap_or_else(|_| Err(Error::Lost(format!("no reply from {addr}"))));
+        if result.is_err() {
+            self.connections.lock().await.remove(addr);
+        }
+        result
+    }
+
+    async fn try_exchange(&self, addr: &str, message: &PeerMessage) -> Result<PeerMessage> {
+        let mut sender = self.connection(addr).await?.ready().await?;
+        let request = Request::post("http://peer/").body(()).map_err(|err| Error::Codec(err.to_string()))?;
+        let (response, mut stream) = sender.send_request(request, false)?;
+        stream.send_data(encode(message)?, true)?;
+        let body = response.await?.into_body();
+        decode(&read(body).await?)
+    }
+
+    async fn connection(&self, addr: &str) -> Result<SendRequest<Bytes>> {
+        if let Some(sender) = self.connections.lock().await.get(addr) {
+            return Ok(sender.clone());
+        }
+        let stream =
+            TcpStream::connect(addr).await.map_err(|err| Error::Connect(format!("{addr}: {err}")))?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = h2::client::handshake(stream).await?;
+        tokio::spawn(async move {
+            if let Err(err) = connection.await {
+                tracing::debug!("peer: connection ended: {err}");
+            }
+        });
+        self.connections.lock().await.insert(addr.to_owned(), sender.clone());
+        Ok(sender)
+    }
+}
+
+impl PeerServer {
+    /// Binds `addr` and answers each message with what `reply` returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn bind<F, R>(addr: SocketAddr, reply: F) -> Result<Self>
+    where
+        F: Fn(PeerMessage) -> R + Clone + Send + Sync + 'static,
+        R: Future<Output = PeerMessage> + Send + 'static,
+    {
+        let listener = TcpListener::bind(addr).await.map_err(|err| Error::Local(format!("{addr}: {err}")))?;
+        let addr = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, reply));
+        Ok(Self { addr, task })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept<F, R>(listener: TcpListener, reply: F)
+where
+    F: Fn(PeerMessage) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = PeerMessage> + Send + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, reply.clone()));
+            }
+            Err(err) => {
+                tracing::warn!("peer: accept failed: {err}");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn serve<F, R>(stream: TcpStream, reply: F)
+where
+    F: Fn(PeerMessage) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = PeerMessage> + Send + 'static,
+{
+    let Ok(mut connection) = h2::server::handshake(stream).await else {
+        return;
+    };
+    while let Some(Ok((request, respond))) = connection.accept().await {
+        let reply = reply.clone();
+        tokio::spawn(async move {
+            if let Err(err) = answer(request.into_body(), respond, reply).await {
+                tracing::debug!("peer: exchange failed: {err}");
+            }
+        });
+    }
+}
+
+async fn answer<F, R>(body: RecvStream, mut respond: SendResponse<Bytes>, reply: F) -> Result<()>
+where
+    F: Fn(PeerMessage) -> R,
+    R: Future<Output = PeerMessage>,
+{
+    let message = reply(decode(&read(body).await?)?).await;
+    let mut stream = respond.send_response(Response::new(()), false)?;
+    stream.send_data(encode(&message)?, true)?;
+    Ok(())
+}
+
+async fn read(mut body: RecvStream) -> Result<Bytes> {
+    let mut message = BytesMut::new();
+    while let Some(data) = body.data().await {
+        let data = data?;
+        body.flow_control().release_capacity(data.len())?;
+        if message.len() + data.len() > MAX_MESSAGE {
+            return Err(Error::Codec(format!("message is longer than {MAX_MESSAGE} bytes")));
+        }
+        message.extend_from_slice(&data);
+    }
+    Ok(message.freeze())
+}
+
+fn encode(message: &PeerMessage) -> Result<Bytes> {
+    let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard());
+    bytes.map(Bytes::from).map_err(|err| Error::Codec(err.to_string()))
+}
+
+fn decode(bytes: &[u8]) -> Result<PeerMessage> {
+    let decoded =
+        bincode::serde::decode_from_slice(bytes, bincode::config::standard().with_limit::<MAX_MESSAGE>());
+    decoded.map(|(message, _)| message).map_err(|err| Error::Codec(err.to_string()))
+}
