--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,3 +1,5 @@
+use std::cmp::Ordering;
+
 use carobwick_derive::data;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -6,6 +8,10 @@
 use crate::Version;
 use crate::WriteId;
 
+/// Accepted writes that a record remembers. A publisher whose reply was lost finds its write among them unless
+/// more than this many publishes followed within its few attempts.
+const HISTORY: usize = 16;
+
 /// A published manifest with its version.
 #[data]
 pub struct ConfigRecord {
@@ -13,7 +19,7 @@
     pub version: Version,
     /// Identity of the write that published it.
     pub write_id: WriteId,
-    /// Hash of the manifest's JSON text.
+    /// Hash of the manifest's JSON text, its maps in the order of their keys.
     pub digest: u64,
     /// The last accepted writes, newest first, so that a lost reply can be settled.
     pub history: Vec<(Version, WriteId)>,
@@ -21,6 +27,17 @@
     pub manifest: Manifest,
 }
 
+/// What a process does with a record that it receives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Adoption {
+    /// It is newer than the one in force and takes its place.
+    Adopt,
+    /// It is in force already, or older.
+    Known,
+    /// It has the version in force but another content, which no correct publisher produces.
+    Contradiction,
+}
+
 impl ConfigRecord {
     /// Builds the first record.
     ///
@@ -28,8 +45,67 @@
     ///
     /// Fails if the manifest can't be written as JSON.
     pub fn first(manifest: Manifest, write_id: WriteId) -> Result<Self> {
-        let digest = xxh3_64(&serde_json::to_vec(&manifest)?);
-        let version = Version(1);
-        Ok(Self { version, write_id, digest, history: vec![(version, write_id)], manifest })
+        Self::build(Version(1), write_id, Vec::new(), manifest)
+    }
+
+    /// Builds the record that follows this one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the manifest can't be written as JSON.
+    pub fn following(&self, manifest: Manifest, write_id: WriteId) -> Result<Self> {
+        Self::build(self.version.next(), write_id, self.history.clone(), manifest)
+    }
+
+    /// Returns the version that a write published, if the record still remembers it.
+    pub fn version_of(&self, write_id: WriteId) -> Option<Version> {
+        self.history.iter().find(|(_, id)| *id == write_id).map(|(version, _)| *version)
     }
+
+    /// Returns whether the history reaches back to the write that followed `version`.
+    pub fn remembers_after(&self, version: Version) -> bool {
+        self.history.last().is_some_and(|(oldest, _)| *oldest <= version.next())
+    }
+
+    /// Returns whether the digest is that of the manifest.
+    pub fn is_intact(&self) -> bool {
+        digest_of(&self.manifest).is_ok_and(|digest| digest == self.digest)
+    }
+
+    /// Decides what a process that has `own` in force does with this record.
+    pub fn adoption(&self, own: Option<&Self>) -> Adoption {
+        let Some(own) = own else {
+            return Adoption::Adopt;
+        };
+        match self.version.cmp(&own.version) {
+            Ordering::Greater => Adoption::Adopt,
+            Ordering::Equal if self.digest != own.digest => Adoption::Contradiction,
+            Ordering::Equal | Ordering::Less => Adoption::Known,
+        }
+    }
+
+    fn build(
+        version: Version,
+        write_id: WriteId,
+        older: Vec<(Version, WriteId)>,
+        mut manifest: Manifest,
+    ) -> Result<Self> {
+        sort_maps(&mut manifest);
+        let digest = digest_of(&manifest)?;
+        let mut history = vec![(version, write_id)];
+        history.extend(older);
+        history.truncate(HISTORY);
+        Ok(Self { version, write_id, digest, history, manifest })
+    }
+}
+
+/// Brings the maps of a manifest into the order of their keys, so that equal manifests have equal digests.
+pub(crate) fn sort_maps(manifest: &mut Manifest) {
+    manifest.services.sort_unstable_keys();
+    manifest.models.sort_unstable_keys();
+    manifest.adapters.sort_unstable_keys();
+}
+
+fn digest_of(manifest: &Manifest) -> Result<u64> {
+    Ok(xxh3_64(&serde_json::to_vec(manifest)?))
 }
--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -1,14 +1,35 @@
+use std::fmt;
+use std::hash::Hash;
+use std::hash::Hasher;
+
 use carobwick_derive::data;
 use carobwick_derive::key;
 use indexmap::IndexMap;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::EndpointId;
 use crate::InstanceId;
 use crate::WriteId;
 
 /// Drained targets, each a register whose last writer wins.
+///
+/// # Examples
+///
+/// ```
+/// use carobwick_core::DrainSet;
+/// use carobwick_core::DrainTarget;
+/// use carobwick_core::WriteId;
+///
+/// let target = DrainTarget::Endpoint("gent-engine-0".parse().unwrap());
+/// let mut here = DrainSet::default();
+/// here.set(target.clone(), true, WriteId(1));
+/// let mut there = DrainSet::default();
+/// there.merge(&here);
+/// assert!(there.is_drained(&target));
+/// ```
 #[data]
 #[derive(Default)]
+#[serde(from = "Vec<(DrainTarget, DrainMark)>", into = "Vec<(DrainTarget, DrainMark)>")]
 pub struct DrainSet {
     marks: IndexMap<DrainTarget, DrainMark>,
 }
@@ -48,8 +69,7 @@
     pub fn merge(&mut self, other: &Self) -> bool {
         let mut changed = false;
         for (target, mark) in &other.marks {
-            let newer = self.marks.get(target).is_none_or(|own| mark > own);
-            if newer {
+            if self.lacks(target, mark) {
                 self.marks.insert(target.clone(), *mark);
                 changed = true;
             }
@@ -57,6 +77,11 @@
         changed
     }
 
+    /// Returns whether every mark of `other` is known here, or a later one of the same target.
+    pub fn covers(&self, other: &Self) -> bool {
+        other.marks.iter().all(|(target, mark)| !self.lacks(target, mark))
+    }
+
     /// Returns whether a target is drained.
     pub fn is_drained(&self, target: &DrainTarget) -> bool {
         self.marks.get(target).is_some_and(|mark| mark.drained)
@@ -66,4 +91,39 @@
     pub fn marks(&self) -> impl Iterator<Item = (&DrainTarget, &DrainMark)> {
         self.marks.iter()
     }
+
+    /// Returns a hash that does not depend on the order in which the marks were learned.
+    pub fn summary(&self) -> u64 {
+        let hash = |item: (&DrainTarget, &DrainMark)| {
+            let mut hasher = Xxh3::new();
+            item.hash(&mut hasher);
+            hasher.finish()
+        };
+        self.marks.iter().map(hash).fold(0, u64::wrapping_add)
+    }
+
+    fn lacks(&self, target: &DrainTarget, mark: &DrainMark) -> bool {
+        self.marks.get(target).is_none_or(|own| mark > own)
+    }
+}
+
+impl fmt::Display for DrainTarget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Endpoint(id) => write!(f, "endpoint {id}"),
+            Self::Instance(id) => write!(f, "instance {id}"),
+        }
+    }
+}
+
+impl From<Vec<(DrainTarget, DrainMark)>> for DrainSet {
+    fn from(marks: Vec<(DrainTarget, DrainMark)>) -> Self {
+        Self { marks: marks.into_iter().collect() }
+    }
+}
+
+impl From<DrainSet> for Vec<(DrainTarget, DrainMark)> {
+    fn from(set: DrainSet) -> Self {
+        set.marks.into_iter().collect()
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 #[macro_use]
 mod macros;
 
+mod capacity;
 mod config;
 mod drain;
 mod engine;
@@ -18,12 +19,15 @@
 mod event;
 mod ids;
 mod manifest;
+mod publish;
 mod quarantine;
+mod report;
 mod sync;
 mod time;
 mod units;
 mod view;
 
+pub use config::Adoption;
 pub use config::ConfigRecord;
 pub use drain::DrainMark;
 pub use drain::DrainSet;
@@ -65,8 +69,20 @@
 pub use manifest::ServiceKind;
 pub use manifest::ServiceSpec;
 pub use manifest::StoreLimits;
+pub use publish::Publish;
+pub use publish::PublishEvent;
+pub use publish::PublishOutcome;
+pub use publish::PublishStep;
+pub use publish::StoredConfig;
 pub use quarantine::CrashReport;
 pub use quarantine::SuspectSet;
+pub use report::DrainReply;
+pub use report::DrainRequest;
+pub use report::EndpointReport;
+pub use report::InstanceReport;
+pub use report::PublishReply;
+pub use report::StatusReport;
+pub use report::ZoneReport;
 pub use sync::Change;
 pub use sync::Delta;
 pub use sync::DemandReport;
--- /dev/null
+++ b/crates/core/src/publish.rs
@@ -0,0 +1,256 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::ConfigRecord;
+use crate::Error;
+use crate::Manifest;
+use crate::Version;
+use crate::WriteId;
+use crate::ZoneId;
+use crate::ZoneView;
+use crate::capacity::check_change;
+
+/// Failed calls after which a publish gives up; with calls of at most 1 s it then took about 6 s.
+const MAX_FAILURES: u32 = 4;
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// One publish of a manifest by compare-and-swap, with read-back after a lost reply.
+///
+/// The caller carries out each [`PublishStep`] and hands the result to [`Publish::next`].
+#[derive(Debug, Clone)]
+pub struct Publish {
+    write_id: WriteId,
+    content: Content,
+    expect: Option<Version>,
+    /// Base of the last write that may have taken effect.
+    sent: Option<Base>,
+    failures: u32,
+}
+
+/// The record under `config/manifest` with the revision of its write.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoredConfig {
+    /// Revision of the write.
+    pub revision: u64,
+    /// The record.
+    pub record: Arc<ConfigRecord>,
+}
+
+/// What became of a [`PublishStep`].
+#[derive(Debug, Clone, PartialEq)]
+pub enum PublishEvent {
+    /// The record was read.
+    Read(Option<StoredConfig>),
+    /// The write took effect.
+    Written,
+    /// The record had another revision, so the write had no effect.
+    Refused,
+    /// The call had no effect.
+    Failed,
+    /// The reply was lost; the write may take effect, also later.
+    Lost,
+    /// The pause is over.
+    Resumed,
+}
+
+/// What the caller does next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PublishStep {
+    /// Read the record.
+    Read,
+    /// Write the record if the key still has this revision, or if it is absent.
+    Write {
+        /// Revision of the record that this one follows; `None` if the key is absent.
+        expect: Option<u64>,
+        /// The record.
+        record: Arc<ConfigRecord>,
+        /// The record that it replaces.
+        replaced: Option<Arc<ConfigRecord>>,
+    },
+    /// Wait.
+    Pause(Duration),
+    /// Report the outcome.
+    Done(PublishOutcome),
+}
+
+/// Outcome of a publish.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PublishOutcome {
+    /// The write took effect and got this version; the newest record that was seen comes with it.
+    Accepted(Version, Arc<ConfigRecord>),
+    /// The write had no effect, since this version was published by another writer.
+    Conflict(Version),
+    /// The manifest was refused; nothing was written.
+    Refused(String),
+    /// Nothing was written, since the key-value service does not answer.
+    Unavailable,
+    /// The key-value service did not answer whether the write took effect.
+    Unknown,
+}
+
+#[derive(Debug, Clone)]
+enum Content {
+    Manifest(Box<Manifest>),
+    Rollback(Box<Manifest>),
+}
+
+#[derive(Debug, Clone)]
+struct Base {
+    revision: Option<u64>,
+    version: Option<Version>,
+    record: Arc<ConfigRecord>,
+}
+
+impl Publish {
+    /// Starts a publish of a manifest, only onto the version `expect` if one is given.
+    pub fn manifest(manifest: Manifest, write_id: WriteId, expect: Option<Version>) -> Self {
+        Self::start(Content::Manifest(Box::new(manifest)), write_id, expect)
+    }
+
+    /// Starts a publish of an older manifest under a new version.
+    ///
+    /// Models and adapters that it does not know stay and are marked `retiring`, since they may be in use.
+    pub fn rollback(older: Manifest, write_id: WriteId) -> Self {
+        Self::start(Content::Rollback(Box::new(older)), write_id, None)
+    }
+
+    /// Returns the identity of the write.
+    pub fn write_id(&self) -> WriteId {
+        self.write_id
+    }
+
+    /// Returns what to do next.
+    ///
+    /// `own` is the record in force at the caller. A new record follows the higher of it and the stored one, so
+    /// that the version does not start again if the key was lost.
+    pub fn next(
+        &mut self,
+        event: PublishEvent,
+        own: Option<&Arc<ConfigRecord>>,
+        views: &IndexMap<ZoneId, Arc<ZoneView>>,
+    ) -> PublishStep {
+        match event {
+            PublishEvent::Read(stored) => self.after_read(stored, own, views),
+            PublishEvent::Written => match self.sent.take() {
+                Some(base) => Self::accepted(base.record.version, base.record),
+                None => PublishStep::Done(PublishOutcome::Unknown),
+            },
+            PublishEvent::Refused | PublishEvent::Resumed => PublishStep::Read,
+            PublishEvent::Failed | PublishEvent::Lost => self.after_failure(),
+        }
+    }
+
+    fn start(content: Content, write_id: WriteId, expect: Option<Version>) -> Self {
+        Self { write_id, content, expect, sent: None, failures: 0 }
+    }
+
+    fn accepted(version: Version, newest: Arc<ConfigRecord>) -> PublishStep {
+        PublishStep::Done(PublishOutcome::Accepted(version, newest))
+    }
+
+    fn after_failure(&mut self) -> PublishStep {
+        self.failures += 1;
+        if self.failures <= MAX_FAILURES {
+            return PublishStep::Pause(FIRST_PAUSE * 2_u32.pow(self.failures - 1));
+        }
+        let outcome = if self.sent.is_some() { PublishOutcome::Unknown } else { PublishOutcome::Unavailable };
+        PublishStep::Done(outcome)
+    }
+
+    fn after_read(
+        &mut self,
+        stored: Option<StoredConfig>,
+        own: Option<&Arc<ConfigRecord>>,
+        views: &IndexMap<ZoneId, Arc<ZoneView>>,
+    ) -> PublishStep {
+        let revision = stored.as_ref().map(|stored| stored.revision);
+        let newest = stored.map(|stored| stored.record);
+        if let Some(record) = &newest
+            && let Some(version) = record.version_of(self.write_id)
+        {
+            return Self::accepted(version, Arc::clone(record));
+        }
+        if let Some(sent) = &self.sent {
+            if sent.revision == revision {
+                // The write did not take effect yet. If the lost one still does, the same write id is found.
+                let record = Arc::clone(&sent.record);
+                return PublishStep::Write { expect: revision, record, replaced: newest };
+            }
+            return PublishStep::Done(Self::lost_race(sent, newest.as_deref()));
+        }
+        let base = match (newest, own) {
+            (Some(stored), Some(own)) if own.version > stored.version => Some(Arc::clone(own)),
+            (Some(stored), _) => Some(stored),
+            (None, own) => own.cloned(),
+        };
+        match self.build(base.as_deref(), views) {
+            Err(outcome) => PublishStep::Done(outcome),
+            Ok(record) => {
+                let record = Arc::new(record);
+                let version = base.as_ref().map(|base| base.version);
+                self.sent = Some(Base { revision, version, record: Arc::clone(&record) });
+                PublishStep::Write { expect: revision, record, replaced: base }
+            }
+        }
+    }
+
+    /// Returns the outcome after another write took the place of the one that was sent.
+    fn lost_race(sent: &Base, newest: Option<&ConfigRecord>) -> PublishOutcome {
+        match newest {
+            // Without the whole history since the write, it may have been accepted and forgotten.
+            Some(record) if sent.version.is_none_or(|version| record.remembers_after(version)) => {
+                PublishOutcome::Conflict(record.version)
+            }
+            _ => PublishOutcome::Unknown,
+        }
+    }
+
+    fn build(
+        &self,
+        base: Option<&ConfigRecord>,
+        views: &IndexMap<ZoneId, Arc<ZoneView>>,
+    ) -> Result<ConfigRecord, PublishOutcome> {
+        if let Some(expect) = self.expect {
+            let found = base.map_or(Version(0), |base| base.version);
+            if found != expect {
+                return Err(PublishOutcome::Conflict(found));
+            }
+        }
+        let refuse = |err: Error| PublishOutcome::Refused(err.to_string());
+        let previous = base.map(|base| &base.manifest);
+        let manifest = match (&self.content, previous) {
+            (Content::Rollback(older), Some(previous)) => keep_added(older, previous),
+            (Content::Manifest(manifest) | Content::Rollback(manifest), _) => Manifest::clone(manifest),
+        };
+        check_change(previous, &manifest, views).map_err(refuse)?;
+        let record = match base {
+            None => ConfigRecord::first(manifest, self.write_id),
+            Some(base) => base.following(manifest, self.write_id),
+        };
+        record.map_err(refuse)
+    }
+}
+
+/// Returns `older` with the models and adapters that only `current` declares, marked `retiring`.
+fn keep_added(older: &Manifest, current: &Manifest) -> Manifest {
+    let mut manifest = older.clone();
+    for (id, spec) in &current.models {
+        if !manifest.models.contains_key(id) && !manifest.adapters.contains_key(id) {
+            manifest.models.insert(id.clone(), crate::ModelSpec { retiring: true, ..spec.clone() });
+            let service = current.services.get(&spec.service);
+            if let Some(service) = service
+                && !manifest.services.contains_key(&spec.service)
+            {
+                manifest.services.insert(spec.service.clone(), service.clone());
+            }
+        }
+    }
+    for (id, spec) in &current.adapters {
+        if !manifest.adapters.contains_key(id) && !manifest.models.contains_key(id) {
+            manifest.adapters.insert(id.clone(), crate::AdapterSpec { retiring: true, ..spec.clone() });
+        }
+    }
+    manifest
+}
--- a/crates/core/src/sync.rs
+++ b/crates/core/src/sync.rs
@@ -1,7 +1,12 @@
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Arc;
+
 use carobwick_derive::data;
 use indexmap::IndexMap;
-use std::sync::Arc;
+use xxhash_rust::xxh3::Xxh3;
 
+use crate::Adoption;
 use crate::ConfigRecord;
 use crate::CrashReport;
 use crate::DrainSet;
@@ -33,12 +38,12 @@
 pub struct Digest {
     /// Version and digest of the manifest.
     pub config: Option<(Version, u64)>,
-    /// Drained targets; the set is small.
-    pub drains: DrainSet,
+    /// Hash of the drained targets.
+    pub drains: u64,
     /// Rank of each zone's view.
     pub views: IndexMap<ZoneId, (Fence, Version)>,
-    /// Number of crash reports.
-    pub reports: usize,
+    /// Hash of the crash reports.
+    pub reports: u64,
 }
 
 /// The part of a [`SharedState`] that a peer lacks.
@@ -66,6 +71,8 @@
     View(ZoneId),
     /// A crash report was added.
     Suspects,
+    /// A manifest with the version in force but another content was refused.
+    Contradiction(Version),
 }
 
 /// Demand that an entry saw since its last report, for its zone's leader.
@@ -119,6 +126,8 @@
     Demand(DemandReport),
     /// Reply to `Push` and `Demand`.
     Ack,
+    /// Demand passed on by another planner; it is not passed on again.
+    Relayed(DemandReport),
 }
 
 impl SharedState {
@@ -126,9 +135,9 @@
     pub fn digest(&self) -> Digest {
         Digest {
             config: self.config.as_ref().map(|record| (record.version, record.digest)),
-            drains: self.drains.clone(),
+            drains: self.drains.summary(),
             views: self.views.iter().map(|(zone, view)| (zone.clone(), view.rank())).collect(),
-            reports: self.suspects.reports().count(),
+            reports: summary(&self.suspects),
         }
     }
 
@@ -138,8 +147,14 @@
         let config = self.config.as_deref().filter(|record| Some(record.version) > known).cloned();
         let newer = |view: &&Arc<ZoneView>| peer.views.get(&view.zone).is_none_or(|rank| view.rank() > *rank);
         let views = self.views.values().filter(newer).map(|view| ZoneView::clone(view)).collect();
-        let reports = self.suspects.reports().cloned().collect();
-        Delta { config, drains: self.drains.clone(), views, reports }
+        let drains =
+            if self.drains.summary() == peer.drains { DrainSet::default() } else { self.drains.clone() };
+        let reports = if summary(&self.suspects) == peer.reports {
+            Vec::new()
+        } else {
+            self.suspects.reports().cloned().collect()
+        };
+        Delta { config, drains, views, reports }
     }
 
     /// Takes over what is newer and returns what changed.
@@ -164,12 +179,17 @@
 
     /// Puts a manifest in force if its version is above the current one.
     pub fn adopt(&mut self, record: ConfigRecord) -> Option<Change> {
-        if self.config.as_ref().is_some_and(|own| own.version >= record.version) {
-            return None;
-        }
         let version = record.version;
-        self.config = Some(Arc::new(record));
-        Some(Change::Config(version))
+        match record.adoption(self.config.as_deref()) {
+            Adoption::Known => None,
+            Adoption::Contradiction => Some(Change::Contradiction(version)),
+            Adoption::Adopt => {
+                let own = self.config.as_ref().map(|own| own.version);
+                assert!(own < Some(version), "I8: version {version} does not follow {own:?}");
+                self.config = Some(Arc::new(record));
+                Some(Change::Config(version))
+            }
+        }
     }
 
     /// Takes over a zone's view if its rank is above the current one.
@@ -182,3 +202,16 @@
         Some(Change::View(zone))
     }
 }
+
+/// Returns a hash of the crash reports that does not depend on their order.
+fn summary(suspects: &SuspectSet) -> u64 {
+    let hash = |report: &CrashReport| {
+        let mut hasher = Xxh3::new();
+        (&report.endpoint, report.incarnation).hash(&mut hasher);
+        let mut fingerprints = report.fingerprints.clone();
+        fingerprints.sort_unstable();
+        fingerprints.hash(&mut hasher);
+        hasher.finish()
+    };
+    suspects.reports().map(hash).fold(0, u64::wrapping_add)
+}
--- /dev/null
+++ b/crates/planner/src/exchange.rs
@@ -0,0 +1,118 @@
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use carobwick_core::DemandReport;
+use carobwick_core::InstanceId;
+use carobwick_core::PeerMessage;
+use carobwick_core::SharedState;
+use carobwick_core::ZoneId;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::Context;
+
+const INTERVAL: Duration = Duration::from_millis(500);
+/// Peers of the own zone per round.
+const LOCAL_PEERS: usize = 2;
+
+/// Exchanges state with random peers every 0.5 s, and at once after an accepted change.
+pub(crate) async fn run(context: Context) -> anyhow::Result<()> {
+    let busy = Busy::default();
+    loop {
+        for addr in choose(&context) {
+            start(&context, &busy, addr);
+        }
+        // Without jitter, processes that start together would exchange in step.
+        let jitter = rand::rng().random_range(0.75..1.25);
+        tokio::select! {
+            () = tokio::time::sleep(INTERVAL.mul_f64(jitter)) => {}
+            () = context.wake.notified() => {}
+        }
+    }
+}
+
+/// Answers a message of a peer or entry.
+pub(crate) async fn answer(context: Context, message: PeerMessage) -> PeerMessage {
+    match message {
+        PeerMessage::Demand(report) => {
+            pass_on(&context, report).await;
+            PeerMessage::Ack
+        }
+        PeerMessage::Relayed(report) => {
+            deliver(&context, report);
+            PeerMessage::Ack
+        }
+        message => {
+            let (reply, changes) = context.node.answer(message);
+            context.record(&changes, "a peer");
+            reply
+        }
+    }
+}
+
+/// Addresses with which an exchange is under way, so that a slow peer is not asked twice.
+type Busy = Arc<Mutex<HashSet<String>>>;
+
+fn start(context: &Context, busy: &Busy, addr: String) {
+    if !busy.lock().unwrap_or_else(PoisonError::into_inner).insert(addr.clone()) {
+        return;
+    }
+    let (context, busy) = (context.clone(), Arc::clone(busy));
+    tokio::spawn(async move {
+        match context.node.exchange(&context.peers, &addr, &context.instance).await {
+            Ok(changes) => context.record(&changes, &addr),
+            Err(err) => tracing::debug!("peer: exchange with {addr} failed: {err}"),
+        }
+        busy.lock().unwrap_or_else(PoisonError::into_inner).remove(&addr);
+    });
+}
+
+/// Chooses two peers of the own zone and one of another, and seeds while too few are known.
+fn choose(context: &Context) -> Vec<String> {
+    let (local, remote) = context.node.read(|state| candidates(state, &context.zone, &context.instance));
+    let rng = &mut rand::rng();
+    let mut chosen: Vec<String> = local.choose_multiple(rng, LOCAL_PEERS).cloned().collect();
+    chosen.extend(remote.choose(rng).cloned());
+    let missing = (LOCAL_PEERS + 1).saturating_sub(chosen.len());
+    let seeds = context.seeds.choose_multiple(rng, missing).map(ToString::to_string);
+    let seeds: Vec<String> = seeds.filter(|seed| !chosen.contains(seed)).collect();
+    chosen.extend(seeds);
+    chosen
+}
+
+fn candidates(state: &SharedState, zone: &ZoneId, own: &InstanceId) -> (Vec<String>, Vec<String>) {
+    let (mut local, mut remote) = (Vec::new(), Vec::new());
+    for view in state.views.values() {
+        let peers = view.instances.iter().filter(|(id, peer)| *id != own && !peer.peer.is_empty());
+        let peers = peers.map(|(_, peer)| peer.peer.clone());
+        if view.zone == *zone { local.extend(peers) } else { remote.extend(peers) }
+    }
+    (local, remote)
+}
+
+/// Hands a report to the zone's leader, here or at another planner.
+async fn pass_on(context: &Context, report: DemandReport) {
+    let leader = context.node.read(|state| {
+        let view = state.views.get(&context.zone)?;
+        (view.leader != context.instance)
+            .then(|| view.instances.get(&view.leader))?
+            .map(|leader| leader.peer.clone())
+    });
+    let Some(addr) = leader else {
+        deliver(context, report);
+        return;
+    };
+    if let Err(err) = context.peers.exchange(&addr, &PeerMessage::Relayed(report)).await {
+        tracing::debug!("peer: demand not passed on to {addr}: {err}");
+    }
+}
+
+fn deliver(context: &Context, report: DemandReport) {
+    // A full queue means that the leader is behind; the next report makes up for this one.
+    if context.demand.try_send(report).is_err() {
+        tracing::debug!("planner: demand report dropped");
+    }
+}
--- /dev/null
+++ b/crates/planner/src/key_value.rs
@@ -0,0 +1,142 @@
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use carobwick_core::ConfigRecord;
+use carobwick_core::Delta;
+use carobwick_core::DrainSet;
+use carobwick_core::StoredConfig;
+use carobwick_runtime::Expect;
+use carobwick_runtime::KvEntry;
+use carobwick_runtime::Put;
+use carobwick_runtime::Result;
+use rand::Rng;
+
+use crate::Context;
+
+pub(crate) const MANIFEST: &str = "config/manifest";
+const DRAINS: &str = "config/drains";
+const PREFIX: &str = "config/";
+
+/// Time between checks of the revisions beside a watch, whose connection can go silent without an error.
+const CHECK: Duration = Duration::from_secs(2);
+/// Compare-and-swap attempts of one write of the drains.
+const ATTEMPTS: usize = 4;
+
+/// Keeps the state up to date with the key-value service while this planner is one of its zone's watchers.
+pub(crate) async fn run(context: Context) -> anyhow::Result<()> {
+    loop {
+        if is_watcher(&context) {
+            let ended = watch(&context).await;
+            if let Err(err) = ended {
+                context.reachable.store(false, Ordering::Relaxed);
+                tracing::debug!("kv: watch of {PREFIX} ended: {err}");
+            }
+        }
+        let pause = CHECK.mul_f64(rand::rng().random_range(0.5..1.0));
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Reads the manifest with its revision.
+pub(crate) async fn read_config(context: &Context) -> Result<Option<StoredConfig>> {
+    let entry = observe(context, context.key_value.get(MANIFEST).await)?;
+    let Some(entry) = entry else {
+        return Ok(None);
+    };
+    let record: ConfigRecord = serde_json::from_slice(&entry.value)?;
+    Ok(Some(StoredConfig { revision: entry.revision, record: Arc::new(record) }))
+}
+
+/// Notes whether the service answered.
+pub(crate) fn observe<T>(context: &Context, result: Result<T>) -> Result<T> {
+    context.reachable.store(result.is_ok(), Ordering::Relaxed);
+    result
+}
+
+/// Stores the drains that the service lacks and returns whether it has them all now.
+pub(crate) async fn store_drains(context: &Context) -> Result<bool> {
+    let mut entry = observe(context, context.key_value.get(DRAINS).await)?;
+    for _ in 0..ATTEMPTS {
+        let mut stored = match &entry {
+            Some(entry) => serde_json::from_slice::<DrainSet>(&entry.value)?,
+            None => DrainSet::default(),
+        };
+        let own = context.node.read(|state| state.drains.clone());
+        take_drains(context, stored.clone());
+        if !stored.merge(&own) {
+            return Ok(true);
+        }
+        let expect = entry.map_or(Expect::Absent, |entry| Expect::Revision(entry.revision));
+        let put = context.key_value.put_if(DRAINS, expect, &serde_json::to_vec(&stored)?, None).await;
+        match observe(context, put)? {
+            Put::Written(_) => return Ok(true),
+            Put::Conflict(found) => entry = found,
+        }
+    }
+    Ok(false)
+}
+
+/// Returns whether this planner watches: without a view of its zone, as the leader, or as the live planner with the
+/// lowest id beside the leader.
+fn is_watcher(context: &Context) -> bool {
+    context.node.read(|state| {
+        let Some(view) = state.views.get(&context.zone) else {
+            return true;
+        };
+        let live = view.instances.iter().filter(|(id, instance)| instance.live && **id != view.leader);
+        view.leader == context.instance || live.map(|(id, _)| id).min() == Some(&context.instance)
+    })
+}
+
+/// Reads all keys, then follows their changes until the watch breaks, goes silent or is another planner's task.
+async fn watch(context: &Context) -> Result<()> {
+    let entries = observe(context, context.key_value.list(PREFIX).await)?;
+    let mut seen = entries.iter().map(|entry| entry.revision).max().unwrap_or(0);
+    for entry in &entries {
+        take(context, entry);
+    }
+    store_drains(context).await?;
+    let mut watch = context.key_value.watch(PREFIX, seen + 1).await?;
+    while is_watcher(context) {
+        let next = tokio::time::timeout(CHECK, watch.next()).await;
+        if let Ok(entries) = next {
+            for entry in entries? {
+                seen = seen.max(entry.revision);
+                take(context, &entry);
+            }
+            continue;
+        }
+        let revisions = observe(context, context.key_value.revisions(PREFIX).await)?;
+        let newest = revisions.into_iter().map(|(_, revision)| revision).max().unwrap_or(0);
+        if newest > seen {
+            tracing::warn!("kv: watch of {PREFIX} missed revision {newest}");
+            return Ok(());
+        }
+        store_drains(context).await?;
+    }
+    Ok(())
+}
+
+fn take(context: &Context, entry: &KvEntry) {
+    match entry.key.as_str() {
+        _ if entry.value.is_empty() => {}
+        MANIFEST => match serde_json::from_slice::<ConfigRecord>(&entry.value) {
+            Ok(record) => {
+                let delta = Delta { config: Some(record), ..Delta::default() };
+                context.record(&context.node.merge(delta), "the key-value service");
+            }
+            Err(err) => tracing::error!("kv: {MANIFEST} is not a record: {err}"),
+        },
+        DRAINS => match serde_json::from_slice::<DrainSet>(&entry.value) {
+            Ok(drains) => take_drains(context, drains),
+            Err(err) => tracing::error!("kv: {DRAINS} is not a set of drains: {err}"),
+        },
+        _ => {}
+    }
+}
+
+fn take_drains(context: &Context, drains: DrainSet) {
+    let delta = Delta { drains, ..Delta::default() };
+    context.record(&context.node.merge(delta), "the key-value service");
+}
--- /dev/null
+++ b/crates/planner/src/lib.rs
@@ -0,0 +1,20 @@
+//! The planner process: placement of models in one availability zone, exchange of configuration between processes
+//! and the operator API.
+//!
+//! # Tour
+//!
+//! [`Planner::start`] starts the process from its [`Settings`]; [`Context`] is what its tasks share. The exchange
+//! with peers, the watch of the key-value service, the operator API and the leader are tasks under one supervisor.
+
+mod context;
+mod exchange;
+mod key_value;
+mod operator;
+mod planner;
+mod publishing;
+mod settings;
+mod status;
+
+pub use context::Context;
+pub use planner::Planner;
+pub use settings::Settings;
--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -1,2 +1,45 @@
-//! placeholder
-fn main() {}
+//! The planner process; see `carobwick-planner --help`.
+
+use std::process::ExitCode;
+
+use carobwick_planner::Planner;
+use carobwick_planner::Settings;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Exit code for settings that are refused, as `sysexits` has it for wrong usage.
+const WRONG_SETTINGS: u8 = 64;
+
+fn main() -> anyhow::Result<ExitCode> {
+    let settings = Settings::read();
+    if let Err(err) = settings.validate() {
+        eprintln!("{err:#}");
+        return Ok(ExitCode::from(WRONG_SETTINGS));
+    }
+    if settings.check {
+        return Ok(ExitCode::SUCCESS);
+    }
+    carobwick_runtime::start_logs(&settings.log, false)?;
+    run(settings)
+}
+
+#[tokio::main]
+async fn run(settings: Settings) -> anyhow::Result<ExitCode> {
+    let mut planner = Planner::start(settings).await?;
+    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    tokio::select! {
+        ended = planner.ended() => {
+            ended?;
+            anyhow::bail!("planner: all tasks ended");
+        }
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tracing::info!("planner: stopping");
+    planner.stop().await?;
+    tracing::info!("planner: stopped");
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/planner/src/operator.rs
@@ -0,0 +1,143 @@
+use axum::Json;
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::DefaultBodyLimit;
+use axum::extract::Query;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use axum::routing::post;
+use carobwick_core::DrainReply;
+use carobwick_core::DrainRequest;
+use carobwick_core::Event;
+use carobwick_core::EventKind;
+use carobwick_core::Manifest;
+use carobwick_core::Publish;
+use carobwick_core::PublishOutcome;
+use carobwick_core::PublishReply;
+use carobwick_core::StatusReport;
+use carobwick_core::Version;
+use carobwick_core::WriteId;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::Context;
+use crate::key_value;
+use crate::publishing;
+use crate::status;
+
+/// Largest manifest in bytes; a value of the key-value service has at most 1 MB, and the record adds to it.
+const MAX_MANIFEST: usize = 1_000_000 - 4_096;
+
+/// Serves the operator API until `stop` is cancelled and the requests in flight are answered.
+pub(crate) async fn serve(
+    context: Context,
+    listener: TcpListener,
+    stop: CancellationToken,
+) -> anyhow::Result<()> {
+    let router = router(context);
+    axum::serve(listener, router).with_graceful_shutdown(stop.cancelled_owned()).await?;
+    Ok(())
+}
+
+fn router(context: Context) -> Router {
+    Router::new()
+        .route("/admin/manifest", post(publish).get(manifest))
+        .route("/admin/drains", post(drain))
+        .route("/admin/status", get(read_status))
+        .route("/admin/timeline", get(timeline))
+        .route("/metrics", get(metrics))
+        .route("/healthz", get(async || "ok\n"))
+        .route("/readyz", get(ready))
+        .layer(DefaultBodyLimit::max(MAX_MANIFEST))
+        .with_state(context)
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PublishQuery {
+    expect: Option<Version>,
+}
+
+async fn publish(State(context): State<Context>, Query(query): Query<PublishQuery>, body: Bytes) -> Response {
+    let text = String::from_utf8_lossy(&body);
+    let manifest = match Manifest::from_json(&text) {
+        Ok(manifest) => manifest,
+        Err(err) => return refusal(StatusCode::BAD_REQUEST, "invalid", &err.to_string()),
+    };
+    run_publish(&context, Publish::manifest(manifest, write_id(), query.expect)).await
+}
+
+async fn run_publish(context: &Context, publish: Publish) -> Response {
+    let write_id = publish.write_id();
+    match publishing::run(context, publish).await {
+        PublishOutcome::Accepted(version, _) => Json(PublishReply { version, write_id }).into_response(),
+        PublishOutcome::Conflict(version) => {
+            let message = format!("version {version} was published by another writer");
+            refusal(StatusCode::CONFLICT, "conflict", &message)
+        }
+        PublishOutcome::Refused(reason) => refusal(StatusCode::UNPROCESSABLE_ENTITY, "refused", &reason),
+        PublishOutcome::Unavailable => {
+            let message = "the key-value service does not answer; nothing was written";
+            refusal(StatusCode::SERVICE_UNAVAILABLE, "unavailable", message)
+        }
+        PublishOutcome::Unknown => {
+            let message =
+                "the key-value service did not say whether the manifest was accepted; read the status";
+            refusal(StatusCode::GATEWAY_TIMEOUT, "unknown", message)
+        }
+    }
+}
+
+async fn manifest(State(context): State<Context>) -> Response {
+    match context.node.read(|state| state.config.clone()) {
+        Some(record) => Json(record).into_response(),
+        None => refusal(StatusCode::NOT_FOUND, "no_manifest", "no manifest is in force"),
+    }
+}
+
+async fn drain(State(context): State<Context>, Json(request): Json<DrainRequest>) -> Json<DrainReply> {
+    let DrainRequest { target, drained } = request;
+    let mark = context.node.update(|state| state.drains.set(target.clone(), drained, write_id()));
+    context.wake.notify_one();
+    let word = if drained { "drained" } else { "put back into use" };
+    context.timeline.add(EventKind::Drain, format!("{target} {word}"));
+    let stored = key_value::store_drains(&context).await;
+    let durable = stored.unwrap_or_else(|err| {
+        tracing::warn!("kv: drain of {target} not stored yet: {err}");
+        false
+    });
+    Json(DrainReply { target, mark, durable })
+}
+
+async fn read_status(State(context): State<Context>) -> Json<StatusReport> {
+    Json(status::report(&context))
+}
+
+async fn timeline(State(context): State<Context>) -> Json<Vec<Event>> {
+    Json(context.timeline.events())
+}
+
+async fn metrics(State(context): State<Context>) -> String {
+    context.metrics.render()
+}
+
+async fn ready(State(context): State<Context>) -> (StatusCode, &'static str) {
+    if context.node.read(|state| state.config.is_some()) {
+        (StatusCode::OK, "ready\n")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "no manifest\n")
+    }
+}
+
+fn write_id() -> WriteId {
+    WriteId(rand::random())
+}
+
+fn refusal(status: StatusCode, code: &str, message: &str) -> Response {
+    (status, Json(json!({"error": {"code": code, "message": message}}))).into_response()
+}
--- /dev/null
+++ b/crates/planner/src/planner.rs
@@ -0,0 +1,168 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use anyhow::Context as _;
+use carobwick_core::DemandReport;
+use carobwick_core::EventKind;
+use carobwick_runtime::Node;
+use carobwick_runtime::PeerServer;
+use carobwick_runtime::Supervisor;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::Context;
+use crate::Settings;
+use crate::exchange;
+use crate::key_value;
+use crate::operator;
+
+/// Demand reports that wait for the leader.
+const DEMAND_QUEUE: usize = 1_024;
+
+/// A running planner.
+#[derive(Debug)]
+pub struct Planner {
+    context: Context,
+    peer: SocketAddr,
+    operators: SocketAddr,
+    stop: CancellationToken,
+    task: JoinHandle<anyhow::Result<()>>,
+}
+
+impl Planner {
+    /// Checks the settings, binds the addresses and starts the tasks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a setting is wrong or an address can't be bound.
+    pub async fn start(settings: Settings) -> anyhow::Result<Self> {
+        settings.validate()?;
+        let (demand, demands) = mpsc::channel(DEMAND_QUEUE);
+        let context = Context::open(&settings, demand, "carobwick-planner")?;
+        let peers = bind_peers(&context, settings.peer).await?;
+        let listener = TcpListener::bind(settings.operators)
+            .await
+            .with_context(|| format!("--operators: {}", settings.operators))?;
+        let (peer, operators) = (peers.addr(), listener.local_addr()?);
+        let stop = CancellationToken::new();
+        let supervisor = supervise(&context, peers, listener, demands, &stop);
+        let task = tokio::spawn(supervisor.run());
+        tracing::info!("planner: {} in {} serves peers on {peer}", context.instance, context.zone);
+        context.timeline.add(EventKind::Process, "started");
+        Ok(Self { context, peer, operators, stop, task })
+    }
+
+    /// Returns the address that serves peers.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Returns the address that serves the operator API.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Returns the state that is shared with peers.
+    pub fn node(&self) -> &Node {
+        &self.context.node
+    }
+
+    /// Waits until the process ends by itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason, since a planner ends only if one of its tasks fails too often.
+    pub async fn ended(&mut self) -> anyhow::Result<()> {
+        (&mut self.task).await?
+    }
+
+    /// Stops: requests in flight are answered first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a task had failed too often.
+    pub async fn stop(self) -> anyhow::Result<()> {
+        self.context.timeline.add(EventKind::Process, "stopping");
+        self.stop.cancel();
+        self.task.await?
+    }
+}
+
+fn supervise(
+    context: &Context,
+    peers: PeerServer,
+    listener: TcpListener,
+    _demands: mpsc::Receiver<DemandReport>,
+    stop: &CancellationToken,
+) -> Supervisor {
+    let supervisor = Supervisor::new("planner", stop.clone());
+    let supervisor = with_peer_server(supervisor, context, peers);
+    let supervisor = with_operators(supervisor, context, listener, stop);
+    let (exchanging, watching) = (context.clone(), context.clone());
+    supervisor
+        .task("exchange", move || exchange::run(exchanging.clone()))
+        .task("key-value", move || key_value::run(watching.clone()))
+}
+
+/// Adds the peer server; a restart binds its address again.
+fn with_peer_server(supervisor: Supervisor, context: &Context, peers: PeerServer) -> Supervisor {
+    let addr = peers.addr();
+    let (context, first) = (context.clone(), Slot::new(peers));
+    supervisor.task("peer server", move || {
+        let (context, bound) = (context.clone(), first.take());
+        async move {
+            let mut peers = match bound {
+                Some(peers) => peers,
+                None => bind_peers(&context, addr).await?,
+            };
+            Ok(peers.ended().await?)
+        }
+    })
+}
+
+/// Adds the operator API; a restart binds its address again.
+fn with_operators(
+    supervisor: Supervisor,
+    context: &Context,
+    listener: TcpListener,
+    stop: &CancellationToken,
+) -> Supervisor {
+    let addr = listener.local_addr();
+    let (context, stop, first) = (context.clone(), stop.clone(), Slot::new(listener));
+    supervisor.graceful_task("operators", move || {
+        let (context, stop, bound) = (context.clone(), stop.clone(), first.take());
+        let addr = addr.as_ref().ok().copied();
+        async move {
+            let listener = match (bound, addr) {
+                (Some(listener), _) => listener,
+                (None, Some(addr)) => TcpListener::bind(addr).await?,
+                (None, None) => anyhow::bail!("operator API: address unknown"),
+            };
+            operator::serve(context, listener, stop).await
+        }
+    })
+}
+
+async fn bind_peers(context: &Context, addr: SocketAddr) -> anyhow::Result<PeerServer> {
+    let context = context.clone();
+    let bound = PeerServer::bind(addr, move |message| exchange::answer(context.clone(), message)).await;
+    bound.with_context(|| format!("--peer: {addr}"))
+}
+
+/// A bound listener that the first run of a task takes.
+#[derive(Debug, Clone)]
+struct Slot<T>(Arc<Mutex<Option<T>>>);
+
+impl<T> Slot<T> {
+    fn new(value: T) -> Self {
+        Self(Arc::new(Mutex::new(Some(value))))
+    }
+
+    fn take(&self) -> Option<T> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+}
--- /dev/null
+++ b/crates/planner/src/publishing.rs
@@ -0,0 +1,81 @@
+use carobwick_core::ConfigRecord;
+use carobwick_core::EventKind;
+use carobwick_core::Publish;
+use carobwick_core::PublishEvent;
+use carobwick_core::PublishOutcome;
+use carobwick_core::PublishStep;
+use carobwick_runtime::Error;
+use carobwick_runtime::Expect;
+use carobwick_runtime::Put;
+
+use crate::Context;
+use crate::key_value;
+
+/// Carries out a publish and puts the outcome in force here.
+pub(crate) async fn run(context: &Context, mut publish: Publish) -> PublishOutcome {
+    let mut step = PublishStep::Read;
+    loop {
+        let event = match step {
+            PublishStep::Read => read(context).await,
+            PublishStep::Write { expect, record, .. } => write(context, expect, &record).await,
+            PublishStep::Pause(pause) => {
+                tokio::time::sleep(pause).await;
+                PublishEvent::Resumed
+            }
+            PublishStep::Done(outcome) => {
+                finish(context, &outcome);
+                return outcome;
+            }
+        };
+        let (own, views) = context.node.read(|state| (state.config.clone(), state.views.clone()));
+        step = publish.next(event, own.as_ref(), &views);
+    }
+}
+
+async fn read(context: &Context) -> PublishEvent {
+    match key_value::read_config(context).await {
+        Ok(stored) => PublishEvent::Read(stored),
+        Err(err) => {
+            tracing::warn!("kv: {}: not read: {err}", key_value::MANIFEST);
+            PublishEvent::Failed
+        }
+    }
+}
+
+async fn write(context: &Context, expect: Option<u64>, record: &ConfigRecord) -> PublishEvent {
+    let value = match serde_json::to_vec(record) {
+        Ok(value) => value,
+        Err(err) => {
+            tracing::error!("planner: record can't be written as JSON: {err}");
+            return PublishEvent::Failed;
+        }
+    };
+    let expect = expect.map_or(Expect::Absent, Expect::Revision);
+    let put = context.key_value.put_if(key_value::MANIFEST, expect, &value, None).await;
+    match key_value::observe(context, put) {
+        Ok(Put::Written(_)) => PublishEvent::Written,
+        Ok(Put::Conflict(_)) => PublishEvent::Refused,
+        Err(err) => {
+            tracing::warn!("kv: {}: no reply to the write: {err}", key_value::MANIFEST);
+            // A reply that can't be read leaves the outcome as open as a lost one.
+            let open = err.is_ambiguous() || matches!(err, Error::Codec(_));
+            if open { PublishEvent::Lost } else { PublishEvent::Failed }
+        }
+    }
+}
+
+fn finish(context: &Context, outcome: &PublishOutcome) {
+    match outcome {
+        PublishOutcome::Accepted(version, record) => {
+            context.timeline.add(EventKind::Config, format!("version {version} published"));
+            let change = context.node.update(|state| state.adopt(ConfigRecord::clone(record)));
+            context.record(change.as_slice(), "the operator API");
+            context.wake.notify_one();
+        }
+        outcome => {
+            let text = format!("publish not accepted: {outcome:?}");
+            tracing::warn!("planner: {text}");
+            context.timeline.add(EventKind::Config, text);
+        }
+    }
+}
--- a/crates/runtime/src/kv.rs
+++ b/crates/runtime/src/kv.rs
@@ -26,6 +26,7 @@
 pub struct KeyValue {
     http: HttpClient,
     base: String,
+    timeout: Duration,
 }
 
 /// A key with its value and the revision of its last write.
@@ -71,7 +72,7 @@
 impl KeyValue {
     /// Opens a client of the service at `base`, such as `http://127.0.0.1:7001`; each call ends after `timeout`.
     pub fn open(base: &str, timeout: Duration) -> Self {
-        Self { http: HttpClient::open(timeout), base: base.trim_end_matches('/').to_owned() }
+        Self { http: HttpClient::open(timeout), base: base.trim_end_matches('/').to_owned(), timeout }
     }
 
     /// Reads a key.
@@ -80,7 +81,7 @@
     ///
     /// Fails if the service does not answer in time.
     pub async fn get(&self, key: &str) -> Result<Option<KvEntry>> {
-        let request = RangeRequest { key: encode(key.as_bytes()), range_end: None };
+        let request = RangeRequest { key: encode(key.as_bytes()), range_end: None, keys_only: false };
         Ok(self.range(&request).await?.pop())
     }
 
@@ -90,8 +91,17 @@
     ///
     /// Fails if the service does not answer in time.
     pub async fn list(&self, prefix: &str) -> Result<Vec<KvEntry>> {
-        let request = RangeRequest { key: encode(prefix.as_bytes()), range_end: Some(prefix_end(prefix)) };
-        self.range(&request).await
+        self.range(&range_of(prefix, false)).await
+    }
+
+    /// Reads the keys with a prefix and their revisions, without the values.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer in time.
+    pub async fn revisions(&self, prefix: &str) -> Result<Vec<(String, u64)>> {
+        let entries = self.range(&range_of(prefix, true)).await?;
+        Ok(entries.into_iter().map(|entry| (entry.key, entry.revision)).collect())
     }
 
     /// Writes a key if it is as expected, bound to `lease` if one is given.
@@ -168,7 +178,12 @@
             "start_revision": revision.to_string(),
         }});
         let body = Bytes::from(serde_json::to_vec(&request)?);
-        let response = self.http.open_stream(Method::POST, &self.url("/v3/watch"), body).await?;
+        let url = self.url("/v3/watch");
+        let opening = self.http.open_stream(Method::POST, &url, body);
+        let response = match tokio::time::timeout(self.timeout, opening).await {
+            Ok(response) => response?,
+            Err(_) => return Err(Error::Lost(format!("no answer from {url} in {:?}", self.timeout))),
+        };
         if response.status().is_success() {
             return Ok(Watch { body: response.into_body(), buffer: BytesMut::new() });
         }
@@ -218,6 +233,10 @@
             if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
                 let line = self.buffer.split_to(end + 1);
                 let response: WatchResponse = serde_json::from_slice(&line)?;
+                let compacted = number(&response.result.compact_revision)? > 0;
+                if response.result.canceled || compacted {
+                    return Err(Error::Lost("watch was ended by the service".to_owned()));
+                }
                 let entries: Result<Vec<KvEntry>> =
                     response.result.events.into_iter().map(|event| event.kv.decode()).collect();
                 let entries = entries?;
@@ -238,3 +257,7 @@
         }
     }
 }
+
+fn range_of(prefix: &str, keys_only: bool) -> RangeRequest {
+    RangeRequest { key: encode(prefix.as_bytes()), range_end: Some(prefix_end(prefix)), keys_only }
+}
--- a/crates/runtime/src/kv_wire.rs
+++ b/crates/runtime/src/kv_wire.rs
@@ -14,6 +14,8 @@
     pub key: String,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub range_end: Option<String>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub keys_only: bool,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -74,6 +76,9 @@
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 pub(crate) struct WatchResult {
+    /// Set when the service ends the watch, for example since the start revision was compacted.
+    pub canceled: bool,
+    pub compact_revision: String,
     pub events: Vec<WatchEvent>,
 }
 
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -5,9 +5,15 @@
 
 use carobwick_core::Change;
 use carobwick_core::Delta;
+use carobwick_core::InstanceId;
+use carobwick_core::PeerMessage;
 use carobwick_core::SharedState;
 use tokio::sync::watch;
 
+use crate::Error;
+use crate::PeerClient;
+use crate::Result;
+
 /// The state that a process shares with its peers, with notice of its changes.
 #[derive(Debug, Clone)]
 pub struct Node {
@@ -42,6 +48,40 @@
         changes
     }
 
+    /// Answers a message of the exchange and returns what it changed; other messages are acknowledged.
+    pub fn answer(&self, message: PeerMessage) -> (PeerMessage, Vec<Change>) {
+        match message {
+            PeerMessage::Sync { digest, .. } => {
+                let reply = self.read(|state| (state.digest(), state.delta_for(&digest)));
+                (PeerMessage::SyncReply { digest: reply.0, delta: reply.1 }, Vec::new())
+            }
+            PeerMessage::Push { delta } => (PeerMessage::Ack, self.merge(delta)),
+            PeerMessage::SyncReply { .. }
+            | PeerMessage::Demand(_)
+            | PeerMessage::Relayed(_)
+            | PeerMessage::Ack => (PeerMessage::Ack, Vec::new()),
+        }
+    }
+
+    /// Exchanges state with the peer at `addr` (`IP:port`) and returns what changed here.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`PeerClient::exchange`] does, or if the peer's reply is of the wrong kind.
+    pub async fn exchange(&self, peers: &PeerClient, addr: &str, from: &InstanceId) -> Result<Vec<Change>> {
+        let digest = self.read(SharedState::digest);
+        let sync = PeerMessage::Sync { from: from.clone(), digest };
+        let PeerMessage::SyncReply { digest, delta } = peers.exchange(addr, &sync).await? else {
+            return Err(Error::Codec(format!("{addr} answered `Sync` with another message")));
+        };
+        let changes = self.merge(delta);
+        let delta = self.read(|state| state.delta_for(&digest));
+        if delta != Delta::default() {
+            peers.exchange(addr, &PeerMessage::Push { delta }).await?;
+        }
+        Ok(changes)
+    }
+
     /// Returns a receiver that is notified after each change.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/crates/runtime/src/peer.rs
+++ b/crates/runtime/src/peer.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 
 use crate::Error;
 use crate::Result;
@@ -22,6 +23,9 @@
 /// Largest message in bytes; a full manifest and the views of all zones at the target scale stay below it.
 const MAX_MESSAGE: usize = 4 << 20;
 
+/// Silence after which a connection is closed; peers of other zones are chosen about every 2 minutes.
+const IDLE: Duration = Duration::from_mins(10);
+
 /// Client side of the peer protocol: one h2 connection per peer, one stream per exchange.
 #[derive(Debug, Clone)]
 pub struct PeerClient {
@@ -105,6 +109,15 @@
     pub fn addr(&self) -> SocketAddr {
         self.addr
     }
+
+    /// Waits until the server ends, which it does only by a panic.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason of the end.
+    pub async fn ended(&mut self) -> Result<()> {
+        (&mut self.task).await.map_err(|err| Error::Local(format!("peer server: {err}")))
+    }
 }
 
 impl Drop for PeerServer {
@@ -118,10 +131,13 @@
     F: Fn(PeerMessage) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = PeerMessage> + Send + 'static,
 {
+    // The set closes the connections when the server is dropped.
+    let mut connections = JoinSet::new();
     loop {
+        while connections.try_join_next().is_some() {}
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve(stream, reply.clone()));
+                connections.spawn(serve(stream, reply.clone()));
             }
             Err(err) => {
                 tracing::warn!("peer: accept failed: {err}");
@@ -139,7 +155,8 @@
     let Ok(mut connection) = h2::server::handshake(stream).await else {
         return;
     };
-    while let Some(Ok((request, respond))) = connection.accept().await {
+    // A peer that vanished without closing its connection is given up after a while.
+    while let Ok(Some(Ok((request, respond)))) = tokio::time::timeout(IDLE, connection.accept()).await {
         let reply = reply.clone();
         tokio::spawn(async move {
             if let Err(err) = answer(request.into_body(), respond, reply).await {
