--- /dev/null
+++ b/crates/standins/src/answer.rs
@@ -0,0 +1,109 @@
+use carobwick_core::Tokens;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Bytes of prompt that count as one token.
+const TOKEN_BYTES: usize = 4;
+
+/// The part of a chat request that the stand-ins read.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ChatRequest {
+    /// Model or adapter.
+    pub model: String,
+    /// Conversation so far.
+    pub messages: Vec<ChatMessage>,
+    /// Length of the answer.
+    #[serde(default = "default_max_tokens")]
+    pub max_tokens: u32,
+    /// Whether the answer comes as server-sent events.
+    #[serde(default)]
+    pub stream: bool,
+}
+
+/// One message of a conversation.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ChatMessage {
+    /// Who speaks.
+    pub role: String,
+    /// Text, or a list of parts.
+    pub content: Value,
+}
+
+impl ChatRequest {
+    /// Returns the hash of model and messages from which the answer is made.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use carobwick_standins::ChatRequest;
+    /// use carobwick_standins::answer_text;
+    ///
+    /// let body = r#"{"model": "m", "messages": [{"role": "user", "content": "hello"}], "max_tokens": 2}"#;
+    /// let request: ChatRequest = serde_json::from_str(body).unwrap();
+    /// let text = answer_text(request.hash(), 2);
+    /// assert_eq!(text.split_whitespace().count(), 2);
+    /// ```
+    pub fn hash(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        hash.update(self.model.as_bytes());
+        for message in &self.messages {
+            hash.update(&[0]);
+            hash.update(message.role.as_bytes());
+            hash.update(&[1]);
+            match &message.content {
+                Value::String(text) => hash.update(text.as_bytes()),
+                parts => hash.update(parts.to_string().as_bytes()),
+            }
+        }
+        hash.digest()
+    }
+
+    /// Returns the text of all messages.
+    pub(crate) fn prompt(&self) -> String {
+        let mut prompt = String::new();
+        for message in &self.messages {
+            match &message.content {
+                Value::String(text) => prompt.push_str(text),
+                parts => prompt.push_str(&parts.to_string()),
+            }
+        }
+        prompt
+    }
+}
+
+/// Returns one token of the answer to the request with the given hash.
+pub fn answer_token(hash: u64, index: u32) -> String {
+    format!("{hash:016x}:{index} ")
+}
+
+/// Returns the first `count` tokens of the answer to the request with the given hash.
+pub fn answer_text(hash: u64, count: u32) -> String {
+    (0..count).map(|index| answer_token(hash, index)).collect()
+}
+
+/// Returns how many tokens a prompt has.
+pub(crate) fn count_tokens(prompt: &str) -> Tokens {
+    Tokens((prompt.len() / TOKEN_BYTES).max(1) as u64)
+}
+
+/// Splits a prompt into blocks and returns one hash per block, of all text up to the block's end.
+pub(crate) fn block_hashes(model: &str, prompt: &str, block: Tokens) -> Vec<u64> {
+    let size = block.0 as usize * TOKEN_BYTES;
+    let mut chain = xxh3_64(model.as_bytes());
+    let whole = prompt.as_bytes().chunks_exact(size);
+    whole
+        .map(|chunk| {
+            let mut hash = Xxh3::with_seed(chain);
+            hash.update(chunk);
+            chain = hash.digest();
+            chain
+        })
+        .collect()
+}
+
+fn default_max_tokens() -> u32 {
+    16
+}
--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,94 @@
+mod admin;
+mod batch;
+mod cache;
+mod chat;
+mod memory;
+mod options;
+mod reply;
+mod state;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use axum::Router;
+use axum::routing::get;
+use axum::routing::post;
+use carobwick_core::EngineState;
+
+pub use self::cache::CacheEvent;
+pub use self::options::EngineFaults;
+pub use self::options::EngineOptions;
+pub use self::options::EngineTiming;
+pub use self::options::OnCrash;
+pub use self::state::EngineStats;
+
+use self::state::Core;
+use crate::Faults;
+use crate::Server;
+
+/// Stand-in for a model engine.
+#[derive(Debug)]
+pub struct EngineStandin {
+    server: Server,
+    core: Arc<Core>,
+}
+
+impl EngineStandin {
+    /// Binds `addr` and serves an engine without models.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn spawn(
+        addr: SocketAddr,
+        options: EngineOptions,
+        faults: EngineFaults,
+    ) -> anyhow::Result<Self> {
+        let core = Arc::new(Core::new(options, faults));
+        let engine = Arc::clone(&core);
+        let server = Server::spawn_with(addr, |control| {
+            engine.connect(control);
+            let changed = Arc::clone(&engine);
+            let switches = engine.faults.router(move |faults| changed.faults_changed(faults));
+            router(engine).merge(switches)
+        });
+        let server = server.await?;
+        tokio::spawn(state::run(Arc::downgrade(&core)));
+        Ok(Self { server, core })
+    }
+
+    /// Returns the server.
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// Returns the fault switches.
+    pub fn faults(&self) -> &Faults<EngineFaults> {
+        &self.core.faults
+    }
+
+    /// Returns the state as `GET /admin/state` does.
+    pub fn state(&self) -> EngineState {
+        self.core.report()
+    }
+
+    /// Returns the counts since the start, over all incarnations.
+    pub fn stats(&self) -> EngineStats {
+        self.core.lock().stats.clone()
+    }
+
+    /// Crashes the engine, as a request with the marker would.
+    pub fn crash(&self) {
+        self.core.crash();
+    }
+}
+
+fn router(core: Arc<Core>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(chat::chat))
+        .route("/admin/orders", post(admin::order))
+        .route("/admin/state", get(admin::state))
+        .route("/cache-events", get(admin::cache_events))
+        .route("/stats", get(admin::stats))
+        .with_state(core)
+}
--- /dev/null
+++ b/crates/standins/src/engine/admin.rs
@@ -0,0 +1,231 @@
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use axum::Extension;
+use axum::Json;
+use axum::body::Body;
+use axum::extract::State;
+use axum::response::Response;
+use carobwick_core::Action;
+use carobwick_core::EngineState;
+use carobwick_core::ModelId;
+use carobwick_core::ModelVersion;
+use carobwick_core::Order;
+use carobwick_core::OrderId;
+use carobwick_core::OrderOutcome;
+use carobwick_core::OrderResult;
+use carobwick_core::Resident;
+use carobwick_runtime::wall_ms;
+use serde_json::Value;
+use tokio::sync::broadcast::error::RecvError;
+
+use super::memory::CopyState;
+use super::memory::LoadStart;
+use super::memory::UnloadStart;
+use super::state::Core;
+use super::state::EngineStats;
+use super::state::State as Engine;
+use crate::server::Connection;
+use crate::weights::LoadRequest;
+
+/// An unload looks this often whether the last request has ended.
+const UNLOAD_TICK: Duration = Duration::from_millis(5);
+
+/// What has to be done for an order beside its answer.
+enum Work {
+    None,
+    Load(LoadRequest),
+    Unload(ModelId, ModelVersion),
+}
+
+/// Answers `POST /admin/orders`.
+pub(super) async fn order(
+    State(core): State<Arc<Core>>,
+    Extension(connection): Extension<Connection>,
+    Json(order): Json<Order>,
+) -> Json<OrderResult> {
+    if core.faults.take(|faults| &mut faults.lose_orders) {
+        return connection.break_off().await;
+    }
+    let delay = Duration::from_millis(core.faults.read(|faults| faults.order_delay_ms));
+    if core.faults.take(|faults| &mut faults.duplicate_orders) {
+        let (core, order) = (Arc::clone(&core), order.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            take(&core, &order);
+        });
+    }
+    if core.faults.take(|faults| &mut faults.delay_orders) {
+        // A task of its own carries the order out even if the sender has given up by then.
+        let id = order.id;
+        let late = tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            take(&core, &order)
+        });
+        let outcome = late.await.unwrap_or(OrderOutcome::Failed);
+        return Json(OrderResult { id, outcome });
+    }
+    let outcome = take(&core, &order);
+    Json(OrderResult { id: order.id, outcome })
+}
+
+/// Answers `GET /admin/state`.
+pub(super) async fn state(State(core): State<Arc<Core>>) -> Json<EngineState> {
+    Json(core.report())
+}
+
+/// Answers `GET /stats`.
+pub(super) async fn stats(State(core): State<Arc<Core>>) -> Json<EngineStats> {
+    Json(core.lock().stats.clone())
+}
+
+/// Answers `GET /cache-events` with one JSON line per event.
+pub(super) async fn cache_events(State(core): State<Arc<Core>>) -> Response {
+    let delay = core.options.event_delay;
+    let events = futures_util::stream::unfold(core.events.subscribe(), move |mut events| async move {
+        loop {
+            match events.recv().await {
+                Ok((at, event)) => {
+                    tokio::time::sleep_until((at + delay).into()).await;
+                    let line = serde_json::to_string(&event).unwrap_or_default();
+                    return Some((Ok::<_, Infallible>(format!("{line}\n")), events));
+                }
+                Err(RecvError::Lagged(_)) => {}
+                Err(RecvError::Closed) => return None,
+            }
+        }
+    });
+    Response::new(Body::from_stream(events))
+}
+
+/// Carries an order out, as far as that is possible at once, and starts the rest.
+fn take(core: &Arc<Core>, order: &Order) -> OrderOutcome {
+    let mut state = core.lock();
+    state.stats.orders += 1;
+    let (outcome, work) = decide(core, &mut state, order);
+    // A repeated order is fenced off, but the outcome of its first arrival stays known.
+    if outcome != OrderOutcome::Fenced || state.result(order.id).is_none() {
+        state.set_result(order.id, outcome);
+    }
+    let incarnation = state.incarnation;
+    drop(state);
+    let (core, id) = (Arc::clone(core), order.id);
+    match work {
+        Work::None => {}
+        Work::Load(request) => {
+            tokio::spawn(async move {
+                let loaded = fetch(&core, &request).await;
+                let mut state = core.lock();
+                if state.incarnation == incarnation {
+                    finish_load(&mut state, id, &request, loaded);
+                }
+            });
+        }
+        Work::Unload(model, version) => {
+            tokio::spawn(async move {
+                while !unloaded(&core, id, incarnation, &model, &version) {
+                    tokio::time::sleep(UNLOAD_TICK).await;
+                }
+            });
+        }
+    }
+    outcome
+}
+
+fn decide(core: &Core, state: &mut Engine, order: &Order) -> (OrderOutcome, Work) {
+    if !core.options.ignore_fence {
+        if order.fence <= state.fence {
+            state.stats.fenced += 1;
+            return (OrderOutcome::Fenced, Work::None);
+        }
+        state.fence = order.fence;
+    }
+    if wall_ms() > order.expires_ms {
+        state.stats.expired += 1;
+        return (OrderOutcome::Expired, Work::None);
+    }
+    match &order.action {
+        Action::Load { model, version, size, base } => {
+            let resident = Resident { model: model.clone(), version: version.clone(), size: *size };
+            match state.memory.start_load(resident, base.clone()) {
+                LoadStart::Start => {
+                    state.stats.loads += 1;
+                    let request = LoadRequest {
+                        model: model.clone(),
+                        version: version.clone(),
+                        size: *size,
+                        adapter: base.is_some(),
+                    };
+                    (OrderOutcome::Started, Work::Load(request))
+                }
+                LoadStart::Underway => (OrderOutcome::Started, Work::None),
+                LoadStart::Present => (OrderOutcome::Done, Work::None),
+                LoadStart::Leaving | LoadStart::NoBase => (OrderOutcome::Failed, Work::None),
+                LoadStart::Overcommit => {
+                    state.stats.overcommit_attempts += 1;
+                    (OrderOutcome::Failed, Work::None)
+                }
+            }
+        }
+        Action::Unload { model, version } => match state.memory.start_unload(model, version) {
+            UnloadStart::Start => {
+                state.stats.unloads += 1;
+                (OrderOutcome::Started, Work::Unload(model.clone(), version.clone()))
+            }
+            UnloadStart::Absent => (OrderOutcome::Done, Work::None),
+            UnloadStart::InUseAsBase => (OrderOutcome::Failed, Work::None),
+        },
+        Action::Role { role } => {
+            state.role = *role;
+            (OrderOutcome::Done, Work::None)
+        }
+        Action::Noop => (OrderOutcome::Done, Work::None),
+    }
+}
+
+async fn fetch(core: &Core, request: &LoadRequest) -> bool {
+    let Some(weights) = &core.options.weights else {
+        tokio::time::sleep(core.options.load_time).await;
+        return true;
+    };
+    let url = format!("{}/load", weights.trim_end_matches('/'));
+    let loaded = core.http.post::<_, BTreeMap<String, Value>>(&url, request).await;
+    if let Err(err) = &loaded {
+        tracing::warn!("engine: {} can't load {}: {err}", core.options.endpoint, request.model);
+    }
+    loaded.is_ok()
+}
+
+fn finish_load(state: &mut Engine, id: OrderId, request: &LoadRequest, loaded: bool) {
+    if !loaded {
+        state.memory.remove(&request.model, &request.version, &CopyState::Loading);
+        state.set_result(id, OrderOutcome::Failed);
+    } else if state.memory.loaded(&request.model, &request.version) {
+        state.set_result(id, OrderOutcome::Done);
+    } else {
+        // An unload arrived while it was being loaded.
+        state.set_result(id, OrderOutcome::Failed);
+    }
+}
+
+fn unloaded(
+    core: &Core,
+    id: OrderId,
+    incarnation: carobwick_core::Incarnation,
+    model: &ModelId,
+    version: &ModelVersion,
+) -> bool {
+    let mut state = core.lock();
+    if state.incarnation != incarnation {
+        return true;
+    }
+    let gone = state.finish_unload(model, version);
+    if gone {
+        state.set_result(id, OrderOutcome::Done);
+        core.record_load(&mut state, Instant::now());
+    }
+    gone
+}
--- /dev/null
+++ b/crates/standins/src/engine/batch.rs
@@ -0,0 +1,190 @@
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobwick_core::ModelId;
+use carobwick_core::ModelVersion;
+use carobwick_core::Priority;
+use carobwick_core::Tokens;
+use tokio::sync::watch;
+
+use super::EngineTiming;
+use super::cache::PrefixCache;
+
+/// A chat request in the engine.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub hash: u64,
+    pub model: ModelId,
+    pub version: ModelVersion,
+    pub blocks: Vec<u64>,
+    pub prompt_tokens: Tokens,
+    pub max_tokens: u32,
+    pub priority: Priority,
+    /// Whether running it crashes the engine.
+    pub crashes: bool,
+    /// Answers that are being sent for it; more than one after a resume.
+    pub readers: AtomicU32,
+    pub progress: watch::Sender<Progress>,
+}
+
+/// How far a request has come.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Progress {
+    pub tokens: u32,
+    pub phase: Phase,
+}
+
+/// Phase of a request in the engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum Phase {
+    /// It waits or runs.
+    Active,
+    /// All its tokens are there.
+    Done,
+    /// Its caller left; a resume continues it.
+    Paused,
+    /// The engine crashed.
+    Lost,
+}
+
+/// Continuous batching: slots, and a queue ordered by priority and arrival.
+#[derive(Debug)]
+pub(super) struct Batch {
+    slots: usize,
+    timing: EngineTiming,
+    running: Vec<Slot>,
+    queue: BTreeMap<(Reverse<Priority>, u64), Arc<Job>>,
+    arrivals: u64,
+    prefill_free: Option<Instant>,
+}
+
+/// What the engine has to do after a step.
+#[derive(Debug, Default)]
+pub(super) struct Step {
+    /// When the next step is due, if any request runs.
+    pub next: Option<Instant>,
+    /// Whether a request crashed the engine.
+    pub crash: bool,
+    /// Blocks that were stored and dropped in the prefix cache.
+    pub cached: Vec<(Vec<u64>, Vec<u64>)>,
+}
+
+#[derive(Debug)]
+struct Slot {
+    job: Arc<Job>,
+    due: Instant,
+}
+
+impl Batch {
+    pub(super) fn new(slots: usize, timing: EngineTiming) -> Self {
+        Self { slots, timing, running: Vec::new(), queue: BTreeMap::new(), arrivals: 0, prefill_free: None }
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    pub(super) fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the tokens that the running requests hold.
+    pub(super) fn held_tokens(&self) -> u64 {
+        self.running.iter().map(|slot| slot.job.prompt_tokens.0 + u64::from(slot.job.max_tokens)).sum()
+    }
+
+    pub(super) fn push(&mut self, job: Arc<Job>) {
+        self.arrivals += 1;
+        self.queue.insert((Reverse(job.priority), self.arrivals), job);
+    }
+
+    /// Takes a request out of its slot or the queue.
+    pub(super) fn remove(&mut self, job: &Arc<Job>) {
+        self.running.retain(|slot| !Arc::ptr_eq(&slot.job, job));
+        self.queue.retain(|_, queued| !Arc::ptr_eq(queued, job));
+    }
+
+    /// Returns whether a request for the copy waits or runs.
+    pub(super) fn uses(&self, model: &ModelId, version: &ModelVersion) -> bool {
+        let mut jobs = self.running.iter().map(|slot| &slot.job).chain(self.queue.values());
+        jobs.any(|job| job.model == *model && job.version == *version)
+    }
+
+    /// Ends all requests, as the engine crashed.
+    pub(super) fn lose_all(&mut self) {
+        for job in
+            self.running.drain(..).map(|slot| slot.job).chain(std::mem::take(&mut self.queue).into_values())
+        {
+            job.progress.send_modify(|progress| progress.phase = Phase::Lost);
+        }
+    }
+
+    /// Fills free slots and makes the tokens that are due.
+    pub(super) fn step(&mut self, now: Instant, cache: &mut PrefixCache) -> Step {
+        let mut step = Step::default();
+        loop {
+            self.admit(now, cache, &mut step);
+            let before = self.running.len();
+            self.decode(now, &mut step);
+            // A finished request frees its slot at once for one from the queue.
+            if self.running.len() == before || self.queue.is_empty() || step.crash {
+                break;
+            }
+        }
+        step.next = self.running.iter().map(|slot| slot.due).min();
+        step
+    }
+
+    fn admit(&mut self, now: Instant, cache: &mut PrefixCache, step: &mut Step) {
+        while self.running.len() < self.slots {
+            let Some((_, job)) = self.queue.pop_first() else {
+                return;
+            };
+            let (hit, stored, removed) = cache.take_in(&job.blocks);
+            if !stored.is_empty() || !removed.is_empty() {
+                step.cached.push((stored, removed));
+            }
+            let cold = job.prompt_tokens.0.saturating_sub(hit.0).max(1);
+            let cost = Duration::from_nanos((self.timing.prefill_us * cold as f64 * 1_000.0) as u64);
+            // Prefill runs one prompt after the other; decoding goes on beside it.
+            let due = self.prefill_free.map_or(now, |free| free.max(now)) + cost;
+            self.prefill_free = Some(due);
+            self.running.push(Slot { job, due });
+        }
+    }
+
+    fn decode(&mut self, now: Instant, step: &mut Step) {
+        let gap = self.token_time();
+        self.running.retain_mut(|slot| {
+            if slot.due > now {
+                return true;
+            }
+            if slot.job.crashes {
+                step.crash = true;
+                return true;
+            }
+            let mut new = 0;
+            let have = slot.job.progress.borrow().tokens;
+            while slot.due <= now && have + new < slot.job.max_tokens {
+                new += 1;
+                slot.due += gap;
+            }
+            let tokens = have + new;
+            let done = tokens >= slot.job.max_tokens;
+            let phase = if done { Phase::Done } else { Phase::Active };
+            slot.job.progress.send_replace(Progress { tokens, phase });
+            !done
+        });
+    }
+
+    fn token_time(&self) -> Duration {
+        let others = self.running.len().saturating_sub(1) as f64;
+        Duration::from_nanos(
+            (self.timing.token_us as f64 * 1_000.0 * (1.0 + self.timing.growth * others)) as u64,
+        )
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/chat.rs
@@ -0,0 +1,228 @@
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use axum::body::Body;
+use axum::extract::State;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use bytes::Bytes;
+use carobwick_core::AttemptId;
+use carobwick_core::ModelId;
+use carobwick_core::Priority;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+
+use super::batch::Job;
+use super::batch::Phase;
+use super::batch::Progress;
+use super::cache::BLOCK;
+use super::reply::Refusal;
+use super::reply::event;
+use super::reply::finish;
+use super::reply::whole;
+use super::state::Core;
+use super::state::pause;
+use crate::ChatRequest;
+use crate::answer::block_hashes;
+use crate::answer::count_tokens;
+
+/// Answers `POST /v1/chat/completions`.
+pub(super) async fn chat(State(core): State<Arc<Core>>, headers: HeaderMap, body: Bytes) -> Response {
+    let attempt = header(&headers, "carobwick-attempt").and_then(|text| text.parse().ok());
+    let response = match answer(&core, &headers, attempt, &body).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            core.lock().stats.refused += 1;
+            refusal.into_response()
+        }
+    };
+    finish(&core, attempt, response)
+}
+
+async fn answer(
+    core: &Arc<Core>,
+    headers: &HeaderMap,
+    attempt: Option<AttemptId>,
+    body: &[u8],
+) -> Result<Response, Refusal> {
+    let request: ChatRequest = serde_json::from_slice(body)
+        .map_err(|err| Refusal::not_run(StatusCode::BAD_REQUEST, "bad_request", err.to_string()))?;
+    let id = format!("chatcmpl-{}", attempt.unwrap_or_default());
+    if let Some(text) = header(headers, "carobwick-resume") {
+        let (job, received) = resume(core, attempt, text)?;
+        return Ok(stream(Reader::new(core, job, attempt), id, received));
+    }
+    let priority =
+        header(headers, "carobwick-priority").and_then(|text| text.parse().ok()).unwrap_or_default();
+    let job = submit(core, &request, attempt, priority)?;
+    let mut reader = Reader::new(core, job, attempt.filter(|_| request.stream));
+    if request.stream {
+        return Ok(stream(reader, id, 0));
+    }
+    let done = reader.progress.wait_for(|progress| progress.phase != Phase::Active).await;
+    match done.map(|progress| progress.phase) {
+        Ok(Phase::Done) => {
+            reader.complete = true;
+            Ok(whole(&reader.job, &id))
+        }
+        _ => Err(Refusal::ran(StatusCode::INTERNAL_SERVER_ERROR, "engine_failed", "the engine failed")),
+    }
+}
+
+fn submit(
+    core: &Arc<Core>,
+    request: &ChatRequest,
+    attempt: Option<AttemptId>,
+    priority: Priority,
+) -> Result<Arc<Job>, Refusal> {
+    let unknown = |_| Refusal::not_run(StatusCode::NOT_FOUND, "model_not_found", "bad model name");
+    let model: ModelId = request.model.parse().map_err(unknown)?;
+    let prompt = request.prompt();
+    let crashes =
+        core.faults.read(|faults| faults.crash_marker.as_ref().is_some_and(|mark| prompt.contains(mark)));
+    let mut state = core.lock();
+    let Some(version) = state.memory.serving(&model) else {
+        let message = format!("model {model} is not resident");
+        return Err(Refusal::not_run(StatusCode::NOT_FOUND, "model_not_found", message));
+    };
+    let batch = &state.batch;
+    if batch.queued() >= core.options.queue && batch.running() >= core.options.slots {
+        return Err(Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "queue_full", "the queue is full"));
+    }
+    let job = Arc::new(Job {
+        hash: request.hash(),
+        blocks: block_hashes(&request.model, &prompt, BLOCK),
+        prompt_tokens: count_tokens(&prompt),
+        max_tokens: request.max_tokens.max(1),
+        model,
+        version,
+        priority,
+        crashes,
+        readers: AtomicU32::new(1),
+        progress: watch::Sender::new(Progress { tokens: 0, phase: Phase::Active }),
+    });
+    state.stats.requests += 1;
+    state.batch.push(Arc::clone(&job));
+    if let Some(attempt) = attempt.filter(|_| request.stream) {
+        state.streams.add(attempt, Arc::clone(&job));
+    }
+    drop(state);
+    core.wake.notify_one();
+    Ok(job)
+}
+
+/// Finds a broken stream, and lets its request run again if it was taken out of the batch.
+fn resume(core: &Arc<Core>, attempt: Option<AttemptId>, text: &str) -> Result<(Arc<Job>, u32), Refusal> {
+    let parsed = text
+        .split_once(',')
+        .and_then(|(id, count)| Some((id.trim().parse().ok()?, count.trim().parse().ok()?)));
+    let Some((broken, received)) = parsed else {
+        return Err(Refusal::not_run(StatusCode::BAD_REQUEST, "bad_resume", "not `attempt,events`"));
+    };
+    let mut state = core.lock();
+    let Some(job) = state.streams.find(broken) else {
+        // The request itself may have run under its first attempt, so that the refusal doesn't say that it did not.
+        return Err(Refusal::ran(StatusCode::GONE, "resume_unknown", "no such stream"));
+    };
+    state.stats.resumed += 1;
+    if let Some(attempt) = attempt {
+        state.streams.add(attempt, Arc::clone(&job));
+    }
+    if job.progress.borrow().phase == Phase::Paused {
+        job.progress.send_modify(|progress| progress.phase = Phase::Active);
+        state.batch.push(Arc::clone(&job));
+        core.wake.notify_one();
+    }
+    // Counted under the lock, so that the end of the grace period does not pause it again.
+    job.readers.fetch_add(1, Ordering::SeqCst);
+    Ok((job, received))
+}
+
+fn stream(reader: Reader, id: String, first: u32) -> Response {
+    let cut = reader.core.faults.take(|faults| &mut faults.cut_streams);
+    let cut = cut.then(|| reader.core.faults.read(|faults| faults.cut_after));
+    let events = futures_util::stream::try_unfold((reader, first), move |(mut reader, index)| {
+        let id = id.clone();
+        async move {
+            if cut == Some(index - first) {
+                return Err(io::Error::other("stream cut"));
+            }
+            let Some(end) = reader.wait_for(index).await? else {
+                return Ok(None);
+            };
+            let end = cut.map_or(end, |cut| end.min(first + cut));
+            let events: String = (index..end).map(|index| event(&reader.job, &id, index)).collect();
+            reader.complete = end == reader.job.max_tokens + 2;
+            Ok(Some((Bytes::from(events), (reader, end))))
+        }
+    });
+    let mut response = Response::new(Body::from_stream(events));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    response
+}
+
+/// One answer that is being sent; when it is dropped early, its request is cancelled.
+struct Reader {
+    core: Arc<Core>,
+    job: Arc<Job>,
+    /// Id under which a stream can be resumed.
+    attempt: Option<AttemptId>,
+    progress: watch::Receiver<Progress>,
+    complete: bool,
+}
+
+impl Reader {
+    fn new(core: &Arc<Core>, job: Arc<Job>, attempt: Option<AttemptId>) -> Self {
+        let progress = job.progress.subscribe();
+        Self { core: Arc::clone(core), job, attempt, progress, complete: false }
+    }
+
+    /// Waits until the event with the given index can be sent; returns the index after the last such event.
+    async fn wait_for(&mut self, index: u32) -> io::Result<Option<u32>> {
+        let end = self.job.max_tokens + 2;
+        if index >= end {
+            return Ok(None);
+        }
+        let ready = |progress: &Progress| {
+            progress.tokens > index || matches!(progress.phase, Phase::Done | Phase::Lost)
+        };
+        let progress = *self.progress.wait_for(ready).await.map_err(io::Error::other)?;
+        match progress.phase {
+            Phase::Done => Ok(Some(end)),
+            Phase::Lost => Err(io::Error::other("engine failed")),
+            Phase::Active | Phase::Paused => Ok(Some(progress.tokens)),
+        }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.job.readers.fetch_sub(1, Ordering::SeqCst);
+        if let Some(attempt) = self.attempt {
+            self.core.lock().streams.ended(attempt);
+        }
+        if self.complete || self.job.progress.borrow().phase != Phase::Active {
+            return;
+        }
+        match (self.attempt, Handle::try_current()) {
+            (Some(_), Ok(runtime)) => {
+                let (core, job) = (Arc::clone(&self.core), Arc::clone(&self.job));
+                runtime.spawn(async move {
+                    tokio::time::sleep(core.options.grace).await;
+                    pause(&core, &job);
+                });
+            }
+            _ => pause(&self.core, &self.job),
+        }
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/standins/src/engine/memory.rs
@@ -0,0 +1,153 @@
+use carobwick_core::Bytes;
+use carobwick_core::ModelId;
+use carobwick_core::ModelVersion;
+use carobwick_core::Resident;
+
+/// Models and adapters in accelerator memory.
+#[derive(Debug)]
+pub(super) struct Memory {
+    size: Bytes,
+    copies: Vec<Copy>,
+}
+
+#[derive(Debug)]
+struct Copy {
+    resident: Resident,
+    base: Option<ModelId>,
+    state: CopyState,
+}
+
+/// State of one copy.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum CopyState {
+    Loading,
+    Ready,
+    Unloading,
+}
+
+/// What a load order leads to.
+#[derive(Debug, PartialEq)]
+pub(super) enum LoadStart {
+    Start,
+    Underway,
+    Present,
+    /// The same version is being unloaded.
+    Leaving,
+    NoBase,
+    Overcommit,
+}
+
+/// What an unload order leads to.
+#[derive(Debug, PartialEq)]
+pub(super) enum UnloadStart {
+    Start,
+    Absent,
+    InUseAsBase,
+}
+
+impl Memory {
+    pub(super) fn new(size: Bytes) -> Self {
+        Self { size, copies: Vec::new() }
+    }
+
+    /// Reserves memory for a copy; its load has to be followed by [`Self::loaded`] or [`Self::remove`].
+    pub(super) fn start_load(&mut self, resident: Resident, base: Option<ModelId>) -> LoadStart {
+        match self.state(&resident.model, &resident.version) {
+            Some(CopyState::Loading) => return LoadStart::Underway,
+            Some(CopyState::Ready) => return LoadStart::Present,
+            Some(CopyState::Unloading) => return LoadStart::Leaving,
+            None => {}
+        }
+        if base.as_ref().is_some_and(|base| self.serving(base).is_none()) {
+            return LoadStart::NoBase;
+        }
+        if self.used() + resident.size > self.size {
+            return LoadStart::Overcommit;
+        }
+        self.copies.push(Copy { resident, base, state: CopyState::Loading });
+        LoadStart::Start
+    }
+
+    /// Lets a copy serve and returns whether it was still being loaded.
+    pub(super) fn loaded(&mut self, model: &ModelId, version: &ModelVersion) -> bool {
+        let copy = self.copies.iter_mut().find(|copy| copy.is(model, version, &CopyState::Loading));
+        match copy {
+            Some(copy) => {
+                copy.state = CopyState::Ready;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Stops a copy from taking new requests; it keeps its memory until [`Self::remove`].
+    pub(super) fn start_unload(&mut self, model: &ModelId, version: &ModelVersion) -> UnloadStart {
+        let others = self.copies.iter().any(|copy| {
+            copy.resident.model == *model
+                && copy.resident.version != *version
+                && copy.state == CopyState::Ready
+        });
+        if !others && self.copies.iter().any(|copy| copy.base.as_ref() == Some(model)) {
+            return UnloadStart::InUseAsBase;
+        }
+        let copy = self
+            .copies
+            .iter_mut()
+            .find(|copy| copy.resident.model == *model && copy.resident.version == *version);
+        match copy {
+            Some(copy) => {
+                copy.state = CopyState::Unloading;
+                UnloadStart::Start
+            }
+            None => UnloadStart::Absent,
+        }
+    }
+
+    /// Frees the memory of a copy in the given state.
+    pub(super) fn remove(&mut self, model: &ModelId, version: &ModelVersion, state: &CopyState) {
+        self.copies.retain(|copy| !copy.is(model, version, state));
+    }
+
+    /// Returns the version that takes new requests for a model: the one that was loaded last.
+    pub(super) fn serving(&self, model: &ModelId) -> Option<ModelVersion> {
+        let mut ready = self.copies.iter().rev().filter(|copy| copy.state == CopyState::Ready);
+        ready.find(|copy| copy.resident.model == *model).map(|copy| copy.resident.version.clone())
+    }
+
+    /// Returns the copies that take new requests.
+    pub(super) fn resident(&self) -> Vec<Resident> {
+        self.copies
+            .iter()
+            .filter(|copy| copy.state == CopyState::Ready)
+            .map(|copy| copy.resident.clone())
+            .collect()
+    }
+
+    /// Returns the copies that are loaded or unloaded at the moment.
+    pub(super) fn underway(&self) -> Vec<Resident> {
+        self.copies
+            .iter()
+            .filter(|copy| copy.state != CopyState::Ready)
+            .map(|copy| copy.resident.clone())
+            .collect()
+    }
+
+    fn used(&self) -> Bytes {
+        self.copies.iter().map(|copy| copy.resident.size).sum()
+    }
+
+    fn state(&self, model: &ModelId, version: &ModelVersion) -> Option<CopyState> {
+        let found = self
+            .copies
+            .iter()
+            .rev()
+            .find(|copy| copy.resident.model == *model && copy.resident.version == *version);
+        found.map(|copy| copy.state.clone())
+    }
+}
+
+impl Copy {
+    fn is(&self, model: &ModelId, version: &ModelVersion, state: &CopyState) -> bool {
+        self.resident.model == *model && self.resident.version == *version && self.state == *state
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/reply.rs
@@ -0,0 +1,105 @@
+use axum::Json;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use carobwick_core::AttemptId;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+
+use super::batch::Job;
+use super::state::Core;
+use crate::answer_text;
+use crate::answer_token;
+
+/// Refusal of a chat request.
+#[derive(Debug)]
+pub(super) struct Refusal {
+    status: StatusCode,
+    code: &'static str,
+    message: String,
+    /// Whether the request may have run.
+    ran: bool,
+}
+
+impl Refusal {
+    /// Builds a refusal of a request that did not run.
+    pub(super) fn not_run(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        Self { status, code, message: message.into(), ran: false }
+    }
+
+    /// Builds a refusal of a request that may have run.
+    pub(super) fn ran(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
+        Self { status, code, message: message.into(), ran: true }
+    }
+}
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> Response {
+        let body = Json(json!({"error": {"code": self.code, "message": self.message}}));
+        let mut response = (self.status, body).into_response();
+        if !self.ran {
+            put(response.headers_mut(), "carobwick-run", "no");
+        }
+        response
+    }
+}
+
+/// Adds the headers that every answer of an endpoint carries.
+pub(super) fn finish(core: &Core, attempt: Option<AttemptId>, mut response: Response) -> Response {
+    let state = core.lock();
+    let headers = response.headers_mut();
+    put(headers, "carobwick-incarnation", &state.incarnation.to_string());
+    if core.options.reports_load {
+        put(headers, "carobwick-load", &core.load(&state).to_string());
+    }
+    drop(state);
+    if let Some(attempt) = attempt {
+        let wrong = core.faults.take(|faults| &mut faults.wrong_attempts);
+        let shown = if wrong { AttemptId(attempt.0 ^ 1) } else { attempt };
+        put(headers, "carobwick-attempt", &shown.to_string());
+    }
+    response
+}
+
+/// Builds the answer to a request that is not streamed.
+pub(super) fn whole(job: &Job, id: &str) -> Response {
+    let answer = json!({
+        "id": id,
+        "object": "chat.completion",
+        "model": job.model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": answer_text(job.hash, job.max_tokens)},
+            "finish_reason": "stop",
+        }],
+        "usage": {
+            "prompt_tokens": job.prompt_tokens,
+            "completion_tokens": job.max_tokens,
+            "total_tokens": job.prompt_tokens.0 + u64::from(job.max_tokens),
+        },
+    });
+    Json(answer).into_response()
+}
+
+/// Renders one event of a stream: a token, then the finish reason, then the end mark.
+pub(super) fn event(job: &Job, id: &str, index: u32) -> String {
+    let choice = match index.checked_sub(job.max_tokens) {
+        None => json!({
+            "index": 0, "delta": {"content": answer_token(job.hash, index)}, "finish_reason": Value::Null,
+        }),
+        Some(0) => json!({"index": 0, "delta": {}, "finish_reason": "stop"}),
+        Some(_) => return "data: [DONE]\n\n".to_owned(),
+    };
+    let chunk = json!({
+        "id": id, "object": "chat.completion.chunk", "model": job.model, "choices": [choice],
+    });
+    format!("data: {chunk}\n\n")
+}
+
+fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/state.rs
@@ -0,0 +1,337 @@
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::sync::Weak;
+use std::time::Duration;
+use std::time::Instant;
+
+use carobwick_core::AttemptId;
+use carobwick_core::EngineState;
+use carobwick_core::Fence;
+use carobwick_core::Incarnation;
+use carobwick_core::LoadReport;
+use carobwick_core::ModelId;
+use carobwick_core::ModelVersion;
+use carobwick_core::OrderId;
+use carobwick_core::OrderOutcome;
+use carobwick_core::OrderResult;
+use carobwick_core::Role;
+use carobwick_derive::data;
+use carobwick_runtime::HttpClient;
+use tokio::sync::Notify;
+use tokio::sync::broadcast;
+
+use super::EngineFaults;
+use super::EngineOptions;
+use super::OnCrash;
+use super::batch::Batch;
+use super::batch::Job;
+use super::batch::Phase;
+use super::cache::CacheEvent;
+use super::cache::PrefixCache;
+use super::memory::CopyState;
+use super::memory::Memory;
+use crate::Faults;
+use crate::ServerControl;
+
+/// How long a broken stream can be resumed.
+pub(super) const RESUME_FOR: Duration = Duration::from_secs(30);
+/// Outcomes of orders that the state keeps.
+const RESULTS: usize = 256;
+/// Cache events that a slow reader may lag behind before it loses some.
+const EVENT_BUFFER: usize = 1_024;
+/// A load from a slow weight store may take this long.
+const LOAD_TIMEOUT: Duration = Duration::from_mins(10);
+/// The idle loop looks this often whether the engine still exists.
+const IDLE: Duration = Duration::from_millis(500);
+
+/// One engine: its state, and what its tasks and handlers share.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub options: EngineOptions,
+    pub faults: Faults<EngineFaults>,
+    pub wake: Notify,
+    pub http: HttpClient,
+    pub events: broadcast::Sender<(Instant, CacheEvent)>,
+    control: OnceLock<ServerControl>,
+    state: Mutex<State>,
+}
+
+/// State that a crash clears, but for the counts.
+#[derive(Debug)]
+pub(super) struct State {
+    pub incarnation: Incarnation,
+    pub fence: Fence,
+    pub memory: Memory,
+    pub batch: Batch,
+    pub role: Role,
+    pub streams: Streams,
+    pub stats: EngineStats,
+    cache: PrefixCache,
+    results: VecDeque<OrderResult>,
+    reports: VecDeque<(Instant, LoadReport)>,
+    next_event: u64,
+}
+
+/// Streams that can be resumed.
+#[derive(Debug, Default)]
+pub(super) struct Streams {
+    jobs: HashMap<AttemptId, Arc<Job>>,
+    ended: VecDeque<(Instant, AttemptId)>,
+}
+
+/// Counts of an engine since its start, over all incarnations.
+#[data]
+#[derive(Default)]
+pub struct EngineStats {
+    /// Chat requests that were taken in.
+    pub requests: u64,
+    /// Chat requests that were refused.
+    pub refused: u64,
+    /// Chat requests whose callers left early.
+    pub cancelled: u64,
+    /// Streams that were resumed.
+    pub resumed: u64,
+    /// Orders that arrived.
+    pub orders: u64,
+    /// Orders that were refused for their fencing number.
+    pub fenced: u64,
+    /// Orders that were refused for their age.
+    pub expired: u64,
+    /// Loads that were started.
+    pub loads: u64,
+    /// Unloads that were started.
+    pub unloads: u64,
+    /// Load orders that did not fit into memory.
+    pub overcommit_attempts: u64,
+    /// Crashes.
+    pub crashes: u64,
+    /// Most requests that ran at once.
+    pub peak_running: u64,
+}
+
+impl Core {
+    pub(super) fn new(options: EngineOptions, faults: EngineFaults) -> Self {
+        let state = State::new(&options, EngineStats::default());
+        Self {
+            options,
+            faults: Faults::open(faults),
+            wake: Notify::new(),
+            http: HttpClient::open(LOAD_TIMEOUT),
+            events: broadcast::Sender::new(EVENT_BUFFER),
+            control: OnceLock::new(),
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Sets what breaks the server's connections.
+    pub(super) fn connect(&self, control: ServerControl) {
+        self.control.get_or_init(|| control);
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn report(&self) -> EngineState {
+        let state = self.lock();
+        let fence = if self.options.ignore_fence { Fence(0) } else { state.fence };
+        EngineState {
+            incarnation: state.incarnation,
+            fence,
+            memory: self.options.memory,
+            resident: state.memory.resident(),
+            loading: state.memory.underway(),
+            running: state.batch.running() as u32,
+            queued: state.batch.queued() as u32,
+            role: state.role,
+            results: state.results.iter().cloned().collect(),
+        }
+    }
+
+    pub(super) fn faults_changed(&self, faults: &EngineFaults) {
+        let Some(control) = self.control.get() else {
+            return;
+        };
+        if faults.freeze {
+            control.freeze();
+        }
+        if faults.refuse_ms > 0 {
+            control.interrupt(Duration::from_millis(faults.refuse_ms));
+        }
+    }
+
+    pub(super) fn crash(&self) {
+        match self.options.on_crash {
+            OnCrash::Exit => {
+                tracing::error!("engine: {} crashes", self.options.endpoint);
+                std::process::exit(70);
+            }
+            OnCrash::Restart(delay) => {
+                if let Some(control) = self.control.get() {
+                    control.interrupt(delay);
+                }
+                let mut state = self.lock();
+                state.batch.lose_all();
+                let mut counts = state.stats.clone();
+                counts.crashes += 1;
+                *state = State::new(&self.options, counts);
+            }
+        }
+    }
+
+    /// Makes the tokens that are due and returns when the next ones are.
+    fn step(&self) -> Option<Instant> {
+        let now = Instant::now();
+        let step = {
+            let mut state = self.lock();
+            let state = &mut *state;
+            let step = state.batch.step(now, &mut state.cache);
+            state.stats.peak_running = state.stats.peak_running.max(state.batch.running() as u64);
+            for (stored, removed) in &step.cached {
+                let sequence = state.next_event;
+                state.next_event += 1;
+                let lost = self.options.event_gap > 0 && sequence.is_multiple_of(self.options.event_gap);
+                if !lost {
+                    let event = CacheEvent { sequence, stored: stored.clone(), removed: removed.clone() };
+                    // Nobody may be listening.
+                    let _ = self.events.send((now, event));
+                }
+            }
+            self.record_load(state, now);
+            step
+        };
+        if step.crash {
+            self.crash();
+            return None;
+        }
+        step.next
+    }
+
+    /// Returns the load as a report of the configured age shows it.
+    pub(super) fn load(&self, state: &State) -> LoadReport {
+        if self.options.report_lag.is_zero() {
+            return self.current_load(state);
+        }
+        let seen = Instant::now().checked_sub(self.options.report_lag);
+        let mut old = state.reports.iter().rev();
+        old.find(|(at, _)| Some(*at) <= seen).map_or_else(|| self.idle_load(), |(_, load)| *load)
+    }
+
+    pub(super) fn record_load(&self, state: &mut State, now: Instant) {
+        if self.options.report_lag.is_zero() {
+            return;
+        }
+        let load = self.current_load(state);
+        state.reports.push_back((now, load));
+        while state.reports.get(1).is_some_and(|(at, _)| now.duration_since(*at) > self.options.report_lag) {
+            state.reports.pop_front();
+        }
+    }
+
+    fn idle_load(&self) -> LoadReport {
+        LoadReport { free_tokens: self.options.timing.capacity.0, ..LoadReport::default() }
+    }
+
+    fn current_load(&self, state: &State) -> LoadReport {
+        LoadReport {
+            running: state.batch.running() as u32,
+            queued: state.batch.queued() as u32,
+            cached_tokens: state.cache.tokens(),
+            free_tokens: self.options.timing.capacity.0.saturating_sub(state.batch.held_tokens()),
+        }
+    }
+}
+
+impl State {
+    fn new(options: &EngineOptions, stats: EngineStats) -> Self {
+        Self {
+            incarnation: Incarnation(rand::random()),
+            fence: Fence(0),
+            memory: Memory::new(options.memory),
+            batch: Batch::new(options.slots, options.timing),
+            role: Role::default(),
+            streams: Streams::default(),
+            stats,
+            cache: PrefixCache::new(options.timing.cache),
+            results: VecDeque::new(),
+            reports: VecDeque::new(),
+            next_event: 1,
+        }
+    }
+
+    /// Returns the known outcome of an order.
+    pub(super) fn result(&self, id: OrderId) -> Option<OrderOutcome> {
+        self.results.iter().find(|result| result.id == id).map(|result| result.outcome)
+    }
+
+    /// Keeps the outcome of an order.
+    pub(super) fn set_result(&mut self, id: OrderId, outcome: OrderOutcome) {
+        if let Some(result) = self.results.iter_mut().find(|result| result.id == id) {
+            result.outcome = outcome;
+            return;
+        }
+        if self.results.len() == RESULTS {
+            self.results.pop_front();
+        }
+        self.results.push_back(OrderResult { id, outcome });
+    }
+
+    /// Frees the memory of an unloading copy that no request uses and returns whether it is gone.
+    pub(super) fn finish_unload(&mut self, model: &ModelId, version: &ModelVersion) -> bool {
+        if self.batch.uses(model, version) {
+            return false;
+        }
+        self.memory.remove(model, version, &CopyState::Unloading);
+        true
+    }
+}
+
+impl Streams {
+    pub(super) fn add(&mut self, attempt: AttemptId, job: Arc<Job>) {
+        self.jobs.insert(attempt, job);
+    }
+
+    pub(super) fn find(&self, attempt: AttemptId) -> Option<Arc<Job>> {
+        self.jobs.get(&attempt).cloned()
+    }
+
+    /// Starts the time after which a stream that ended can't be resumed any more.
+    pub(super) fn ended(&mut self, attempt: AttemptId) {
+        let now = Instant::now();
+        self.ended.push_back((now, attempt));
+        while let Some((_, old)) = self.ended.pop_front_if(|(at, _)| now.duration_since(*at) > RESUME_FOR) {
+            self.jobs.remove(&old);
+        }
+    }
+}
+
+/// Runs the batch until the engine is dropped.
+pub(super) async fn run(core: Weak<Core>) {
+    loop {
+        let Some(core) = core.upgrade() else {
+            return;
+        };
+        let wake_at = core.step().unwrap_or_else(|| Instant::now() + IDLE);
+        tokio::select! {
+            () = core.wake.notified() => {}
+            () = tokio::time::sleep_until(wake_at.into()) => {}
+        }
+    }
+}
+
+/// Takes a request out of the batch if nobody has resumed it.
+pub(super) fn pause(core: &Core, job: &Arc<Job>) {
+    let mut state = core.lock();
+    let waiting = job.readers.load(std::sync::atomic::Ordering::SeqCst) == 0;
+    if waiting && job.progress.borrow().phase == Phase::Active {
+        state.batch.remove(job);
+        state.stats.cancelled += 1;
+        job.progress.send_modify(|progress| progress.phase = Phase::Paused);
+        core.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/faults.rs
@@ -0,0 +1,73 @@
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use axum::Extension;
+use axum::Json;
+use axum::Router;
+use axum::routing::get;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::server::Connection;
+
+/// Fault switches of a stand-in, read with `GET /faults` and replaced with `POST /faults`.
+///
+/// Fields that are left out of the body are off.
+#[derive(Debug)]
+pub struct Faults<T> {
+    current: Arc<Mutex<T>>,
+}
+
+impl<T> Faults<T> {
+    /// Opens the switches with the given setting.
+    pub fn open(first: T) -> Self {
+        Self { current: Arc::new(Mutex::new(first)) }
+    }
+
+    /// Replaces the setting.
+    pub fn set(&self, faults: T) {
+        *self.lock() = faults;
+    }
+
+    /// Reads the setting.
+    pub fn read<R>(&self, f: impl FnOnce(&T) -> R) -> R {
+        f(&self.lock())
+    }
+
+    /// Takes one from a count of faults to come and returns whether there was one left.
+    pub(crate) fn take(&self, count: impl FnOnce(&mut T) -> &mut u32) -> bool {
+        let mut faults = self.lock();
+        let count = count(&mut faults);
+        let any = *count > 0;
+        *count = count.saturating_sub(1);
+        any
+    }
+
+    fn lock(&self) -> MutexGuard<'_, T> {
+        // Switches are replaced value by value, so they are whole even after a panic elsewhere.
+        self.current.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<T: Clone + Serialize + DeserializeOwned + Send + 'static> Faults<T> {
+    /// Returns the routes; `changed` is called after each replacement.
+    pub(crate) fn router(&self, changed: impl Fn(&T) + Clone + Send + Sync + 'static) -> Router {
+        let (shown, faults) = (self.clone(), self.clone());
+        let show = move || std::future::ready(Json(shown.read(T::clone)));
+        let replace = move |Extension(connection): Extension<Connection>, Json(new): Json<T>| {
+            connection.exempt();
+            faults.set(new.clone());
+            changed(&new);
+            std::future::ready(Json(new))
+        };
+        Router::new().route("/faults", get(show).post(replace))
+    }
+}
+
+impl<T> Clone for Faults<T> {
+    fn clone(&self) -> Self {
+        Self { current: Arc::clone(&self.current) }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/gate.rs
@@ -0,0 +1,85 @@
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// A connection that neither reads nor writes once the server has been frozen after it was opened.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    stream: TcpStream,
+    freezes: Arc<AtomicU64>,
+    opened: u64,
+    exempt: Arc<AtomicBool>,
+}
+
+impl Gate {
+    pub(crate) fn new(stream: TcpStream, freezes: Arc<AtomicU64>, exempt: Arc<AtomicBool>) -> Self {
+        let opened = freezes.load(Ordering::SeqCst);
+        Self { stream, freezes, opened, exempt }
+    }
+
+    fn is_frozen(&self) -> bool {
+        self.freezes.load(Ordering::Relaxed) != self.opened && !self.exempt.load(Ordering::Relaxed)
+    }
+}
+
+impl AsyncRead for Gate {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        // A frozen connection stays so until it is dropped, so no waker is kept.
+        if self.is_frozen() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Gate {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.is_frozen() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.is_frozen() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.is_frozen() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        if self.is_frozen() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/kv.rs
@@ -0,0 +1,307 @@
+mod store;
+mod wire;
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use axum::Extension;
+use axum::Json;
+use axum::Router;
+use axum::body::Body;
+use axum::extract::DefaultBodyLimit;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::middleware::Next;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use axum::routing::post;
+use bytes::Bytes;
+use carobwick_derive::data;
+use futures_util::StreamExt;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use self::store::Change;
+use self::store::Compacted;
+use self::store::Store;
+use self::wire::Lease;
+use self::wire::Operation;
+use self::wire::Range;
+use self::wire::Txn;
+use self::wire::Watch;
+use self::wire::header;
+use crate::Faults;
+use crate::Server;
+use crate::server::Connection;
+
+/// Largest value in bytes that the platform stores.
+const MAX_VALUE: usize = 1_000_000;
+/// Largest body; base64 and the rest of the request take up to half as much again as the value.
+const MAX_BODY: usize = 16 * MAX_VALUE;
+/// Expired leases are looked for this often, and a frozen service looks this often whether it may go on.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Stand-in for the platform's key-value service, in the JSON form of the etcd v3 API.
+#[derive(Debug)]
+pub struct KvStandin {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+/// Faults of the key-value service.
+#[data]
+#[derive(Default)]
+#[serde(default, deny_unknown_fields)]
+pub struct KvFaults {
+    /// Every call's connection is closed without an answer.
+    pub down: bool,
+    /// Calls and watches wait until this is off again.
+    pub frozen: bool,
+    /// Every call takes this much longer.
+    pub delay_ms: u64,
+    /// The next writes take effect, but their reply is lost.
+    pub lose_replies: u32,
+    /// The next changes don't reach any watch.
+    pub drop_events: u32,
+    /// Connections are closed and refused for this long, once.
+    pub refuse_ms: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    store: Mutex<Store>,
+    counts: Mutex<BTreeMap<&'static str, u64>>,
+    faults: Faults<KvFaults>,
+}
+
+type Api = State<Arc<Shared>>;
+
+impl KvStandin {
+    /// Binds `addr` and serves an empty store.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn spawn(addr: SocketAddr, faults: KvFaults) -> anyhow::Result<Self> {
+        let shared = Arc::new(Shared {
+            store: Mutex::new(Store::new()),
+            counts: Mutex::default(),
+            faults: Faults::open(faults),
+        });
+        let store = Arc::clone(&shared);
+        let server = Server::spawn_with(addr, |control| {
+            let switches = store.faults.router(move |faults: &KvFaults| {
+                if faults.refuse_ms > 0 {
+                    control.interrupt(Duration::from_millis(faults.refuse_ms));
+                }
+            });
+            router(store).merge(switches)
+        });
+        let server = server.await?;
+        tokio::spawn(expire(Arc::downgrade(&shared)));
+        Ok(Self { server, shared })
+    }
+
+    /// Returns the server.
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// Returns the fault switches.
+    pub fn faults(&self) -> &Faults<KvFaults> {
+        &self.shared.faults
+    }
+
+    /// Returns the calls so far by kind; an open watch counts as one.
+    pub fn counts(&self) -> BTreeMap<&'static str, u64> {
+        lock(&self.shared.counts).clone()
+    }
+}
+
+impl Shared {
+    async fn thaw(&self) {
+        while self.faults.read(|faults| faults.frozen) {
+            tokio::time::sleep(TICK).await;
+        }
+    }
+}
+
+fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v3/kv/range", post(range))
+        .route("/v3/kv/txn", post(txn))
+        .route("/v3/lease/grant", post(grant))
+        .route("/v3/lease/keepalive", post(keep_alive))
+        .route("/v3/lease/revoke", post(revoke))
+        .route("/v3/watch", post(watch))
+        .layer(axum::middleware::from_fn_with_state(Arc::clone(&shared), admit))
+        .layer(DefaultBodyLimit::max(MAX_BODY))
+        .route("/stats", get(stats))
+        .with_state(shared)
+}
+
+async fn admit(
+    State(shared): Api,
+    Extension(connection): Extension<Connection>,
+    mut request: Request,
+    next: Next,
+) -> Response {
+    let kind = kind(request.uri().path());
+    *lock(&shared.counts).entry(kind).or_default() += 1;
+    if shared.faults.read(|faults| faults.down) {
+        return connection.break_off().await;
+    }
+    shared.thaw().await;
+    let delay = shared.faults.read(|faults| faults.delay_ms);
+    if delay > 0 {
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+    }
+    // The API takes JSON whatever content type the request names.
+    request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    next.run(request).await
+}
+
+async fn range(State(shared): Api, body: Bytes) -> Response {
+    let Ok(request) = serde_json::from_slice::<Range>(&body) else {
+        return refuse("etcdserver: invalid range request");
+    };
+    Json(lock(&shared.store).range(&request)).into_response()
+}
+
+async fn txn(State(shared): Api, Extension(connection): Extension<Connection>, body: Bytes) -> Response {
+    let request = match serde_json::from_slice::<Txn>(&body) {
+        Ok(request) => request,
+        Err(err) => return refuse(&format!("invalid transaction: {err}")),
+    };
+    if let Err(message) = check(&shared, &request) {
+        return refuse(message);
+    }
+    let outcome = lock(&shared.store).txn(&request.compare, request.success, request.failure);
+    if outcome.wrote && shared.faults.take(|faults| &mut faults.lose_replies) {
+        return connection.break_off().await;
+    }
+    Json(outcome.body).into_response()
+}
+
+async fn grant(State(shared): Api, Json(request): Json<Lease>) -> Json<Value> {
+    let mut store = lock(&shared.store);
+    let id = store.grant(request.ttl, Instant::now());
+    Json(json!({"header": header(store.revision()), "ID": id.to_string(), "TTL": request.ttl.to_string()}))
+}
+
+async fn keep_alive(State(shared): Api, Json(request): Json<Lease>) -> Json<Value> {
+    let mut store = lock(&shared.store);
+    let mut result = json!({"header": header(store.revision()), "ID": request.id.to_string()});
+    if let Some(ttl) = store.keep_alive(request.id, Instant::now()) {
+        result["TTL"] = Value::String(ttl.to_string());
+    }
+    Json(json!({"result": result}))
+}
+
+async fn revoke(State(shared): Api, Json(request): Json<Lease>) -> Response {
+    let mut store = lock(&shared.store);
+    if !store.revoke(request.id) {
+        return (
+            StatusCode::NOT_FOUND,
+            Json(json!({"code": 5, "message": "etcdserver: requested lease not found"})),
+        )
+            .into_response();
+    }
+    Json(json!({"header": header(store.revision())})).into_response()
+}
+
+async fn watch(State(shared): Api, Json(request): Json<Watch>) -> Response {
+    let create = request.create_request;
+    let mut store = lock(&shared.store);
+    let header = header(store.revision());
+    let first = json!({"result": {"header": header, "watch_id": "0", "created": true}});
+    match store.watch(create.range, create.start_revision) {
+        Ok(changes) => {
+            drop(store);
+            watch_body(&first, changes, shared).into_response()
+        }
+        Err(Compacted(oldest)) => {
+            let end = json!({"result": {"canceled": true, "compact_revision": oldest.to_string()}});
+            format!("{first}\n{end}\n").into_response()
+        }
+    }
+}
+
+async fn stats(State(shared): Api) -> Json<BTreeMap<&'static str, u64>> {
+    Json(lock(&shared.counts).clone())
+}
+
+fn watch_body(first: &Value, changes: mpsc::UnboundedReceiver<Vec<Change>>, shared: Arc<Shared>) -> Body {
+    let rest = futures_util::stream::unfold((changes, shared), |(mut changes, shared)| async move {
+        loop {
+            let mut batch = changes.recv().await?;
+            shared.thaw().await;
+            batch.retain(|_| !shared.faults.take(|faults| &mut faults.drop_events));
+            if let Some(last) = batch.last() {
+                let events: Vec<Value> = batch.iter().map(Change::render).collect();
+                let line = json!({"result": {"header": header(last.revision), "events": events}});
+                return Some((format!("{line}\n"), (changes, shared)));
+            }
+        }
+    });
+    let lines = futures_util::stream::iter([format!("{first}\n")]).chain(rest);
+    Body::from_stream(lines.map(Ok::<_, Infallible>))
+}
+
+fn check(shared: &Shared, request: &Txn) -> Result<(), &'static str> {
+    for operation in request.success.iter().chain(&request.failure) {
+        if let Operation::Put(put) = operation {
+            if put.value.len() > MAX_VALUE {
+                return Err("etcdserver: request is too large");
+            }
+            if !lock(&shared.store).has_lease(put.lease) {
+                return Err("etcdserver: requested lease not found");
+            }
+        }
+    }
+    Ok(())
+}
+
+fn refuse(message: &str) -> Response {
+    (StatusCode::BAD_REQUEST, Json(json!({"code": 3, "message": message}))).into_response()
+}
+
+fn kind(path: &str) -> &'static str {
+    match path {
+        "/v3/kv/range" => "range",
+        "/v3/kv/txn" => "txn",
+        "/v3/lease/grant" => "grant",
+        "/v3/lease/keepalive" => "keepalive",
+        "/v3/lease/revoke" => "revoke",
+        "/v3/watch" => "watch",
+        _ => "other",
+    }
+}
+
+async fn expire(shared: std::sync::Weak<Shared>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        if !shared.faults.read(|faults| faults.frozen) {
+            lock(&shared.store).expire(Instant::now());
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standins/src/kv/store.rs
@@ -0,0 +1,276 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use super::wire::Compare;
+use super::wire::CompareResult;
+use super::wire::CompareTarget;
+use super::wire::Operation;
+use super::wire::Put;
+use super::wire::Range;
+use super::wire::header;
+
+/// Changes that a watch can still start from; older ones count as compacted.
+const HISTORY: usize = 20_000;
+
+/// Keys, leases and watches, without I/O.
+#[derive(Debug)]
+pub(super) struct Store {
+    revision: u64,
+    keys: BTreeMap<Vec<u8>, Stored>,
+    leases: BTreeMap<u64, Lease>,
+    last_lease: u64,
+    history: VecDeque<Change>,
+    watches: Vec<Watch>,
+}
+
+/// A value with its revisions.
+#[derive(Debug, Clone)]
+pub(super) struct Stored {
+    pub value: Vec<u8>,
+    pub create_revision: u64,
+    pub mod_revision: u64,
+    pub version: u64,
+    pub lease: u64,
+}
+
+/// A key that was put, or deleted if it has no value.
+#[derive(Debug, Clone)]
+pub(super) struct Change {
+    pub key: Vec<u8>,
+    pub revision: u64,
+    pub stored: Option<Stored>,
+}
+
+/// Outcome of a transaction.
+#[derive(Debug)]
+pub(super) struct Outcome {
+    pub body: Value,
+    pub wrote: bool,
+}
+
+/// Why a watch can't start: the oldest revision that is still known.
+#[derive(Debug)]
+pub(super) struct Compacted(pub u64);
+
+#[derive(Debug)]
+struct Lease {
+    ttl: u64,
+    ends: Instant,
+    keys: BTreeSet<Vec<u8>>,
+}
+
+#[derive(Debug)]
+struct Watch {
+    range: Range,
+    sender: mpsc::UnboundedSender<Vec<Change>>,
+}
+
+impl Store {
+    pub(super) fn new() -> Self {
+        Self {
+            revision: 1,
+            keys: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            last_lease: 0,
+            history: VecDeque::new(),
+            watches: Vec::new(),
+        }
+    }
+
+    pub(super) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub(super) fn range(&self, range: &Range) -> Value {
+        let found: Vec<Value> = self
+            .keys
+            .iter()
+            .filter(|(key, _)| range.covers(key))
+            .map(|(key, stored)| stored.render(key))
+            .collect();
+        let count = found.len().to_string();
+        json!({"header": header(self.revision), "kvs": found, "count": count})
+    }
+
+    /// Runs the operations of one branch; all its writes have one revision.
+    pub(super) fn txn(
+        &mut self,
+        compares: &[Compare],
+        then: Vec<Operation>,
+        otherwise: Vec<Operation>,
+    ) -> Outcome {
+        let succeeded = compares.iter().all(|compare| self.holds(compare));
+        let revision = self.revision + 1;
+        let mut changes = Vec::new();
+        let mut responses = Vec::new();
+        for operation in if succeeded { then } else { otherwise } {
+            responses.push(match operation {
+                Operation::Range(range) => json!({"response_range": self.range(&range)}),
+                Operation::Put(put) => {
+                    changes.push(self.put(put, revision));
+                    json!({"response_put": {"header": header(revision)}})
+                }
+                Operation::DeleteRange(range) => {
+                    let deleted = self.delete(&range, revision);
+                    let count = deleted.len().to_string();
+                    changes.extend(deleted);
+                    json!({"response_delete_range": {"header": header(revision), "deleted": count}})
+                }
+            });
+        }
+        let wrote = !changes.is_empty();
+        self.commit(changes);
+        let mut body = json!({"header": header(self.revision), "responses": responses});
+        if succeeded {
+            body["succeeded"] = Value::Bool(true);
+        }
+        Outcome { body, wrote }
+    }
+
+    /// Creates a lease and returns its number.
+    pub(super) fn grant(&mut self, ttl: u64, now: Instant) -> u64 {
+        self.last_lease += 1;
+        let ends = now + Duration::from_secs(ttl);
+        self.leases.insert(self.last_lease, Lease { ttl, ends, keys: BTreeSet::new() });
+        self.last_lease
+    }
+
+    /// Renews a lease and returns its time to live, or nothing if it has ended.
+    pub(super) fn keep_alive(&mut self, id: u64, now: Instant) -> Option<u64> {
+        let lease = self.leases.get_mut(&id).filter(|lease| lease.ends > now)?;
+        lease.ends = now + Duration::from_secs(lease.ttl);
+        Some(lease.ttl)
+    }
+
+    /// Ends a lease, deletes its keys, and returns whether it was there.
+    pub(super) fn revoke(&mut self, id: u64) -> bool {
+        let Some(lease) = self.leases.remove(&id) else {
+            return false;
+        };
+        let revision = self.revision + 1;
+        let changes: Vec<Change> = lease
+            .keys
+            .into_iter()
+            .filter(|key| self.keys.remove(key).is_some())
+            .map(|key| Change { key, revision, stored: None })
+            .collect();
+        self.commit(changes);
+        true
+    }
+
+    /// Ends the leases whose time has passed.
+    pub(super) fn expire(&mut self, now: Instant) {
+        let ended: Vec<u64> =
+            self.leases.iter().filter(|(_, lease)| lease.ends <= now).map(|(id, _)| *id).collect();
+        for id in ended {
+            self.revoke(id);
+        }
+    }
+
+    /// Returns whether a lease exists, or none is named.
+    pub(super) fn has_lease(&self, id: u64) -> bool {
+        id == 0 || self.leases.contains_key(&id)
+    }
+
+    /// Starts a watch; changes since `start` come first.
+    pub(super) fn watch(
+        &mut self,
+        range: Range,
+        start: u64,
+    ) -> Result<mpsc::UnboundedReceiver<Vec<Change>>, Compacted> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        if start > 0 {
+            if let Some(oldest) = self.history.front().filter(|_| self.history.len() == HISTORY)
+                && start < oldest.revision
+            {
+                return Err(Compacted(oldest.revision));
+            }
+            let missed =
+                self.history.iter().filter(|change| change.revision >= start && range.covers(&change.key));
+            let missed: Vec<Change> = missed.cloned().collect();
+            if !missed.is_empty() {
+                // The receiver is still held here, so that the send can't fail.
+                let _ = sender.send(missed);
+            }
+        }
+        self.watches.push(Watch { range, sender });
+        Ok(receiver)
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let stored = self.keys.get(&compare.key);
+        let (found, wanted) = match compare.target {
+            CompareTarget::Version => (stored.map_or(0, |stored| stored.version), compare.version),
+            CompareTarget::Create => {
+                (stored.map_or(0, |stored| stored.create_revision), compare.create_revision)
+            }
+            CompareTarget::Mod => (stored.map_or(0, |stored| stored.mod_revision), compare.mod_revision),
+        };
+        match compare.result {
+            CompareResult::Equal => found == wanted,
+            CompareResult::Greater => found > wanted,
+            CompareResult::Less => found < wanted,
+            CompareResult::NotEqual => found != wanted,
+        }
+    }
+
+    fn put(&mut self, put: Put, revision: u64) -> Change {
+        let old = self.keys.get(&put.key);
+        let create_revision = old.map_or(revision, |old| old.create_revision);
+        let version = old.map_or(0, |old| old.version) + 1;
+        if let Some(lease) = old.and_then(|old| self.leases.get_mut(&old.lease)) {
+            lease.keys.remove(&put.key);
+        }
+        if let Some(lease) = self.leases.get_mut(&put.lease) {
+            lease.keys.insert(put.key.clone());
+        }
+        let stored =
+            Stored { value: put.value, create_revision, mod_revision: revision, version, lease: put.lease };
+        self.keys.insert(put.key.clone(), stored.clone());
+        Change { key: put.key, revision, stored: Some(stored) }
+    }
+
+    fn delete(&mut self, range: &Range, revision: u64) -> Vec<Change> {
+        let keys: Vec<Vec<u8>> = self.keys.keys().filter(|key| range.covers(key)).cloned().collect();
+        for key in &keys {
+            let old = self.keys.remove(key);
+            if let Some(lease) = old.and_then(|old| self.leases.get_mut(&old.lease)) {
+                lease.keys.remove(key);
+            }
+        }
+        keys.into_iter().map(|key| Change { key, revision, stored: None }).collect()
+    }
+
+    fn commit(&mut self, changes: Vec<Change>) {
+        if changes.is_empty() {
+            return;
+        }
+        self.revision += 1;
+        self.watches.retain(|watch| {
+            let seen: Vec<Change> =
+                changes.iter().filter(|change| watch.range.covers(&change.key)).cloned().collect();
+            if seen.is_empty() { !watch.sender.is_closed() } else { watch.sender.send(seen).is_ok() }
+        });
+        self.history.extend(changes);
+        let excess = self.history.len().saturating_sub(HISTORY);
+        self.history.drain(..excess);
+    }
+}
+
+impl Range {
+    /// Returns whether the range holds a key; a single zero byte as its end means all keys from its start.
+    fn covers(&self, key: &[u8]) -> bool {
+        match self.range_end.as_slice() {
+            [] => key == self.key,
+            [0] => key >= self.key.as_slice(),
+            end => key >= self.key.as_slice() && key < end,
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,50 @@
-//! placeholder
+//! Stand-ins for the platform, the endpoints and the callers of carobwick, for tests and load runs.
+//!
+//! # Tour
+//!
+//! [`KvStandin`], [`InstancesStandin`] and [`WeightsStandin`] stand in for the platform, [`EngineStandin`] and
+//! [`ServiceStandin`] for the endpoints. Each is started with `spawn`, in process or by a binary of the same name,
+//! and runs until it is dropped. Each has switches for its faults, see [`Faults`].
+
+mod answer;
+mod engine;
+mod faults;
+mod gate;
+mod instances;
+mod kv;
+mod program;
+mod server;
+mod service;
+mod weights;
+
+pub use answer::ChatMessage;
+pub use answer::ChatRequest;
+pub use answer::answer_text;
+pub use answer::answer_token;
+pub use engine::CacheEvent;
+pub use engine::EngineFaults;
+pub use engine::EngineOptions;
+pub use engine::EngineStandin;
+pub use engine::EngineStats;
+pub use engine::EngineTiming;
+pub use engine::OnCrash;
+pub use faults::Faults;
+pub use instances::InstanceChange;
+pub use instances::InstanceFaults;
+pub use instances::InstancesStandin;
+pub use kv::KvFaults;
+pub use kv::KvStandin;
+pub use program::parse_faults;
+pub use program::run_until_interrupted;
+pub use server::Server;
+pub use server::ServerControl;
+pub use service::ServiceFaults;
+pub use service::ServiceOptions;
+pub use service::ServiceStandin;
+pub use service::service_hash;
+pub use weights::LoadCount;
+pub use weights::LoadRequest;
+pub use weights::WeightsFaults;
+pub use weights::WeightsOptions;
+pub use weights::WeightsStandin;
+pub use weights::WeightsStats;
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,189 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use axum::Router;
+use hyper::body::Incoming;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::server::conn::auto::Builder;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+use tower::ServiceExt;
+
+use crate::gate::Gate;
+
+/// Streams that one HTTP/2 connection may carry; hyper's default of 200 would limit a whole entry.
+const MAX_STREAMS: u32 = 20_000;
+
+/// A running HTTP server for HTTP/1.1 and HTTP/2 with prior knowledge; dropping it ends it.
+#[derive(Debug)]
+pub struct Server {
+    addr: SocketAddr,
+    control: ServerControl,
+    _stop: DropGuard,
+}
+
+/// Breaks the connections of a [`Server`] as an outage of its process or network would.
+#[derive(Debug, Clone)]
+pub struct ServerControl {
+    outages: mpsc::UnboundedSender<Duration>,
+    freezes: Arc<AtomicU64>,
+}
+
+/// The connection that carried a request, as a request extension.
+#[derive(Debug, Clone)]
+pub(crate) struct Connection {
+    close: CancellationToken,
+    exempt: Arc<AtomicBool>,
+}
+
+impl Server {
+    /// Binds `addr` and serves `router`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn spawn(addr: SocketAddr, router: Router) -> anyhow::Result<Self> {
+        Self::spawn_with(addr, |_| router).await
+    }
+
+    /// Binds `addr` and serves a router that can break the server's connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn spawn_with(
+        addr: SocketAddr,
+        router: impl FnOnce(ServerControl) -> Router,
+    ) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let (outages, requests) = mpsc::unbounded_channel();
+        let control = ServerControl { outages, freezes: Arc::default() };
+        let stop = CancellationToken::new();
+        let run = Run { addr, router: router(control.clone()), freezes: Arc::clone(&control.freezes) };
+        tokio::spawn(run.run(listener, requests, stop.clone()));
+        Ok(Self { addr, control, _stop: stop.drop_guard() })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the base URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.addr)
+    }
+
+    /// Returns what breaks the connections.
+    pub fn control(&self) -> &ServerControl {
+        &self.control
+    }
+}
+
+impl ServerControl {
+    /// Closes all connections and refuses new ones for `duration`.
+    pub fn interrupt(&self, duration: Duration) {
+        // The receiver is gone only if the server has ended, and then all connections are closed anyway.
+        let _ = self.outages.send(duration);
+    }
+
+    /// Lets all open connections go silent without closing them; new connections work.
+    pub fn freeze(&self) {
+        self.freezes.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+impl Connection {
+    /// Closes the connection without an answer and never returns.
+    pub(crate) async fn break_off<T>(&self) -> T {
+        self.close.cancel();
+        std::future::pending().await
+    }
+
+    /// Keeps the connection out of [`ServerControl::freeze`], so that faults can be changed over it.
+    pub(crate) fn exempt(&self) {
+        self.exempt.store(true, Ordering::SeqCst);
+    }
+}
+
+struct Run {
+    addr: SocketAddr,
+    router: Router,
+    freezes: Arc<AtomicU64>,
+}
+
+impl Run {
+    async fn run(
+        self,
+        mut listener: TcpListener,
+        mut outages: mpsc::UnboundedReceiver<Duration>,
+        stop: CancellationToken,
+    ) {
+        let mut open = stop.child_token();
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                Some(outage) = outages.recv() => {
+                    open.cancel();
+                    drop(listener);
+                    tokio::time::sleep(outage).await;
+                    listener = self.rebind().await;
+                    open = stop.child_token();
+                }
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => self.connect(stream, open.child_token()),
+                    Err(err) => {
+                        tracing::warn!("standin: accept failed: {err}");
+                        tokio::time::sleep(Duration::from_millis(50)).await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn rebind(&self) -> TcpListener {
+        loop {
+            match TcpListener::bind(self.addr).await {
+                Ok(listener) => return listener,
+                Err(err) => {
+                    tracing::warn!("standin: {} can't be bound again: {err}", self.addr);
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+
+    fn connect(&self, stream: TcpStream, close: CancellationToken) {
+        if let Err(err) = stream.set_nodelay(true) {
+            tracing::debug!("standin: connection ended early: {err}");
+            return;
+        }
+        let connection = Connection { close: close.clone(), exempt: Arc::default() };
+        let gate = Gate::new(stream, Arc::clone(&self.freezes), Arc::clone(&connection.exempt));
+        let router = self.router.clone();
+        let service = hyper::service::service_fn(move |mut request: hyper::Request<Incoming>| {
+            request.extensions_mut().insert(connection.clone());
+            router.clone().oneshot(request)
+        });
+        tokio::spawn(async move {
+            let mut builder = Builder::new(TokioExecutor::new());
+            builder.http2().max_concurrent_streams(MAX_STREAMS);
+            let served = builder.serve_connection(TokioIo::new(gate), service);
+            tokio::select! {
+                () = close.cancelled() => {}
+                ended = served => if let Err(err) = ended {
+                    tracing::debug!("standin: connection ended: {err}");
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/standins/src/weights.rs
@@ -0,0 +1,222 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::routing::get;
+use axum::routing::post;
+use carobwick_core::Bytes;
+use carobwick_core::ModelId;
+use carobwick_core::ModelVersion;
+use carobwick_core::Rate;
+use carobwick_derive::data;
+
+use crate::Faults;
+use crate::Server;
+
+/// Time of an adapter load at full speed.
+const ADAPTER_LOAD: Duration = Duration::from_millis(5);
+/// The speed of a load is adjusted to the number of loads in flight this often.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Stand-in for the platform's weight store.
+///
+/// `rate` loads per second with `concurrent` of them at once mean that one load takes `concurrent / rate` seconds at
+/// full speed. More loads at once share the same rate.
+#[derive(Debug)]
+pub struct WeightsStandin {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+/// Limits of a [`WeightsStandin`].
+#[derive(Debug, Clone, Copy)]
+pub struct WeightsOptions {
+    /// Model loads per second.
+    pub rate: Rate,
+    /// Model loads at once at full speed.
+    pub concurrent: u32,
+    /// Adapter loads at once at full speed.
+    pub adapter_concurrent: u32,
+}
+
+/// Faults of the weight store.
+#[data]
+#[serde(default, deny_unknown_fields)]
+pub struct WeightsFaults {
+    /// Every load takes this many times as long.
+    pub slow: f64,
+}
+
+/// Body of `POST /load`.
+#[data]
+pub struct LoadRequest {
+    /// Model or adapter.
+    pub model: ModelId,
+    /// Version of its weights.
+    pub version: ModelVersion,
+    /// Size of the weights.
+    pub size: Bytes,
+    /// Whether it is an adapter.
+    #[serde(default)]
+    pub adapter: bool,
+}
+
+/// Counts of the weight store.
+#[data]
+#[derive(Copy, Default)]
+pub struct WeightsStats {
+    /// Loads of models.
+    pub models: LoadCount,
+    /// Loads of adapters.
+    pub adapters: LoadCount,
+    /// Bytes of all finished loads.
+    pub bytes: u64,
+}
+
+/// Counts of one kind of load.
+#[data]
+#[derive(Copy, Default)]
+pub struct LoadCount {
+    /// Loads that were started.
+    pub started: u64,
+    /// Loads that were finished.
+    pub finished: u64,
+    /// Loads in flight.
+    pub running: u32,
+    /// Most loads in flight at once.
+    pub peak: u32,
+    /// Loads that were started while the limit for full speed was reached.
+    pub over_limit: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    options: WeightsOptions,
+    faults: Faults<WeightsFaults>,
+    stats: Mutex<WeightsStats>,
+}
+
+/// A load in flight; it no longer counts when its caller leaves.
+struct Running<'a> {
+    shared: &'a Shared,
+    adapter: bool,
+}
+
+impl Default for WeightsFaults {
+    fn default() -> Self {
+        Self { slow: 1.0 }
+    }
+}
+
+impl WeightsStandin {
+    /// Binds `addr` and serves loads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn spawn(
+        addr: SocketAddr,
+        options: WeightsOptions,
+        faults: WeightsFaults,
+    ) -> anyhow::Result<Self> {
+        let shared = Arc::new(Shared { options, faults: Faults::open(faults), stats: Mutex::default() });
+        let router = Router::new()
+            .route("/load", post(load))
+            .route("/stats", get(stats))
+            .with_state(Arc::clone(&shared))
+            .merge(shared.faults.router(|_| {}));
+        Ok(Self { server: Server::spawn(addr, router).await?, shared })
+    }
+
+    /// Returns the server.
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// Returns the fault switches.
+    pub fn faults(&self) -> &Faults<WeightsFaults> {
+        &self.shared.faults
+    }
+
+    /// Returns the counts.
+    pub fn stats(&self) -> WeightsStats {
+        *self.shared.stats()
+    }
+}
+
+impl Shared {
+    fn stats(&self) -> MutexGuard<'_, WeightsStats> {
+        self.stats.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn limit(&self, adapter: bool) -> u32 {
+        if adapter { self.options.adapter_concurrent } else { self.options.concurrent }
+    }
+
+    /// Returns the time of one load at full speed.
+    fn full_speed(&self, adapter: bool) -> Duration {
+        if adapter {
+            return ADAPTER_LOAD;
+        }
+        Duration::from_secs_f64(f64::from(self.options.concurrent) / self.options.rate.0)
+    }
+
+    /// Returns the speed of each load in flight, where 1 is full speed.
+    fn speed(&self, adapter: bool) -> f64 {
+        let running = self.stats().count(adapter).running;
+        let shared = (f64::from(self.limit(adapter)) / f64::from(running)).min(1.0);
+        shared / self.faults.read(|faults| faults.slow).max(1.0)
+    }
+
+    fn start(&self, adapter: bool) -> Running<'_> {
+        let limit = self.limit(adapter);
+        let mut stats = self.stats();
+        let count = stats.count(adapter);
+        count.started += 1;
+        count.over_limit += u64::from(count.running >= limit);
+        count.running += 1;
+        count.peak = count.peak.max(count.running);
+        Running { shared: self, adapter }
+    }
+}
+
+impl WeightsStats {
+    fn count(&mut self, adapter: bool) -> &mut LoadCount {
+        if adapter { &mut self.adapters } else { &mut self.models }
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.shared.stats().count(self.adapter).running -= 1;
+    }
+}
+
+async fn load(State(shared): State<Arc<Shared>>, Json(request): Json<LoadRequest>) -> Json<LoadRequest> {
+    let running = shared.start(request.adapter);
+    let mut left = shared.full_speed(request.adapter);
+    while !left.is_zero() {
+        let speed = shared.speed(request.adapter);
+        let pause = left.div_f64(speed).min(TICK);
+        let before = Instant::now();
+        tokio::time::sleep(pause).await;
+        left = left.saturating_sub(before.elapsed().mul_f64(speed));
+    }
+    drop(running);
+    let mut stats = shared.stats();
+    stats.count(request.adapter).finished += 1;
+    stats.bytes += request.size.0;
+    drop(stats);
+    Json(request)
+}
+
+async fn stats(State(shared): State<Arc<Shared>>) -> Json<WeightsStats> {
+    Json(*shared.stats())
+}
