core: dispatcher interface with least-outstanding routing

The entry needs the interface of the request policy before its inside is done. Decisions, refusal codes and attempt outcomes are in ask.rs, settings in policy.rs. The inside only picks the live holder with the fewest own requests; admission, budgets and quarantine follow.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,20 +11,30 @@
 #[macro_use]
 mod macros;
 
+mod ask;
 mod config;
+mod dispatch;
 mod drain;
 mod engine;
 mod error;
 mod event;
 mod ids;
 mod manifest;
+mod policy;
 mod quarantine;
 mod sync;
 mod time;
 mod units;
 mod view;
 
+pub use ask::Ask;
+pub use ask::AttemptOutcome;
+pub use ask::Decision;
+pub use ask::RefusalCode;
+pub use ask::RouteTarget;
+pub use ask::RunStatus;
 pub use config::ConfigRecord;
+pub use dispatch::Dispatcher;
 pub use drain::DrainMark;
 pub use drain::DrainSet;
 pub use drain::DrainTarget;
@@ -65,6 +75,9 @@
 pub use manifest::ServiceKind;
 pub use manifest::ServiceSpec;
 pub use manifest::StoreLimits;
+pub use policy::Policy;
+pub use policy::RoutingRule;
+pub use policy::prefix_hash;
 pub use quarantine::CrashReport;
 pub use quarantine::SuspectSet;
 pub use sync::Change;
