core: affinity routing, admission, fair share, budgets, quarantine verdicts

Routing now takes the first endpoint in rendezvous order of the prefix whose corrected load is bounded and that meets the target. Admission refuses on arrival by the learned rate at which own requests end; the queue is start-time fair per caller. Crash reports carry the requests that finished elsewhere since, so that all entries come to the same verdict.

--- /dev/null
+++ b/crates/core/src/active.rs
@@ -0,0 +1,60 @@
+use crate::Ask;
+use crate::EndpointId;
+use crate::Incarnation;
+use crate::Time;
+use crate::ZoneId;
+use crate::load::LoadMark;
+
+/// A request between `admit` and its end.
+#[derive(Debug)]
+pub(crate) struct Active {
+    pub ask: Ask,
+    /// Group of its target, see `TargetSpec`.
+    pub group: usize,
+    /// Time by which its answer must begin.
+    pub due: Time,
+    pub phase: Phase,
+    pub attempts: u32,
+    /// Endpoints on which an attempt ended without an answer.
+    pub tried: Vec<EndpointId>,
+    /// Whether an attempt may have run.
+    pub ran: bool,
+}
+
+/// Where a request is.
+#[derive(Debug)]
+pub(crate) enum Phase {
+    /// In the queue.
+    Waiting,
+    /// On an endpoint.
+    Running(Attempt),
+    /// At another zone's entry.
+    Forwarded(ZoneId),
+    /// Its last attempt ended; the entry decides whether to retry.
+    Ended,
+}
+
+/// One attempt on an endpoint.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub endpoint: EndpointId,
+    pub incarnation: Incarnation,
+    pub start: Time,
+    pub sent: bool,
+    /// Own requests in prefill on the endpoint at the start.
+    pub pending: u32,
+    /// Load at the first token, when the endpoint made its report.
+    pub mark: Option<LoadMark>,
+}
+
+impl Active {
+    /// Returns the work of the request for the fair share; prefill of a token costs a fraction of its generation.
+    pub fn cost(&self) -> u64 {
+        self.ask.prompt.0 / 16 + self.ask.limit.0 + 1
+    }
+
+    /// Returns the seconds left until its answer must begin.
+    pub fn left(&self, now: Time) -> f64 {
+        (self.due - now).as_secs_f64()
+    }
+}
--- /dev/null
+++ b/crates/core/src/breaker.rs
@@ -0,0 +1,98 @@
+use std::time::Duration;
+
+use crate::Time;
+
+/// Failures in a row that open the breaker; a single one can be the fault of the request.
+const FAILURES: u32 = 3;
+const FIRST_PAUSE: Duration = Duration::from_secs(1);
+const MAX_PAUSE: Duration = Duration::from_secs(30);
+/// Time after which a probe without an outcome no longer blocks the next one.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Circuit breaker of one endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct Breaker {
+    state: State,
+    failures: u32,
+    pause: Duration,
+}
+
+/// What a breaker lets through.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Gate {
+    /// Any request.
+    Pass,
+    /// One repeatable request, as a probe.
+    Probe,
+    /// Nothing.
+    Block,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum State {
+    Closed,
+    Open { until: Time },
+    HalfOpen { probe: Time },
+}
+
+impl Default for Breaker {
+    fn default() -> Self {
+        Self { state: State::Closed, failures: 0, pause: FIRST_PAUSE }
+    }
+}
+
+impl Breaker {
+    pub fn gate(&self, now: Time) -> Gate {
+        match self.state {
+            State::Closed => Gate::Pass,
+            State::Open { until } if now < until => Gate::Block,
+            State::HalfOpen { probe } if now < probe + PROBE_TIMEOUT => Gate::Block,
+            State::Open { .. } | State::HalfOpen { .. } => Gate::Probe,
+        }
+    }
+
+    /// Returns when a blocked breaker lets a probe through.
+    pub fn reopens(&self) -> Option<Time> {
+        match self.state {
+            State::Closed => None,
+            State::Open { until } => Some(until),
+            State::HalfOpen { probe } => Some(probe + PROBE_TIMEOUT),
+        }
+    }
+
+    pub fn sent(&mut self, now: Time) {
+        if self.gate(now) == Gate::Probe {
+            self.state = State::HalfOpen { probe: now };
+        }
+    }
+
+    /// A success of a request that was sent before the breaker opened doesn't close it.
+    pub fn succeeded(&mut self) {
+        match self.state {
+            State::Open { .. } => {}
+            State::Closed | State::HalfOpen { .. } => *self = Self::default(),
+        }
+    }
+
+    pub fn failed(&mut self, now: Time) {
+        self.failures += 1;
+        match self.state {
+            State::HalfOpen { .. } => self.open(now),
+            State::Closed if self.failures >= FAILURES => self.open(now),
+            State::Closed | State::Open { .. } => {}
+        }
+    }
+
+    /// Opens the breaker without waiting for further failures.
+    pub fn trip(&mut self, now: Time) {
+        match self.state {
+            State::Open { .. } => {}
+            State::Closed | State::HalfOpen { .. } => self.open(now),
+        }
+    }
+
+    fn open(&mut self, now: Time) {
+        self.state = State::Open { until: now + self.pause };
+        self.pause = (self.pause * 2).min(MAX_PAUSE);
+    }
+}
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -1,21 +1,18 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
-use crate::Artifact;
 use crate::Ask;
 use crate::AttemptOutcome;
 use crate::CrashReport;
 use crate::Decision;
 use crate::DrainSet;
-use crate::DrainTarget;
 use crate::EndpointId;
-use crate::EndpointState;
-use crate::EndpointView;
+use crate::Fingerprint;
 use crate::Incarnation;
 use crate::LoadReport;
 use crate::Manifest;
-use crate::ModelId;
 use crate::Policy;
 use crate::RefusalCode;
 use crate::RequestId;
@@ -25,38 +22,63 @@
 use crate::Time;
 use crate::ZoneId;
 use crate::ZoneView;
+use crate::active::Active;
+use crate::active::Attempt;
+use crate::active::Phase;
+use crate::budget::RetryBudget;
+use crate::estimate::Estimate;
+use crate::fair_share::FairQueue;
+use crate::fleet::Fleet;
+use crate::route::Route;
+use crate::verdict::Quarantine;
+use crate::verdict::Standing;
+
+/// Time between polls while a request waits, since other entries' requests end unseen.
+const POLL: Duration = Duration::from_millis(10);
+/// Time for which a zone that refused a forwarded request gets no more of that model.
+const FORWARD_PAUSE: Duration = Duration::from_millis(500);
+/// Time for which a broken connection counts as part of a crash that is noticed later.
+const LOST: Duration = Duration::from_secs(10);
+const MAX_ATTEMPTS: u32 = 4;
 
 /// Decides for one entry where and when each request runs.
 ///
 /// Every request goes through `admit`, then `sent`, `first_token` and `finished` for its attempt. After an attempt
 /// that ended with `Failed` or `NotRun`, `retry` decides on the next one; a request that is not to be retried ends
-/// with `finished(.., Cancelled, ..)`. Requests that wait come back from `poll`, which is due at `due`.
+/// with `finished(.., Cancelled, ..)`. A refused request needs no further call. Requests that wait come back from
+/// `poll`, which is due at `due`.
 #[derive(Debug)]
 pub struct Dispatcher {
-    policy: Policy,
-    models: IndexMap<ModelId, ModelId>,
-    endpoints: IndexMap<EndpointId, Endpoint>,
-    requests: IndexMap<RequestId, Active>,
-}
-
-#[derive(Debug)]
-struct Endpoint {
-    view: EndpointView,
-    usable: bool,
-    own: u32,
-}
-
-#[derive(Debug)]
-struct Active {
-    ask: Ask,
-    endpoint: Option<EndpointId>,
-    sent: bool,
+    pub(crate) policy: Policy,
+    pub(crate) fleet: Fleet,
+    pub(crate) requests: IndexMap<RequestId, Active>,
+    pub(crate) queue: FairQueue,
+    pub(crate) quarantine: Quarantine,
+    /// Service times per group.
+    pub(crate) estimates: IndexMap<usize, Estimate>,
+    /// Own requests on endpoints per group.
+    pub(crate) running: IndexMap<usize, u32>,
+    /// Counts routing choices.
+    pub(crate) turn: u64,
+    budget: RetryBudget,
+    next_poll: Time,
 }
 
 impl Dispatcher {
     /// Creates a dispatcher that knows no endpoints yet.
     pub fn new(policy: Policy) -> Self {
-        Self { policy, models: IndexMap::new(), endpoints: IndexMap::new(), requests: IndexMap::new() }
+        Self {
+            fleet: Fleet::default(),
+            requests: IndexMap::new(),
+            queue: FairQueue::default(),
+            quarantine: Quarantine::new(policy.settle),
+            estimates: IndexMap::new(),
+            running: IndexMap::new(),
+            turn: 0,
+            budget: RetryBudget::new(policy.retries),
+            next_poll: Time::ZERO,
+            policy,
+        }
     }
 
     /// Takes over the state that the processes exchange; requests in flight are kept.
@@ -66,121 +88,247 @@
         own_zone: &ZoneId,
         views: &IndexMap<ZoneId, Arc<ZoneView>>,
         drains: &DrainSet,
-        _suspects: &SuspectSet,
+        suspects: &SuspectSet,
     ) {
-        self.models.clear();
-        for id in manifest.models.keys().chain(manifest.adapters.keys()) {
-            let base = match manifest.find(id) {
-                Some(Artifact::Adapter(adapter, _)) => adapter.base.clone(),
-                _ => id.clone(),
-            };
-            self.models.insert(id.clone(), base);
-        }
-        let mut old = std::mem::take(&mut self.endpoints);
-        for (id, view) in views.get(own_zone).into_iter().flat_map(|view| &view.endpoints) {
-            let drained = drains.is_drained(&DrainTarget::Endpoint(id.clone()));
-            let usable = view.state == EndpointState::Live && !drained;
-            let own = old.swap_remove(id).map_or(0, |known| known.own);
-            self.endpoints.insert(id.clone(), Endpoint { view: view.clone(), usable, own });
-        }
+        self.fleet.set_view(manifest, own_zone, views, drains);
+        self.quarantine.learn(suspects);
+        self.next_poll = Time::ZERO;
     }
 
     /// Decides on a new request.
-    pub fn admit(&mut self, ask: Ask, _now: Time) -> Decision {
-        let request = ask.request;
-        self.requests.insert(request, Active { ask, endpoint: None, sent: false });
-        self.route(request, None)
+    pub fn admit(&mut self, ask: Ask, now: Time) -> Decision {
+        self.quarantine.refresh(now);
+        let refuse = |code| Decision::Refuse { code, run: RunStatus::No, retry_after: None };
+        let Some(spec) = self.fleet.targets.get(&ask.target) else { return refuse(RefusalCode::NotFound) };
+        if spec.retiring {
+            return refuse(RefusalCode::Retiring);
+        }
+        let standing = self.quarantine.standing(ask.fingerprint, now);
+        if standing == Standing::Convicted {
+            return refuse(RefusalCode::CrashesEndpoint);
+        }
+        self.budget.request(now);
+        let (group, goal, request) = (spec.group, spec.goal, ask.request);
+        let mut active = Active {
+            ask,
+            group,
+            due: now,
+            phase: Phase::Waiting,
+            attempts: 0,
+            tried: Vec::new(),
+            ran: false,
+        };
+        active.due = self.due_time(&active, goal, now);
+        self.requests.insert(request, active);
+        self.decide(request, standing, now)
     }
 
     /// Returns the decisions on requests that waited.
-    pub fn poll(&mut self, _now: Time) -> Vec<(RequestId, Decision)> {
-        Vec::new()
+    pub fn poll(&mut self, now: Time) -> Vec<(RequestId, Decision)> {
+        self.quarantine.refresh(now);
+        self.next_poll = now + POLL;
+        let mut decisions = Vec::new();
+        let mut full = Vec::new();
+        for waiting in self.queue.in_order() {
+            let Some(active) = self.requests.get(&waiting.request) else { continue };
+            let group = active.group;
+            let standing = self.quarantine.standing(active.ask.fingerprint, now);
+            if standing == Standing::Clear && full.contains(&group) {
+                continue;
+            }
+            let decision = match standing {
+                Standing::Convicted => self.refuse(waiting.request, RefusalCode::CrashesEndpoint, None),
+                Standing::Held(_) => continue,
+                Standing::Clear | Standing::Suspect(_) => match self.route(waiting.request, standing, now) {
+                    Route::Endpoint(index) => self.start(waiting.request, index, now),
+                    Route::Nowhere => {
+                        let forward = self.forward(waiting.request, None, now);
+                        forward.unwrap_or_else(|| self.refuse_unavailable(waiting.request, None))
+                    }
+                    Route::Full | Route::Blocked(_) => {
+                        if standing == Standing::Clear {
+                            full.push(group);
+                        }
+                        continue;
+                    }
+                },
+            };
+            decisions.push((waiting.request, decision));
+        }
+        decisions
     }
 
-    /// Returns the time at which `poll` is due, if a request waits.
+    /// Returns the time at which `poll` is due, if a request waits; it can be in the past.
     pub fn due(&self) -> Option<Time> {
-        None
+        (self.queue.len() > 0).then_some(self.next_poll)
     }
 
     /// Notes that the first byte of a request was written to its endpoint.
     pub fn sent(&mut self, request: RequestId, _now: Time) {
-        if let Some(active) = self.requests.get_mut(&request) {
-            active.sent = true;
+        if let Some(Active { phase: Phase::Running(attempt), .. }) = self.requests.get_mut(&request) {
+            attempt.sent = true;
         }
     }
 
     /// Notes that the answer of a request began.
-    pub fn first_token(&mut self, _request: RequestId, _now: Time) {}
+    pub fn first_token(&mut self, request: RequestId, now: Time) {
+        let Some(active) = self.requests.get_mut(&request) else { return };
+        let Phase::Running(attempt) = &mut active.phase else { return };
+        if attempt.mark.is_some() {
+            return;
+        }
+        if let Some(endpoint) = self.fleet.endpoints.get_mut(&attempt.endpoint) {
+            endpoint.pending = endpoint.pending.saturating_sub(1);
+            attempt.mark = Some(endpoint.load.mark(now));
+        }
+        if matches!(active.ask.target, RouteTarget::Model(_)) {
+            let estimate = self.estimates.entry(active.group).or_default();
+            estimate.first_token(now - attempt.start, active.ask.prompt, attempt.pending);
+        }
+    }
 
-    /// Notes the end of an attempt, with the load report of its answer.
+    /// Notes the end of an attempt, or of a request that waits, with the load report of its answer.
     pub fn finished(
         &mut self,
         request: RequestId,
         outcome: AttemptOutcome,
-        _load: Option<LoadReport>,
-        _now: Time,
+        load: Option<LoadReport>,
+        now: Time,
     ) {
         let Some(active) = self.requests.get_mut(&request) else { return };
-        if let Some(endpoint) = active.endpoint.take()
-            && let Some(endpoint) = self.endpoints.get_mut(&endpoint)
-        {
-            endpoint.own = endpoint.own.saturating_sub(1);
+        let phase = std::mem::replace(&mut active.phase, Phase::Ended);
+        let (group, fingerprint) = (active.group, active.ask.fingerprint);
+        match phase {
+            Phase::Waiting => self.queue.remove(request),
+            Phase::Ended => {}
+            Phase::Forwarded(zone) => {
+                active.ran |= outcome == AttemptOutcome::Failed;
+                let pause = (outcome == AttemptOutcome::NotRun).then_some(FORWARD_PAUSE);
+                self.forward_ended(&zone, group, pause, now);
+            }
+            Phase::Running(attempt) => {
+                active.ran |= attempt.sent && outcome == AttemptOutcome::Failed;
+                active.tried.push(attempt.endpoint.clone());
+                self.attempt_ended(&attempt, group, fingerprint, outcome, load, now);
+            }
         }
         if matches!(outcome, AttemptOutcome::Complete { .. } | AttemptOutcome::Cancelled) {
             self.requests.swap_remove(&request);
         }
+        self.next_poll = now;
     }
 
     /// Decides on the next attempt of a request whose attempt ended with `Failed` or `NotRun`.
-    pub fn retry(&mut self, request: RequestId, _now: Time) -> Decision {
-        if self.requests.contains_key(&request) {
-            return self.route(request, None);
+    pub fn retry(&mut self, request: RequestId, now: Time) -> Decision {
+        self.quarantine.refresh(now);
+        let Some(active) = self.requests.get(&request) else {
+            return Decision::Refuse {
+                code: RefusalCode::RetryBudget,
+                run: RunStatus::Unknown,
+                retry_after: None,
+            };
+        };
+        if active.ran && !active.ask.repeatable {
+            return self.refuse(request, RefusalCode::NotRepeatable, None);
+        }
+        let standing = self.quarantine.standing(active.ask.fingerprint, now);
+        if standing == Standing::Convicted {
+            return self.refuse(request, RefusalCode::CrashesEndpoint, None);
         }
-        refuse(RefusalCode::RetryBudget, RunStatus::Unknown)
+        if active.attempts >= MAX_ATTEMPTS || !self.budget.retry(now) {
+            return self.refuse(request, RefusalCode::RetryBudget, Some(Duration::from_secs(1)));
+        }
+        self.decide(request, standing, now)
     }
 
     /// Notes that an endpoint crashed and returns the report for the other entries.
-    pub fn crashed(&mut self, endpoint: &EndpointId, incarnation: Incarnation, _now: Time) -> CrashReport {
-        let on_it = |active: &&Active| active.sent && active.endpoint.as_ref() == Some(endpoint);
-        let fingerprints =
-            self.requests.values().filter(on_it).map(|active| active.ask.fingerprint).collect();
-        CrashReport { endpoint: endpoint.clone(), incarnation, fingerprints }
+    ///
+    /// The requests in flight on it end with `finished(.., Failed, ..)` before or after this call.
+    pub fn crashed(&mut self, endpoint: &EndpointId, incarnation: Incarnation, now: Time) -> CrashReport {
+        let mut fingerprints: Vec<Fingerprint> = Vec::new();
+        for active in self.requests.values() {
+            if let Phase::Running(attempt) = &active.phase
+                && attempt.sent
+                && attempt.endpoint == *endpoint
+                && attempt.incarnation == incarnation
+                && !fingerprints.contains(&active.ask.fingerprint)
+            {
+                fingerprints.push(active.ask.fingerprint);
+            }
+        }
+        if let Some(known) = self.fleet.endpoints.get_mut(endpoint) {
+            for (at, run, fingerprint) in std::mem::take(&mut known.lost) {
+                if run == incarnation && now < at + LOST && !fingerprints.contains(&fingerprint) {
+                    fingerprints.push(fingerprint);
+                }
+            }
+            if known.incarnation == incarnation {
+                known.breaker.trip(now);
+            }
+        }
+        let report =
+            CrashReport { endpoint: endpoint.clone(), incarnation, fingerprints, cleared: Vec::new() };
+        if !report.fingerprints.is_empty() {
+            self.quarantine.add(report.clone(), now);
+        }
+        report
     }
 
-    /// Returns reports that changed since the last call, for the other entries.
+    /// Returns the crash reports that changed since the last call, for the other entries.
+    ///
+    /// A report changes when a request that was in flight has finished elsewhere.
     pub fn take_reports(&mut self) -> Vec<CrashReport> {
-        Vec::new()
+        self.quarantine.take_changed()
     }
 
-    fn route(&mut self, request: RequestId, _tried: Option<&EndpointId>) -> Decision {
-        let target = &self.requests[&request].ask.target;
-        let fits = |endpoint: &Endpoint| match target {
-            RouteTarget::Service(service) => endpoint.view.service == *service,
-            RouteTarget::Model(model) => {
-                endpoint.view.holds(model)
-                    || self.models.get(model).is_some_and(|base| endpoint.view.holds(base))
+    fn attempt_ended(
+        &mut self,
+        attempt: &Attempt,
+        group: usize,
+        fingerprint: Fingerprint,
+        outcome: AttemptOutcome,
+        load: Option<LoadReport>,
+        now: Time,
+    ) {
+        if let Some(running) = self.running.get_mut(&group) {
+            *running = running.saturating_sub(1);
+        }
+        if let Some(endpoint) = self.fleet.endpoints.get_mut(&attempt.endpoint) {
+            if let Some(report) = load {
+                endpoint.load.report(report, attempt.mark.unwrap_or_else(|| endpoint.load.mark(now)));
+            }
+            if attempt.mark.is_none() {
+                endpoint.pending = endpoint.pending.saturating_sub(1);
+            }
+            endpoint.load.ended();
+            if let Some(place) = endpoint.suspects.iter().position(|suspect| *suspect == fingerprint) {
+                endpoint.suspects.swap_remove(place);
+            }
+            let same_run = endpoint.incarnation == attempt.incarnation;
+            match outcome {
+                AttemptOutcome::Complete { .. } => endpoint.breaker.succeeded(),
+                // An endpoint that refused with its load is up.
+                AttemptOutcome::NotRun if load.is_some() => {}
+                AttemptOutcome::NotRun if same_run => endpoint.breaker.failed(now),
+                AttemptOutcome::Failed => {
+                    if same_run {
+                        endpoint.breaker.failed(now);
+                    }
+                    endpoint.lost.retain(|(at, ..)| now < *at + LOST);
+                    if attempt.sent {
+                        endpoint.lost.push((now, attempt.incarnation, fingerprint));
+                    }
+                }
+                AttemptOutcome::NotRun | AttemptOutcome::Cancelled => {}
             }
-        };
-        let candidates = self.endpoints.iter_mut().filter(|(_, endpoint)| endpoint.usable && fits(endpoint));
-        let Some((id, endpoint)) = candidates.min_by_key(|(_, endpoint)| endpoint.own) else {
-            self.requests.swap_remove(&request);
-            return refuse(RefusalCode::Unavailable, RunStatus::No);
-        };
-        endpoint.own += 1;
-        self.requests[&request].endpoint = Some(id.clone());
-        Decision::Send {
-            endpoint: id.clone(),
-            addr: endpoint.view.addr.clone(),
-            incarnation: endpoint.view.incarnation,
+        }
+        match outcome {
+            AttemptOutcome::Complete { .. } => {
+                self.estimates.entry(group).or_default().service_time(now - attempt.start);
+                self.quarantine.finish(fingerprint, now);
+            }
+            AttemptOutcome::Failed if attempt.sent => self.quarantine.lose(fingerprint, now),
+            AttemptOutcome::Failed | AttemptOutcome::NotRun | AttemptOutcome::Cancelled => {}
         }
     }
-
-    /// Returns the settings.
-    pub fn policy(&self) -> &Policy {
-        &self.policy
-    }
-}
-
-fn refuse(code: RefusalCode, run: RunStatus) -> Decision {
-    Decision::Refuse { code, run, retry_after: None }
 }
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,252 @@
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Artifact;
+use crate::DrainSet;
+use crate::DrainTarget;
+use crate::EndpointId;
+use crate::EndpointState;
+use crate::EndpointView;
+use crate::Fingerprint;
+use crate::Incarnation;
+use crate::Manifest;
+use crate::ModelId;
+use crate::Priority;
+use crate::RouteTarget;
+use crate::ServiceId;
+use crate::ServiceKind;
+use crate::Time;
+use crate::ZoneId;
+use crate::ZoneView;
+use crate::breaker::Breaker;
+use crate::load::EndpointLoad;
+
+/// What an entry can send requests to: endpoints of its zone, entries of other zones.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    pub targets: IndexMap<RouteTarget, TargetSpec>,
+    pub endpoints: IndexMap<EndpointId, Endpoint>,
+    pub zones: IndexMap<ZoneId, RemoteZone>,
+    groups: IndexMap<RouteTarget, ()>,
+}
+
+/// What the manifest and the views say of a model, adapter or plain service.
+#[derive(Debug)]
+pub(crate) struct TargetSpec {
+    /// Number of the base model or service, which the requests of its adapters share.
+    pub group: usize,
+    pub slots: f64,
+    /// Seconds to the first token, or to the whole answer of a plain service.
+    pub goal: f64,
+    pub priority: Priority,
+    pub retiring: bool,
+    /// Positions of the endpoints that hold it.
+    pub holders: Vec<usize>,
+    /// Positions of the endpoints that hold its base.
+    pub bases: Vec<usize>,
+    /// Slots and load per other zone.
+    pub remote: RemoteLoads,
+}
+
+/// Slots and load of a target's endpoints in another zone, as its leader saw them.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RemoteLoad {
+    pub slots: f64,
+    pub load: f64,
+}
+
+/// An endpoint of the own zone.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub addr: String,
+    pub service: ServiceId,
+    pub incarnation: Incarnation,
+    /// Whether it is live and not drained.
+    pub usable: bool,
+    pub load: EndpointLoad,
+    pub breaker: Breaker,
+    /// Own requests without a first token.
+    pub pending: u32,
+    /// Suspects of this entry that run on it.
+    pub suspects: Vec<Fingerprint>,
+    /// Requests whose connection to it broke.
+    pub lost: Vec<(Time, Incarnation, Fingerprint)>,
+    pub seed: u64,
+}
+
+/// An availability zone other than the own one.
+#[derive(Debug, Default)]
+pub(crate) struct RemoteZone {
+    /// Addresses of its live entries.
+    pub entries: Vec<String>,
+    /// Per group, own requests forwarded to it.
+    pub forwarded: IndexMap<usize, u32>,
+    /// Per group, the time until which nothing is forwarded since it refused.
+    pub paused: IndexMap<usize, Time>,
+}
+
+type RemoteLoads = IndexMap<ZoneId, RemoteLoad>;
+
+#[derive(Default)]
+struct Residency {
+    models: IndexMap<ModelId, Vec<usize>>,
+    services: IndexMap<ServiceId, Vec<usize>>,
+    remote_models: IndexMap<ModelId, RemoteLoads>,
+    remote_services: IndexMap<ServiceId, RemoteLoads>,
+}
+
+impl Fleet {
+    pub fn set_view(
+        &mut self,
+        manifest: &Manifest,
+        own_zone: &ZoneId,
+        views: &IndexMap<ZoneId, Arc<ZoneView>>,
+        drains: &DrainSet,
+    ) {
+        self.set_endpoints(views.get(own_zone).map(|view| &view.endpoints), drains);
+        self.set_zones(own_zone, views, drains);
+        let residency = self.residency(own_zone, views, drains);
+        self.targets.clear();
+        for id in manifest.models.keys().chain(manifest.adapters.keys()) {
+            let Some(artifact) = manifest.find(id) else { continue };
+            let (model, base, priority, retiring) = match artifact {
+                Artifact::Model(model) => (model, id, model.priority, model.retiring),
+                Artifact::Adapter(adapter, model) => {
+                    (model, &adapter.base, adapter.priority, adapter.retiring || model.retiring)
+                }
+            };
+            let slots = f64::from(manifest.services.get(&model.service).map_or(1, |service| service.slots));
+            let bases = residency.models.get(base).cloned().unwrap_or_default();
+            let holders = match artifact {
+                Artifact::Model(_) => bases.clone(),
+                Artifact::Adapter(..) => residency.models.get(id).cloned().unwrap_or_default(),
+            };
+            let spec = TargetSpec {
+                group: self.group(&RouteTarget::Model(base.clone())),
+                slots,
+                goal: model.first_token.duration().as_secs_f64(),
+                priority,
+                retiring,
+                holders,
+                bases,
+                remote: in_slots(residency.remote_models.get(base), slots),
+            };
+            self.targets.insert(RouteTarget::Model(id.clone()), spec);
+        }
+        for (id, service) in manifest.services.iter().filter(|(_, spec)| spec.kind == ServiceKind::Plain) {
+            let slots = f64::from(service.slots);
+            let spec = TargetSpec {
+                group: self.group(&RouteTarget::Service(id.clone())),
+                slots,
+                goal: service.target.duration().as_secs_f64(),
+                priority: Priority::default(),
+                retiring: false,
+                holders: residency.services.get(id).cloned().unwrap_or_default(),
+                bases: Vec::new(),
+                remote: in_slots(residency.remote_services.get(id), slots),
+            };
+            self.targets.insert(RouteTarget::Service(id.clone()), spec);
+        }
+    }
+
+    fn set_endpoints(&mut self, views: Option<&IndexMap<EndpointId, EndpointView>>, drains: &DrainSet) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.usable = false;
+        }
+        for (id, view) in views.into_iter().flatten() {
+            let endpoint = self.endpoints.entry(id.clone()).or_insert_with(|| Endpoint::new(id, view));
+            if endpoint.incarnation != view.incarnation {
+                endpoint.breaker = Breaker::default();
+                endpoint.load.restarted();
+                endpoint.incarnation = view.incarnation;
+            }
+            endpoint.addr.clone_from(&view.addr);
+            endpoint.service.clone_from(&view.service);
+            endpoint.usable = view.state == EndpointState::Live && !is_drained(drains, id);
+        }
+        // One that left the view is kept while own requests run on it, so that their ends are counted.
+        let in_view = |id: &EndpointId| views.is_some_and(|views| views.contains_key(id));
+        self.endpoints.retain(|id, endpoint| in_view(id) || endpoint.load.own() > 0);
+    }
+
+    fn set_zones(&mut self, own_zone: &ZoneId, views: &IndexMap<ZoneId, Arc<ZoneView>>, drains: &DrainSet) {
+        for zone in self.zones.values_mut() {
+            zone.entries.clear();
+        }
+        for (id, view) in views.iter().filter(|(id, _)| *id != own_zone) {
+            let live = view.instances.iter().filter(|(instance, seen)| {
+                seen.live && !drains.is_drained(&DrainTarget::Instance((*instance).clone()))
+            });
+            let entries = live.map(|(_, seen)| seen.entry.clone()).collect();
+            self.zones.entry(id.clone()).or_default().entries = entries;
+        }
+    }
+
+    /// Collects where each model and service is, in one pass over the endpoints.
+    fn residency(
+        &self,
+        own_zone: &ZoneId,
+        views: &IndexMap<ZoneId, Arc<ZoneView>>,
+        drains: &DrainSet,
+    ) -> Residency {
+        let mut found = Residency::default();
+        for (zone, view) in views {
+            for (id, endpoint) in &view.endpoints {
+                let own = self.endpoints.get_index_of(id).filter(|_| zone == own_zone);
+                if endpoint.state != EndpointState::Live || is_drained(drains, id) {
+                    continue;
+                }
+                let models = endpoint.resident.iter().map(|resident| &resident.model);
+                if let Some(index) = own {
+                    models.for_each(|model| found.models.entry(model.clone()).or_default().push(index));
+                    found.services.entry(endpoint.service.clone()).or_default().push(index);
+                } else {
+                    let load = f64::from(endpoint.load.running + endpoint.load.queued);
+                    let add = |loads: &mut RemoteLoads| {
+                        let known = loads.entry(zone.clone()).or_default();
+                        known.slots += 1.0;
+                        known.load += load;
+                    };
+                    models.for_each(|model| add(found.remote_models.entry(model.clone()).or_default()));
+                    add(found.remote_services.entry(endpoint.service.clone()).or_default());
+                }
+            }
+        }
+        found
+    }
+
+    fn group(&mut self, base: &RouteTarget) -> usize {
+        self.groups.insert_full(base.clone(), ()).0
+    }
+}
+
+impl Endpoint {
+    fn new(id: &EndpointId, view: &EndpointView) -> Self {
+        Self {
+            addr: view.addr.clone(),
+            service: view.service.clone(),
+            incarnation: view.incarnation,
+            usable: false,
+            load: EndpointLoad::default(),
+            breaker: Breaker::default(),
+            pending: 0,
+            suspects: Vec::new(),
+            lost: Vec::new(),
+            seed: xxh3_64(id.as_str().as_bytes()),
+        }
+    }
+}
+
+fn is_drained(drains: &DrainSet, id: &EndpointId) -> bool {
+    drains.is_drained(&DrainTarget::Endpoint(id.clone()))
+}
+
+/// Turns endpoints into slots.
+fn in_slots(loads: Option<&RemoteLoads>, slots: f64) -> RemoteLoads {
+    let scale = |(zone, load): (&ZoneId, &RemoteLoad)| {
+        (zone.clone(), RemoteLoad { slots: load.slots * slots, load: load.load })
+    };
+    loads.into_iter().flatten().map(scale).collect()
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,20 +11,31 @@
 #[macro_use]
 mod macros;
 
+mod active;
+mod admission;
 mod ask;
+mod breaker;
+mod budget;
 mod config;
 mod dispatch;
 mod drain;
 mod engine;
 mod error;
+mod estimate;
 mod event;
+mod fair_share;
+mod fleet;
 mod ids;
+mod load;
 mod manifest;
 mod policy;
 mod quarantine;
+mod route;
+mod routing;
 mod sync;
 mod time;
 mod units;
+mod verdict;
 mod view;
 
 pub use ask::Ask;
--- /dev/null
+++ b/crates/core/src/load.rs
@@ -0,0 +1,61 @@
+use std::time::Duration;
+
+use crate::LoadReport;
+use crate::Time;
+
+/// Half-life of what is known of other entries' requests once no new report comes.
+const HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// Requests on one endpoint: those of this entry, and an estimate of those of the other entries.
+///
+/// A report shows the load at some time in the past. The requests of this entry at that time are subtracted from
+/// it; what remains belongs to others. Own requests sent and finished since then are known exactly.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct EndpointLoad {
+    own: u32,
+    foreign: f64,
+    seen: Time,
+}
+
+/// Number of own requests at the time at which a report was made.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LoadMark {
+    own: u32,
+    at: Time,
+}
+
+impl EndpointLoad {
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    pub fn started(&mut self) {
+        self.own += 1;
+    }
+
+    pub fn ended(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    pub fn mark(&self, at: Time) -> LoadMark {
+        LoadMark { own: self.own, at }
+    }
+
+    /// Takes over a report unless a later one is known.
+    pub fn report(&mut self, report: LoadReport, mark: LoadMark) {
+        if mark.at >= self.seen {
+            self.foreign = f64::from((report.running + report.queued).saturating_sub(mark.own));
+            self.seen = mark.at;
+        }
+    }
+
+    /// Forgets other entries' requests, since the endpoint's process is a new one.
+    pub fn restarted(&mut self) {
+        self.foreign = 0.0;
+    }
+
+    pub fn total(&self, now: Time) -> f64 {
+        let age = (now - self.seen).as_secs_f64();
+        f64::from(self.own) + self.foreign * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+    }
+}
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -6,6 +6,8 @@
 use crate::Incarnation;
 
 /// Crash reports seen so far, by endpoint and incarnation.
+///
+/// Sets only grow and are merged by union, so that all entries come to the same set in any order of arrival.
 #[data]
 #[derive(Default)]
 pub struct SuspectSet {
@@ -21,10 +23,13 @@
     pub incarnation: Incarnation,
     /// Requests in flight, as far as known.
     pub fingerprints: Vec<Fingerprint>,
+    /// Those of them that have finished elsewhere since, so that they can't be the cause.
+    #[serde(default)]
+    pub cleared: Vec<Fingerprint>,
 }
 
 impl SuspectSet {
-    /// Adds a report, or its requests to a known one, and returns whether anything changed.
+    /// Adds a report, or what it adds to a known one, and returns whether anything changed.
     pub fn add(&mut self, report: CrashReport) -> bool {
         let key = (report.endpoint.clone(), report.incarnation);
         match self.reports.get_mut(&key) {
@@ -33,11 +38,8 @@
                 true
             }
             Some(known) => {
-                let before = known.fingerprints.len();
-                let new = report.fingerprints.into_iter().filter(|f| !known.fingerprints.contains(f));
-                let new: Vec<_> = new.collect();
-                known.fingerprints.extend(new);
-                known.fingerprints.len() > before
+                let requests = extend(&mut known.fingerprints, report.fingerprints);
+                extend(&mut known.cleared, report.cleared) || requests
             }
         }
     }
@@ -47,3 +49,20 @@
         self.reports.values()
     }
 }
+
+impl CrashReport {
+    /// Returns the requests that can be the cause.
+    pub fn candidates(&self) -> impl Iterator<Item = Fingerprint> {
+        self.fingerprints.iter().copied().filter(|fingerprint| !self.cleared.contains(fingerprint))
+    }
+}
+
+fn extend(known: &mut Vec<Fingerprint>, more: Vec<Fingerprint>) -> bool {
+    let before = known.len();
+    for fingerprint in more {
+        if !known.contains(&fingerprint) {
+            known.push(fingerprint);
+        }
+    }
+    known.len() > before
+}
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,195 @@
+use std::time::Duration;
+
+use crate::Decision;
+use crate::RequestId;
+use crate::Time;
+use crate::ZoneId;
+use crate::active::Active;
+use crate::active::Attempt;
+use crate::active::Phase;
+use crate::breaker::Gate;
+use crate::dispatch::Dispatcher;
+use crate::estimate::Estimate;
+use crate::fleet::Endpoint;
+use crate::routing;
+use crate::routing::Candidate;
+use crate::verdict::Standing;
+
+/// Utilization of another zone, as its leader saw it, above which nothing is forwarded to it.
+const REMOTE_LIMIT: f64 = 0.85;
+/// Time that forwarding to another zone's entry and back adds.
+const HOP: f64 = 0.004;
+
+/// Where a request can run now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Route {
+    /// On the endpoint at this position.
+    Endpoint(usize),
+    /// On none until a slot is free.
+    Full,
+    /// On none until a circuit breaker lets a probe through.
+    Blocked(Time),
+    /// On none of this zone.
+    Nowhere,
+}
+
+impl Dispatcher {
+    pub(crate) fn route(&mut self, request: RequestId, standing: Standing, now: Time) -> Route {
+        self.turn += 1;
+        let active = &self.requests[&request];
+        let Some(spec) = self.fleet.targets.get(&active.ask.target) else { return Route::Nowhere };
+        let mut any = false;
+        let mut reopens: Option<Time> = None;
+        for list in [&spec.holders, &spec.bases] {
+            let mut candidates = Vec::new();
+            for index in list {
+                let endpoint = &self.fleet.endpoints[*index];
+                match endpoint.breaker.gate(now) {
+                    Gate::Block => {
+                        reopens = reopens.into_iter().chain(endpoint.breaker.reopens()).min();
+                        continue;
+                    }
+                    Gate::Probe if !active.ask.repeatable || standing != Standing::Clear => continue,
+                    Gate::Pass | Gate::Probe => any = true,
+                }
+                if self.is_open_to(active, endpoint, standing) {
+                    candidates.push(self.candidate(*index, spec.slots, active, standing, now));
+                }
+            }
+            let is_new = |candidate: &&Candidate| {
+                let id = self.fleet.endpoints.get_index(candidate.index).map(|(id, _)| id);
+                id.is_none_or(|id| !active.tried.contains(id))
+            };
+            let untried: Vec<Candidate> = candidates.iter().filter(is_new).copied().collect();
+            let candidates = if untried.is_empty() { candidates } else { untried };
+            if let Some(index) = routing::choose(&self.policy, &candidates, active.left(now), self.turn) {
+                return Route::Endpoint(index);
+            }
+        }
+        match reopens {
+            _ if any => Route::Full,
+            Some(until) => Route::Blocked(until),
+            None if spec.holders.is_empty() && spec.bases.is_empty() => Route::Nowhere,
+            None => Route::Full,
+        }
+    }
+
+    /// Puts a request on an endpoint.
+    pub(crate) fn start(&mut self, request: RequestId, index: usize, now: Time) -> Decision {
+        self.queue.remove(request);
+        let Some((id, endpoint)) = self.fleet.endpoints.get_index_mut(index) else { return Decision::Wait };
+        let Some(active) = self.requests.get_mut(&request) else { return Decision::Wait };
+        let fingerprint = active.ask.fingerprint;
+        if self.quarantine.standing(fingerprint, now) != Standing::Clear {
+            endpoint.suspects.push(fingerprint);
+        }
+        active.attempts += 1;
+        active.phase = Phase::Running(Attempt {
+            endpoint: id.clone(),
+            incarnation: endpoint.incarnation,
+            start: now,
+            sent: false,
+            pending: endpoint.pending,
+            mark: None,
+        });
+        endpoint.load.started();
+        endpoint.pending += 1;
+        endpoint.breaker.sent(now);
+        *self.running.entry(active.group).or_default() += 1;
+        Decision::Send {
+            endpoint: id.clone(),
+            addr: endpoint.addr.clone(),
+            incarnation: endpoint.incarnation,
+        }
+    }
+
+    /// Forwards a request to the least loaded zone with room, if that is sooner than `local` seconds.
+    pub(crate) fn forward(&mut self, request: RequestId, local: Option<f64>, now: Time) -> Option<Decision> {
+        let active = &self.requests[&request];
+        if active.ask.forwarded {
+            return None;
+        }
+        let first = HOP + self.first(active, 0);
+        if local.is_some_and(|local| first >= local) {
+            return None;
+        }
+        let spec = self.fleet.targets.get(&active.ask.target)?;
+        let group = active.group;
+        let usable = spec.remote.iter().filter_map(|(zone, load)| {
+            let known = self.fleet.zones.get(zone)?;
+            let paused = known.paused.get(&group).is_some_and(|until| now < *until);
+            let own = f64::from(known.forwarded.get(&group).copied().unwrap_or(0));
+            let utilization = (load.load + own) / load.slots;
+            let fits = !paused && !known.entries.is_empty() && utilization < REMOTE_LIMIT;
+            fits.then_some((utilization, zone.clone()))
+        });
+        let (_, zone) = usable.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let known = self.fleet.zones.get_mut(&zone)?;
+        let addr = known.entries[request.0 as usize % known.entries.len()].clone();
+        *known.forwarded.entry(group).or_default() += 1;
+        self.queue.remove(request);
+        let active = self.requests.get_mut(&request)?;
+        active.attempts += 1;
+        active.phase = Phase::Forwarded(zone.clone());
+        Some(Decision::Forward { zone, addr })
+    }
+
+    /// Returns whether an endpoint may run a request beside the suspects on it.
+    fn is_open_to(&self, active: &Active, endpoint: &Endpoint, standing: Standing) -> bool {
+        match standing {
+            Standing::Clear => true,
+            Standing::Suspect(_) => endpoint.suspects.is_empty() && !self.is_running(active),
+            Standing::Held(_) | Standing::Convicted => false,
+        }
+    }
+
+    /// Returns whether a request with the same content runs; a second one could cost a second endpoint.
+    fn is_running(&self, active: &Active) -> bool {
+        let fingerprint = active.ask.fingerprint;
+        self.fleet.endpoints.values().any(|endpoint| endpoint.suspects.contains(&fingerprint))
+    }
+
+    fn candidate(
+        &self,
+        index: usize,
+        slots: f64,
+        active: &Active,
+        standing: Standing,
+        now: Time,
+    ) -> Candidate {
+        let endpoint = &self.fleet.endpoints[index];
+        let load = endpoint.load.total(now);
+        // Copies of a suspect go to the same endpoint from all entries, and to another one after each crash.
+        let key = match standing {
+            Standing::Suspect(crashes) => active.ask.fingerprint.0 ^ crashes as u64,
+            _ => active.ask.prefix,
+        };
+        let service = self.estimates.get(&active.group).and_then(Estimate::service).unwrap_or(0.0);
+        let queue = (load + 1.0 - slots).max(0.0) * service / slots;
+        Candidate {
+            index,
+            weight: routing::weight(endpoint.seed, key),
+            load,
+            own: endpoint.load.own(),
+            slots,
+            first: queue + self.first(active, endpoint.pending),
+        }
+    }
+
+    /// Notes the end of a forwarded request.
+    pub(crate) fn forward_ended(
+        &mut self,
+        zone: &ZoneId,
+        group: usize,
+        refused: Option<Duration>,
+        now: Time,
+    ) {
+        let Some(known) = self.fleet.zones.get_mut(zone) else { return };
+        if let Some(count) = known.forwarded.get_mut(&group) {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(pause) = refused {
+            known.paused.insert(group, now + pause);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing.rs
@@ -0,0 +1,52 @@
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::Policy;
+use crate::RoutingRule;
+
+/// An endpoint that may run a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Candidate {
+    /// Position in the list of endpoints.
+    pub index: usize,
+    /// Rendezvous hash of the endpoint and the request's prefix.
+    pub weight: u64,
+    /// Requests on it, as far as known.
+    pub load: f64,
+    /// Requests of this entry on it.
+    pub own: u32,
+    /// Requests that it runs at once.
+    pub slots: f64,
+    /// Estimated seconds to the first token.
+    pub first: f64,
+}
+
+/// Returns the rendezvous hash of an endpoint and a key.
+pub(crate) fn weight(endpoint: u64, key: u64) -> u64 {
+    xxh3_64_with_seed(&key.to_le_bytes(), endpoint)
+}
+
+/// Chooses among candidates for a request with `left` seconds to its target; `turn` counts the choices.
+///
+/// Returns `None` if every candidate is full.
+pub(crate) fn choose(policy: &Policy, candidates: &[Candidate], left: f64, turn: u64) -> Option<usize> {
+    match policy.routing {
+        RoutingRule::Affinity => by_affinity(policy, candidates, left),
+        RoutingRule::LeastOutstanding => {
+            let least = candidates.iter().min_by_key(|candidate| (candidate.own, candidate.weight));
+            least.map(|candidate| candidate.index)
+        }
+        RoutingRule::RoundRobin if candidates.is_empty() => None,
+        RoutingRule::RoundRobin => Some(candidates[turn as usize % candidates.len()].index),
+    }
+}
+
+fn by_affinity(policy: &Policy, candidates: &[Candidate], left: f64) -> Option<usize> {
+    let mean = candidates.iter().map(|candidate| candidate.load).sum::<f64>() / candidates.len() as f64;
+    let bounded = mean * policy.bound + 1.0;
+    let open = candidates.iter().filter(|candidate| candidate.load + 1.0 <= policy.limit(candidate.slots));
+    let near = open.clone().filter(|candidate| {
+        candidate.load <= bounded.max(policy.spare * candidate.slots) && candidate.first <= left
+    });
+    let home = near.max_by_key(|candidate| candidate.weight);
+    home.or_else(|| open.min_by(|a, b| a.first.total_cmp(&b.first))).map(|candidate| candidate.index)
+}
--- /dev/null
+++ b/crates/core/tests/dispatch.rs
@@ -0,0 +1,191 @@
+//! Dispatcher: where a request runs, and when it is refused.
+
+mod common;
+
+use carobwick_core::AttemptOutcome;
+use carobwick_core::Decision;
+use carobwick_core::DrainTarget;
+use carobwick_core::EndpointState;
+use carobwick_core::Policy;
+use carobwick_core::Priority;
+use carobwick_core::RefusalCode;
+use carobwick_core::RequestId;
+use carobwick_core::RouteTarget;
+use carobwick_core::RunStatus;
+use carobwick_core::Tokens;
+use carobwick_core::WriteId;
+use carobwick_core::ZoneId;
+use common::Deployment;
+use common::ask;
+use common::at;
+use common::complete;
+use common::endpoint;
+use test_case::test_case;
+
+/// Guards against requests of one brief being spread over replicas that lack its cache.
+#[test]
+fn equal_prefixes_share_an_endpoint() {
+    let mut dispatcher = Deployment::new(4).dispatcher(Policy::default());
+    let mut used = Vec::new();
+    for request in 0..20 {
+        used.push(endpoint(&dispatcher.admit(ask(request), at(request * 100))));
+        complete(&mut dispatcher, request, request * 100 + 10, request * 100 + 50);
+    }
+    used.dedup();
+    assert_eq!(used.len(), 1);
+}
+
+/// Guards against a hot prefix queueing at one endpoint while others are idle.
+#[test]
+fn hot_prefix_spreads_over_endpoints() {
+    let mut dispatcher = Deployment::new(4).dispatcher(Policy::default());
+    let mut used: Vec<_> =
+        (0..16).map(|request| endpoint(&dispatcher.admit(ask(request), at(0))).0).collect();
+    used.sort();
+    used.dedup();
+    assert_eq!(used.len(), 4);
+}
+
+/// Guards against work for an endpoint that is going away.
+#[test_case(EndpointState::Leaving, false ; "leaving")]
+#[test_case(EndpointState::Down, false ; "down")]
+#[test_case(EndpointState::Live, true ; "drained")]
+fn unusable_endpoint_gets_no_work(state: EndpointState, drained: bool) {
+    let mut deployment = Deployment::new(2);
+    deployment.change("a", |view| view.endpoints[0].state = state);
+    if drained {
+        deployment.drains.set(DrainTarget::Endpoint("a0".parse().unwrap()), true, WriteId(1));
+    }
+    let mut dispatcher = deployment.dispatcher(Policy::default());
+    for request in 0..4 {
+        assert_eq!(endpoint(&dispatcher.admit(ask(request), at(0))).0.as_str(), "a1");
+    }
+    assert!(!matches!(dispatcher.admit(ask(5), at(0)), Decision::Send { .. }));
+}
+
+/// Guards against adapter requests missing the endpoint that holds the adapter, or being refused when it is full.
+#[test]
+fn adapter_prefers_its_holder_then_its_base() {
+    let mut dispatcher = Deployment::new(2).dispatcher(Policy::default());
+    for request in 0..8 {
+        let mut adapter = ask(request);
+        adapter.target = RouteTarget::Model("m:x".parse().unwrap());
+        let (used, _) = endpoint(&dispatcher.admit(adapter, at(0)));
+        assert_eq!(used.as_str(), if request < 4 { "a0" } else { "a1" });
+    }
+}
+
+/// Guards against a zone without the model refusing what another zone can run.
+#[test]
+fn other_zone_runs_what_this_zone_lacks() {
+    let mut deployment = Deployment::new(1);
+    deployment.change("a", |view| view.endpoints[0].resident.clear());
+    let mut dispatcher = deployment.dispatcher(Policy::default());
+    let decision = dispatcher.admit(ask(1), at(0));
+    assert_eq!(decision, Decision::Forward { zone: "b".parse().unwrap(), addr: "b:80".to_owned() });
+    let mut forwarded = ask(2);
+    forwarded.forwarded = true;
+    let refused = dispatcher.admit(forwarded, at(0));
+    assert!(matches!(refused, Decision::Refuse { code: RefusalCode::Unavailable, run: RunStatus::No, .. }));
+}
+
+/// Guards against requests that wait in vain: they are refused on arrival, with a time to come back, or not at all.
+#[test]
+fn hopeless_request_is_refused_on_arrival() {
+    let mut deployment = Deployment::new(1);
+    deployment.views.shift_remove(&"b".parse::<ZoneId>().unwrap());
+    let mut dispatcher = deployment.dispatcher(Policy::default());
+    let _ = dispatcher.admit(ask(0), at(0));
+    complete(&mut dispatcher, 0, 20, 1_000);
+    let decisions: Vec<Decision> = (1..20).map(|request| dispatcher.admit(ask(request), at(2_000))).collect();
+    let sent = decisions.iter().filter(|decision| matches!(decision, Decision::Send { .. })).count();
+    let waiting = decisions.iter().filter(|decision| **decision == Decision::Wait).count();
+    // One slot becomes free every 250 ms, and the target is 750 ms.
+    assert_eq!((sent, waiting), (4, 2));
+    let Decision::Refuse { code, run, retry_after } = &decisions[18] else { panic!("not refused") };
+    assert_eq!((*code, *run), (RefusalCode::Overloaded, RunStatus::No));
+    assert!(retry_after.is_some());
+    for late in [2_700, 2_749, 2_800, 5_000] {
+        assert_eq!(dispatcher.poll(at(late)), []);
+    }
+    complete(&mut dispatcher, 1, 2_100, 5_100);
+    assert!(matches!(dispatcher.poll(at(5_100))[..], [(_, Decision::Send { .. })]));
+}
+
+/// Guards against one caller's burst starving the others, and against a high priority waiting behind a low one.
+#[test_case("other", 0 ; "another caller")]
+#[test_case("caller", 1 ; "higher priority")]
+fn burst_does_not_delay_others(caller: &str, priority: u8) {
+    let mut dispatcher = Deployment::new(1).dispatcher(Policy::default());
+    for request in 0..20 {
+        let mut burst = ask(request);
+        burst.forwarded = true;
+        dispatcher.admit(burst, at(0));
+    }
+    let mut late = ask(100);
+    late.forwarded = true;
+    late.caller = caller.parse().unwrap();
+    late.priority = Priority(priority);
+    assert_eq!(dispatcher.admit(late, at(1)), Decision::Wait);
+    complete(&mut dispatcher, 0, 5, 10);
+    let served: Vec<RequestId> = dispatcher.poll(at(10)).into_iter().map(|(request, _)| request).collect();
+    assert_eq!(served, [RequestId(100)]);
+}
+
+/// Guards against retries multiplying the load of an outage.
+#[test]
+fn retries_stay_within_their_budget() {
+    let mut dispatcher = Deployment::new(4).dispatcher(Policy::default());
+    let mut retried = 0;
+    for request in 0..400 {
+        let now = at(request * 20);
+        if !matches!(dispatcher.admit(ask(request), now), Decision::Send { .. }) {
+            dispatcher.finished(RequestId(request), AttemptOutcome::Cancelled, None, now);
+            continue;
+        }
+        dispatcher.finished(RequestId(request), AttemptOutcome::NotRun, None, now);
+        if !matches!(dispatcher.retry(RequestId(request), now), Decision::Refuse { .. }) {
+            retried += 1;
+            dispatcher.finished(RequestId(request), AttemptOutcome::Cancelled, None, now);
+        }
+    }
+    assert!((10..=50).contains(&retried), "{retried}");
+}
+
+/// Guards against a payment running twice.
+#[test]
+fn request_that_may_have_run_is_not_repeated() {
+    let mut dispatcher = Deployment::new(2).dispatcher(Policy::default());
+    let mut payment = ask(1);
+    payment.repeatable = false;
+    dispatcher.admit(payment, at(0));
+    dispatcher.finished(RequestId(1), AttemptOutcome::NotRun, None, at(1));
+    assert!(matches!(dispatcher.retry(RequestId(1), at(1)), Decision::Send { .. }));
+    dispatcher.sent(RequestId(1), at(2));
+    dispatcher.finished(RequestId(1), AttemptOutcome::Failed, None, at(3));
+    let refused = dispatcher.retry(RequestId(1), at(4));
+    assert!(matches!(
+        refused,
+        Decision::Refuse { code: RefusalCode::NotRepeatable, run: RunStatus::Unknown, .. }
+    ));
+}
+
+/// Guards against an endpoint that fails every request taking all of them, and against it staying out for good.
+#[test]
+fn failing_endpoint_is_probed_once_at_a_time() {
+    let mut dispatcher = Deployment::new(2).dispatcher(Policy::default());
+    let (bad, _) = endpoint(&dispatcher.admit(ask(0), at(0)));
+    dispatcher.finished(RequestId(0), AttemptOutcome::Failed, None, at(0));
+    let mut used = Vec::new();
+    for request in 1..60 {
+        let now = at(request * 50);
+        let (target, _) = endpoint(&dispatcher.admit(ask(request), now));
+        let failed = target == bad;
+        used.push(failed);
+        let outcome =
+            if failed { AttemptOutcome::Failed } else { AttemptOutcome::Complete { tokens: Tokens(1) } };
+        dispatcher.finished(RequestId(request), outcome, None, now);
+    }
+    let failures = used.iter().filter(|failed| **failed).count();
+    assert_eq!(failures, 3, "two to open the breaker, one probe after 1 s, none within the next 2 s");
+}
