Exchange sends patches of manifests and views, after a probe of 8 bytes

Each round sent all drains and crash reports, and each change a whole manifest and view. A probe with a hash now ends a round between equal peers; changes go as differences when the sender still has the receiver's version, checked by digest, with the whole record as fallback. One bit per instance says where the manifest in force applies. Crash reports get a wall-clock time and the latest 256 are kept; a cap without a time was ruled out, since peers would keep different ones and resend them forever. Views of undeclared zones are dropped.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -10,7 +10,7 @@
 
 /// Accepted writes that a record remembers. A publisher whose reply was lost finds its write among them unless
 /// more than this many publishes followed within its few attempts.
-const HISTORY: usize = 16;
+pub(crate) const HISTORY: usize = 16;
 
 /// A published manifest with its version.
 #[data]
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -266,8 +266,13 @@
                 known.breaker.trip(now);
             }
         }
-        let report =
-            CrashReport { endpoint: endpoint.clone(), incarnation, fingerprints, cleared: Vec::new() };
+        let report = CrashReport {
+            endpoint: endpoint.clone(),
+            incarnation,
+            fingerprints,
+            cleared: Vec::new(),
+            at_ms: 0,
+        };
         if !report.fingerprints.is_empty() {
             self.quarantine.add(report.clone(), now);
         }
--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -1,15 +1,13 @@
 use std::fmt;
-use std::hash::Hash;
-use std::hash::Hasher;
 
 use carobwick_derive::data;
 use carobwick_derive::key;
 use indexmap::IndexMap;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::EndpointId;
 use crate::InstanceId;
 use crate::WriteId;
+use crate::digest::hash;
 
 /// Drained targets, each a register whose last writer wins.
 ///
@@ -94,12 +92,7 @@
 
     /// Returns a hash that does not depend on the order in which the marks were learned.
     pub fn summary(&self) -> u64 {
-        let hash = |item: (&DrainTarget, &DrainMark)| {
-            let mut hasher = Xxh3::new();
-            item.hash(&mut hasher);
-            hasher.finish()
-        };
-        self.marks.iter().map(hash).fold(0, u64::wrapping_add)
+        self.marks.iter().map(|mark| hash(&mark)).fold(0, u64::wrapping_add)
     }
 
     fn lacks(&self, target: &DrainTarget, mark: &DrainMark) -> bool {
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -4,10 +4,15 @@
 use crate::EndpointId;
 use crate::Fingerprint;
 use crate::Incarnation;
+use crate::digest::hash;
 
-/// Crash reports seen so far, by endpoint and incarnation.
+/// Reports that are kept; with about 9 failures a day at the target scale they reach back several weeks.
+const MAX_REPORTS: usize = 256;
+
+/// Crash reports, by endpoint and incarnation.
 ///
-/// Sets only grow and are merged by union, so that all entries come to the same set in any order of arrival.
+/// Sets are merged by union, and the latest reports of the union are kept, so that all processes come to the same set
+/// in any order of arrival.
 #[data]
 #[derive(Default)]
 pub struct SuspectSet {
@@ -26,6 +31,9 @@
     /// Those of them that have finished elsewhere since, so that they can't be the cause.
     #[serde(default)]
     pub cleared: Vec<Fingerprint>,
+    /// Wall-clock time of the report, in milliseconds since the Unix epoch; 0 until the process layer sets it.
+    #[serde(default)]
+    pub at_ms: u64,
 }
 
 impl SuspectSet {
@@ -34,20 +42,57 @@
         let key = (report.endpoint.clone(), report.incarnation);
         match self.reports.get_mut(&key) {
             None => {
-                self.reports.insert(key, report);
-                true
+                self.reports.insert(key.clone(), report);
+                self.drop_oldest();
+                self.reports.contains_key(&key)
             }
             Some(known) => {
                 let requests = extend(&mut known.fingerprints, report.fingerprints);
-                extend(&mut known.cleared, report.cleared) || requests
+                let cleared = extend(&mut known.cleared, report.cleared);
+                let later = report.at_ms > known.at_ms;
+                known.at_ms = known.at_ms.max(report.at_ms);
+                requests || cleared || later
             }
         }
     }
 
+    /// Gives the reports that have none the time `wall_ms`, in milliseconds since the Unix epoch.
+    pub fn stamp(&mut self, wall_ms: u64) {
+        for report in self.reports.values_mut().filter(|report| report.at_ms == 0) {
+            report.at_ms = wall_ms;
+        }
+    }
+
+    /// Returns a hash that does not depend on the order in which the reports were learned.
+    pub fn summary(&self) -> u64 {
+        let report = |report: &CrashReport| {
+            let sorted = |fingerprints: &[Fingerprint]| {
+                let mut sorted = fingerprints.to_vec();
+                sorted.sort_unstable();
+                sorted
+            };
+            let key = (&report.endpoint, report.incarnation, report.at_ms);
+            hash(&(key, sorted(&report.fingerprints), sorted(&report.cleared)))
+        };
+        self.reports.values().map(report).fold(0, u64::wrapping_add)
+    }
+
     /// Returns the reports.
     pub fn reports(&self) -> impl Iterator<Item = &CrashReport> {
         self.reports.values()
     }
+
+    fn drop_oldest(&mut self) {
+        if self.reports.len() <= MAX_REPORTS {
+            return;
+        }
+        // A report without a time is the newest.
+        let age = |report: &CrashReport| if report.at_ms == 0 { u64::MAX } else { report.at_ms };
+        let oldest = self.reports.iter().min_by_key(|(key, report)| (age(report), *key));
+        if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+            self.reports.swap_remove(&key);
+        }
+    }
 }
 
 impl CrashReport {
--- a/crates/core/src/sync.rs
+++ b/crates/core/src/sync.rs
@@ -1,25 +1,44 @@
-use std::hash::Hash;
-use std::hash::Hasher;
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use carobwick_derive::data;
 use indexmap::IndexMap;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::Adoption;
+use crate::ConfigPatch;
 use crate::ConfigRecord;
 use crate::CrashReport;
+use crate::Digest;
 use crate::DrainSet;
-use crate::Fence;
 use crate::InstanceId;
-use crate::ModelId;
 use crate::SuspectSet;
-use crate::Tokens;
 use crate::Version;
+use crate::ViewPatch;
 use crate::ZoneId;
 use crate::ZoneView;
 
+/// Replaced records and views that are kept as bases of patches. At the target scale a record takes about 1 MB of
+/// memory and lasts a minute; a view is replaced more often.
+const RECORD_BASES: usize = 4;
+const VIEW_BASES: usize = 8;
+
 /// State that every process holds and exchanges with its peers.
+///
+/// # Examples
+///
+/// ```
+/// use carobwick_core::DrainTarget;
+/// use carobwick_core::SharedState;
+/// use carobwick_core::WriteId;
+///
+/// let target = DrainTarget::Endpoint("gent-engine-0".parse().unwrap());
+/// let (mut here, mut there) = (SharedState::default(), SharedState::default());
+/// here.drains.set(target.clone(), true, WriteId(1));
+/// let delta = here.delta_for(&there.digest());
+/// there.merge(delta);
+/// assert!(there.drains.is_drained(&target));
+/// assert_eq!(here.digest().summary(), there.digest().summary());
+/// ```
 #[derive(Debug, Clone, Default)]
 pub struct SharedState {
     /// The manifest in force.
@@ -30,20 +49,14 @@
     pub views: IndexMap<ZoneId, Arc<ZoneView>>,
     /// Crash reports.
     pub suspects: SuspectSet,
-}
-
-/// Summary of a [`SharedState`], from which a peer tells what the sender lacks.
-#[data]
-#[derive(Default)]
-pub struct Digest {
-    /// Version and digest of the manifest.
-    pub config: Option<(Version, u64)>,
-    /// Hash of the drained targets.
-    pub drains: u64,
-    /// Rank of each zone's view.
-    pub views: IndexMap<ZoneId, (Fence, Version)>,
-    /// Hash of the crash reports.
-    pub reports: u64,
+    /// Version in force at each instance of the views, as far as known.
+    pub applied: IndexMap<InstanceId, Version>,
+    /// Records that were in force before, newest first.
+    pub replaced: VecDeque<Arc<ConfigRecord>>,
+    /// Views before the current ones, newest first.
+    pub older_views: IndexMap<ZoneId, VecDeque<Arc<ZoneView>>>,
+    /// Whether a patch could not be applied, so that whole records are needed.
+    pub needs_whole: bool,
 }
 
 /// The part of a [`SharedState`] that a peer lacks.
@@ -52,10 +65,14 @@
 pub struct Delta {
     /// A newer manifest.
     pub config: Option<ConfigRecord>,
+    /// A newer manifest, as the difference to the receiver's.
+    pub config_patch: Option<ConfigPatch>,
     /// Drained targets.
     pub drains: DrainSet,
     /// Newer views.
     pub views: Vec<ZoneView>,
+    /// Newer views, as the difference to the receiver's.
+    pub view_patches: Vec<ViewPatch>,
     /// Crash reports.
     pub reports: Vec<CrashReport>,
 }
@@ -71,63 +88,6 @@
     View(ZoneId),
     /// A crash report was added.
     Suspects,
-    /// A manifest with the version in force but another content was refused.
-    Contradiction(Version),
-}
-
-/// Demand that an entry saw since its last report, for its zone's leader.
-#[data]
-pub struct DemandReport {
-    /// Instance of the entry.
-    pub instance: InstanceId,
-    /// Length of the interval in milliseconds.
-    pub interval_ms: u64,
-    /// Demand per model or adapter that had any.
-    pub models: IndexMap<ModelId, ModelDemand>,
-}
-
-/// Demand for one model or adapter.
-#[data]
-#[derive(Copy, Default)]
-pub struct ModelDemand {
-    /// Requests that arrived.
-    pub arrivals: u32,
-    /// Requests that were refused for lack of capacity or residency.
-    pub refusals: u32,
-    /// Requests that met their target.
-    pub attained: u32,
-    /// Tokens generated.
-    pub tokens: Tokens,
-}
-
-/// Message of the peer protocol, request or reply.
-#[data]
-pub enum PeerMessage {
-    /// Asks for what the sender lacks.
-    Sync {
-        /// Sender.
-        from: InstanceId,
-        /// What the sender has.
-        digest: Digest,
-    },
-    /// Reply to `Sync`: what the asker lacked, and what the replier has.
-    SyncReply {
-        /// What the replier has.
-        digest: Digest,
-        /// What the asker lacked.
-        delta: Delta,
-    },
-    /// Sends what the receiver lacks.
-    Push {
-        /// What the receiver lacked.
-        delta: Delta,
-    },
-    /// Reports demand to the zone's leader.
-    Demand(DemandReport),
-    /// Reply to `Push` and `Demand`.
-    Ack,
-    /// Demand passed on by another planner; it is not passed on again.
-    Relayed(DemandReport),
 }
 
 impl SharedState {
@@ -137,24 +97,26 @@
             config: self.config.as_ref().map(|record| (record.version, record.digest)),
             drains: self.drains.summary(),
             views: self.views.iter().map(|(zone, view)| (zone.clone(), view.rank())).collect(),
-            reports: summary(&self.suspects),
+            reports: self.suspects.summary(),
+            applied: self.views.values().map(|view| self.applied_bits(view)).collect(),
+            whole: self.needs_whole,
         }
     }
 
     /// Returns what a peer with the given digest lacks.
     pub fn delta_for(&self, peer: &Digest) -> Delta {
-        let known = peer.config.map(|(version, _)| version);
-        let config = self.config.as_deref().filter(|record| Some(record.version) > known).cloned();
-        let newer = |view: &&Arc<ZoneView>| peer.views.get(&view.zone).is_none_or(|rank| view.rank() > *rank);
-        let views = self.views.values().filter(newer).map(|view| ZoneView::clone(view)).collect();
-        let drains =
-            if self.drains.summary() == peer.drains { DrainSet::default() } else { self.drains.clone() };
-        let reports = if summary(&self.suspects) == peer.reports {
-            Vec::new()
-        } else {
-            self.suspects.reports().cloned().collect()
-        };
-        Delta { config, drains, views, reports }
+        let mut delta = Delta::default();
+        self.add_config(peer, &mut delta);
+        for view in self.views.values() {
+            self.add_view(view, peer, &mut delta);
+        }
+        if self.drains.summary() != peer.drains {
+            delta.drains = self.drains.clone();
+        }
+        if self.suspects.summary() != peer.reports {
+            delta.reports = self.suspects.reports().cloned().collect();
+        }
+        delta
     }
 
     /// Takes over what is newer and returns what changed.
@@ -163,9 +125,17 @@
         if let Some(record) = delta.config {
             changes.extend(self.adopt(record));
         }
+        if let Some(patch) = delta.config_patch {
+            changes.extend(self.adopt_patch(patch));
+        }
         if self.drains.merge(&delta.drains) {
             changes.push(Change::Drains);
         }
+        for patch in delta.view_patches {
+            let base = self.views.get(patch.zone());
+            let view = base.and_then(|base| patch.apply(base));
+            changes.extend(view.and_then(|view| self.merge_view(view)));
+        }
         for view in delta.views {
             changes.extend(self.merge_view(view));
         }
@@ -179,39 +149,129 @@
 
     /// Puts a manifest in force if its version is above the current one.
     pub fn adopt(&mut self, record: ConfigRecord) -> Option<Change> {
+        if record.adoption(self.config.as_deref()) != Adoption::Adopt {
+            return None;
+        }
         let version = record.version;
-        match record.adoption(self.config.as_deref()) {
-            Adoption::Known => None,
-            Adoption::Contradiction => Some(Change::Contradiction(version)),
-            Adoption::Adopt => {
-                let own = self.config.as_ref().map(|own| own.version);
-                assert!(own < Some(version), "I8: version {version} does not follow {own:?}");
-                self.config = Some(Arc::new(record));
-                Some(Change::Config(version))
-            }
+        let own = self.config.as_ref().map(|own| own.version);
+        assert!(own < Some(version), "I8: version {version} does not follow {own:?}");
+        if let Some(replaced) = self.config.replace(Arc::new(record)) {
+            self.replaced.push_front(replaced);
+            self.replaced.truncate(RECORD_BASES);
         }
+        self.needs_whole = false;
+        self.drop_unknown_zones();
+        Some(Change::Config(version))
     }
 
-    /// Takes over a zone's view if its rank is above the current one.
+    /// Takes over a zone's view if its rank is above the current one and the manifest has the zone.
     pub fn merge_view(&mut self, view: ZoneView) -> Option<Change> {
-        if self.views.get(&view.zone).is_some_and(|own| own.rank() >= view.rank()) {
+        let declared = self.config.as_ref().is_none_or(|record| record.manifest.zones.contains(&view.zone));
+        if !declared || self.views.get(&view.zone).is_some_and(|own| own.rank() >= view.rank()) {
             return None;
         }
         let zone = view.zone.clone();
-        self.views.insert(zone.clone(), Arc::new(view));
+        if let Some(older) = self.views.insert(zone.clone(), Arc::new(view)) {
+            let kept = self.older_views.entry(zone.clone()).or_default();
+            kept.push_front(older);
+            kept.truncate(VIEW_BASES);
+        }
+        self.drop_unknown_instances();
         Some(Change::View(zone))
     }
+
+    /// Notes that an instance has a version in force.
+    pub fn confirm(&mut self, instance: &InstanceId, version: Version) {
+        let known = self.applied.entry(instance.clone()).or_insert(version);
+        *known = version.max(*known);
+    }
+
+    /// Takes over which instances have the manifest in force, if the peer's digest speaks of the same one.
+    pub fn learn_applied(&mut self, peer: &Digest) {
+        let own = self.config.as_ref().map(|record| (record.version, record.digest));
+        let (Some((version, _)), true) = (own, own == peer.config) else {
+            return;
+        };
+        for ((zone, rank), bits) in peer.views.iter().zip(&peer.applied) {
+            let Some(view) = self.views.get(zone).filter(|view| view.rank() == *rank) else {
+                continue;
+            };
+            let set = sorted_instances(view).enumerate().filter(|(index, _)| bit(bits, *index));
+            let confirmed: Vec<InstanceId> = set.map(|(_, id)| id.clone()).collect();
+            for instance in confirmed {
+                self.confirm(&instance, version);
+            }
+        }
+    }
+
+    fn adopt_patch(&mut self, patch: ConfigPatch) -> Option<Change> {
+        // Another exchange may have replaced the base since the peer saw its digest; the next round brings the rest.
+        let base = self.config.clone().filter(|own| patch.is_for(own))?;
+        let record = patch.apply(&base);
+        self.needs_whole = record.is_none();
+        self.adopt(record?)
+    }
+
+    fn add_config(&self, peer: &Digest, delta: &mut Delta) {
+        let Some(record) = &self.config else {
+            return;
+        };
+        let known = peer.config.map(|(version, _)| version);
+        if Some(record.version) <= known {
+            return;
+        }
+        let is_base = |base: &&Arc<ConfigRecord>| Some((base.version, base.digest)) == peer.config;
+        match self.replaced.iter().find(is_base).filter(|_| !peer.whole) {
+            Some(base) => delta.config_patch = Some(ConfigPatch::between(base, record)),
+            None => delta.config = Some(ConfigRecord::clone(record)),
+        }
+    }
+
+    fn add_view(&self, view: &ZoneView, peer: &Digest, delta: &mut Delta) {
+        let known = peer.views.get(&view.zone).copied();
+        if Some(view.rank()) <= known {
+            return;
+        }
+        let older = self.older_views.get(&view.zone);
+        let base = older.and_then(|older| older.iter().find(|base| Some(base.rank()) == known));
+        match base.filter(|_| !peer.whole) {
+            Some(base) => delta.view_patches.push(ViewPatch::between(base, view)),
+            None => delta.views.push(view.clone()),
+        }
+    }
+
+    fn applied_bits(&self, view: &ZoneView) -> Vec<u8> {
+        let version = self.config.as_ref().map(|record| record.version);
+        let mut bits = vec![0_u8; view.instances.len().div_ceil(8)];
+        for (index, id) in sorted_instances(view).enumerate() {
+            if version.is_some() && self.applied.get(id).copied() >= version {
+                bits[index / 8] |= 1 << (index % 8);
+            }
+        }
+        bits
+    }
+
+    fn drop_unknown_zones(&mut self) {
+        if let Some(record) = &self.config {
+            let zones = &record.manifest.zones;
+            self.views.retain(|zone, _| zones.contains(zone));
+            self.older_views.retain(|zone, _| zones.contains(zone));
+        }
+        self.drop_unknown_instances();
+    }
+
+    fn drop_unknown_instances(&mut self) {
+        let views = &self.views;
+        self.applied.retain(|id, _| views.values().any(|view| view.instances.contains_key(id)));
+    }
+}
+
+fn sorted_instances(view: &ZoneView) -> impl Iterator<Item = &InstanceId> {
+    let mut ids: Vec<&InstanceId> = view.instances.keys().collect();
+    ids.sort_unstable();
+    ids.into_iter()
 }
 
-/// Returns a hash of the crash reports that does not depend on their order.
-fn summary(suspects: &SuspectSet) -> u64 {
-    let hash = |report: &CrashReport| {
-        let mut hasher = Xxh3::new();
-        (&report.endpoint, report.incarnation).hash(&mut hasher);
-        let mut fingerprints = report.fingerprints.clone();
-        fingerprints.sort_unstable();
-        fingerprints.hash(&mut hasher);
-        hasher.finish()
-    };
-    suspects.reports().map(hash).fold(0, u64::wrapping_add)
+fn bit(bits: &[u8], index: usize) -> bool {
+    bits.get(index / 8).is_some_and(|byte| byte & (1 << (index % 8)) != 0)
 }
--- a/crates/planner/src/context.rs
+++ b/crates/planner/src/context.rs
@@ -1,14 +1,21 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use carobwick_core::Change;
 use carobwick_core::DemandReport;
 use carobwick_core::EventKind;
 use carobwick_core::InstanceId;
+use carobwick_core::Version;
 use carobwick_core::ZoneId;
 use carobwick_runtime::KeyValue;
+use carobwick_runtime::Learned;
 use carobwick_runtime::Metrics;
 use carobwick_runtime::Node;
 use carobwick_runtime::PeerClient;
@@ -20,6 +27,8 @@
 
 const KEY_VALUE_TIMEOUT: Duration = Duration::from_secs(1);
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Silence after which the entry of this instance no longer counts; it exchanges every 0.5 s.
+const ENTRY_SILENCE: Duration = Duration::from_secs(5);
 
 /// What the tasks of a planner share.
 #[derive(Debug, Clone)]
@@ -44,10 +53,21 @@
     pub peers: PeerClient,
     /// Wakes the exchange, so that an accepted change is disseminated at once.
     pub wake: Arc<Notify>,
+    /// What the entry of this instance said last.
+    pub(crate) entry: Arc<Mutex<Option<EntryNote>>>,
+    /// Version of the last manifest that was refused for its content.
+    pub(crate) refused: Arc<AtomicU64>,
     /// Takes demand reports for the zone's leader, if this process is it.
     pub demand: mpsc::Sender<DemandReport>,
 }
 
+/// What the entry of this instance said last.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EntryNote {
+    at: Instant,
+    version: Option<Version>,
+}
+
 impl Context {
     pub(crate) fn open(
         settings: &Settings,
@@ -65,27 +85,53 @@
             reachable: Arc::default(),
             peers: PeerClient::open(PEER_TIMEOUT),
             wake: Arc::default(),
+            entry: Arc::default(),
+            refused: Arc::default(),
             demand,
         })
     }
 
-    /// Adds the changes that came from `source` to the timeline.
-    pub(crate) fn record(&self, changes: &[Change], source: &str) {
-        for change in changes {
+    /// Adds what came from `source` to the timeline.
+    pub(crate) fn record(&self, learned: &Learned, source: &str) {
+        for change in &learned.changes {
             match change {
                 Change::Config(version) => {
+                    tracing::info!("planner: version {version} adopted from {source}");
                     self.timeline.add(EventKind::Config, format!("version {version} adopted from {source}"));
                 }
                 Change::Drains => {
                     self.timeline.add(EventKind::Drain, format!("drains learned from {source}"));
                 }
-                Change::Contradiction(version) => {
-                    tracing::error!("planner: {source} has another manifest of version {version}");
-                    let detail = format!("version {version} from {source} refused: other content");
-                    self.timeline.add(EventKind::Config, detail);
-                }
                 Change::View(_) | Change::Suspects => {}
             }
         }
+        if let Some(version) = learned.contradiction {
+            self.refuse(version, source);
+        }
+    }
+
+    /// Notes that `source` has another manifest of the version in force, once for each version.
+    pub(crate) fn refuse(&self, version: Version, source: &str) {
+        if self.refused.swap(version.0, Ordering::Relaxed) == version.0 {
+            return;
+        }
+        tracing::error!("planner: {source} has another manifest of version {version}; it is not adopted");
+        self.timeline.add(EventKind::Config, format!("version {version} of {source} refused: other content"));
+    }
+
+    /// Notes the version that the entry of this instance has in force.
+    pub(crate) fn note_entry(&self, version: Option<Version>) {
+        *self.entry.lock().unwrap_or_else(PoisonError::into_inner) =
+            Some(EntryNote { at: Instant::now(), version });
+    }
+
+    /// Confirms the manifest in force here once the entry of this instance, if there is one, has it too.
+    pub(crate) fn confirm(&self) {
+        let entry = *self.entry.lock().unwrap_or_else(PoisonError::into_inner);
+        let entry = entry.filter(|note| note.at.elapsed() < ENTRY_SILENCE).map(|note| note.version);
+        let own = self.node.read(|state| state.config.as_ref().map(|record| record.version));
+        if let Some(version) = entry.map_or(own, |entry| entry.min(own)) {
+            self.node.confirm(&self.instance, version);
+        }
     }
 }
--- a/crates/planner/src/exchange.rs
+++ b/crates/planner/src/exchange.rs
@@ -22,6 +22,7 @@
 pub(crate) async fn run(context: Context) -> anyhow::Result<()> {
     let busy = Busy::default();
     loop {
+        context.confirm();
         for addr in choose(&context) {
             start(&context, &busy, addr);
         }
@@ -46,13 +47,32 @@
             PeerMessage::Ack
         }
         message => {
-            let (reply, changes) = context.node.answer(message);
-            context.record(&changes, "a peer");
+            note_entry(&context, &message);
+            let (reply, learned) = context.node.answer(message);
+            context.record(&learned, "a peer");
             reply
         }
     }
 }
 
+/// Notes what the entry of this instance, which has the same name, has in force.
+fn note_entry(context: &Context, message: &PeerMessage) {
+    match message {
+        PeerMessage::Sync { from, digest } if *from == context.instance => {
+            context.note_entry(digest.config.map(|(version, _)| version));
+        }
+        PeerMessage::Probe { from, summary } if *from == context.instance => {
+            let (own, version) = context
+                .node
+                .read(|state| (state.digest().summary(), state.config.as_ref().map(|record| record.version)));
+            if own == *summary {
+                context.note_entry(version);
+            }
+        }
+        _ => {}
+    }
+}
+
 /// Addresses with which an exchange is under way, so that a slow peer is not asked twice.
 type Busy = Arc<Mutex<HashSet<String>>>;
 
@@ -63,7 +83,7 @@
     let (context, busy) = (context.clone(), Arc::clone(busy));
     tokio::spawn(async move {
         match context.node.exchange(&context.peers, &addr, &context.instance).await {
-            Ok(changes) => context.record(&changes, &addr),
+            Ok(learned) => context.record(&learned, &addr),
             Err(err) => tracing::debug!("peer: exchange with {addr} failed: {err}"),
         }
         busy.lock().unwrap_or_else(PoisonError::into_inner).remove(&addr);
--- a/crates/planner/src/key_value.rs
+++ b/crates/planner/src/key_value.rs
@@ -2,12 +2,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use carobwick_core::Adoption;
 use carobwick_core::ConfigRecord;
 use carobwick_core::Delta;
 use carobwick_core::DrainSet;
 use carobwick_core::StoredConfig;
 use carobwick_runtime::Expect;
 use carobwick_runtime::KvEntry;
+use carobwick_runtime::Learned;
 use carobwick_runtime::Put;
 use carobwick_runtime::Result;
 use rand::Rng;
@@ -16,6 +18,8 @@
 
 pub(crate) const MANIFEST: &str = "config/manifest";
 const DRAINS: &str = "config/drains";
+/// How the timeline names the service.
+const SERVICE: &str = "the key-value service";
 const PREFIX: &str = "config/";
 
 /// Time between checks of the revisions beside a watch, whose connection can go silent without an error.
@@ -123,8 +127,11 @@
         _ if entry.value.is_empty() => {}
         MANIFEST => match serde_json::from_slice::<ConfigRecord>(&entry.value) {
             Ok(record) => {
-                let delta = Delta { config: Some(record), ..Delta::default() };
-                context.record(&context.node.merge(delta), "the key-value service");
+                let own = context.node.read(|state| state.config.clone());
+                if record.adoption(own.as_deref()) == Adoption::Contradiction {
+                    context.refuse(record.version, SERVICE);
+                }
+                merge(context, Delta { config: Some(record), ..Delta::default() });
             }
             Err(err) => tracing::error!("kv: {MANIFEST} is not a record: {err}"),
         },
@@ -137,6 +144,10 @@
 }
 
 fn take_drains(context: &Context, drains: DrainSet) {
-    let delta = Delta { drains, ..Delta::default() };
-    context.record(&context.node.merge(delta), "the key-value service");
+    merge(context, Delta { drains, ..Delta::default() });
+}
+
+fn merge(context: &Context, delta: Delta) {
+    let changes = context.node.merge(delta);
+    context.record(&Learned { changes, contradiction: None }, SERVICE);
 }
--- a/crates/planner/src/publishing.rs
+++ b/crates/planner/src/publishing.rs
@@ -6,6 +6,7 @@
 use carobwick_core::PublishStep;
 use carobwick_runtime::Error;
 use carobwick_runtime::Expect;
+use carobwick_runtime::Learned;
 use carobwick_runtime::Put;
 
 use crate::Context;
@@ -69,7 +70,8 @@
         PublishOutcome::Accepted(version, record) => {
             context.timeline.add(EventKind::Config, format!("version {version} published"));
             let change = context.node.update(|state| state.adopt(ConfigRecord::clone(record)));
-            context.record(change.as_slice(), "the operator API");
+            let learned = Learned { changes: change.into_iter().collect(), contradiction: None };
+            context.record(&learned, "the operator API");
             context.wake.notify_one();
         }
         outcome => {
--- a/crates/planner/src/status.rs
+++ b/crates/planner/src/status.rs
@@ -2,7 +2,9 @@
 
 use carobwick_core::DrainTarget;
 use carobwick_core::EndpointReport;
+use carobwick_core::InstanceId;
 use carobwick_core::InstanceReport;
+use carobwick_core::InstanceView;
 use carobwick_core::SharedState;
 use carobwick_core::StatusReport;
 use carobwick_core::ZoneReport;
@@ -41,9 +43,12 @@
     }
 }
 
-fn instances(_state: &SharedState, view: &ZoneView) -> Vec<InstanceReport> {
-    let report = |(id, instance): (&carobwick_core::InstanceId, &carobwick_core::InstanceView)| {
-        InstanceReport { instance: id.clone(), zone: view.zone.clone(), live: instance.live, version: None }
+fn instances(state: &SharedState, view: &ZoneView) -> Vec<InstanceReport> {
+    let report = |(id, instance): (&InstanceId, &InstanceView)| InstanceReport {
+        instance: id.clone(),
+        zone: view.zone.clone(),
+        live: instance.live,
+        version: state.applied.get(id).copied(),
     };
     view.instances.iter().map(report).collect()
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -40,6 +40,7 @@
 pub use kv::Watch;
 pub use logs::start_logs;
 pub use metrics::Metrics;
+pub use node::Learned;
 pub use node::Node;
 pub use peer::PeerClient;
 pub use peer::PeerServer;
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -5,14 +5,17 @@
 
 use carobwick_core::Change;
 use carobwick_core::Delta;
+use carobwick_core::Digest;
 use carobwick_core::InstanceId;
 use carobwick_core::PeerMessage;
 use carobwick_core::SharedState;
+use carobwick_core::Version;
 use tokio::sync::watch;
 
 use crate::Error;
 use crate::PeerClient;
 use crate::Result;
+use crate::wall_ms;
 
 /// The state that a process shares with its peers, with notice of its changes.
 #[derive(Debug, Clone)]
@@ -21,6 +24,15 @@
     changes: watch::Sender<u64>,
 }
 
+/// What an exchange brought.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Learned {
+    /// What changed here.
+    pub changes: Vec<Change>,
+    /// Version of the manifest in force here, if the peer has another content under it. It is not adopted.
+    pub contradiction: Option<Version>,
+}
+
 impl Node {
     /// Opens a node with empty state.
     pub fn open() -> Self {
@@ -34,7 +46,12 @@
 
     /// Changes the state and notifies the subscribers. The function must not block.
     pub fn update<T>(&self, f: impl FnOnce(&mut SharedState) -> T) -> T {
-        let result = f(&mut self.lock());
+        let result = {
+            let mut state = self.lock();
+            let result = f(&mut state);
+            state.suspects.stamp(wall_ms());
+            result
+        };
         self.changes.send_modify(|count| *count += 1);
         result
     }
@@ -48,38 +65,66 @@
         changes
     }
 
-    /// Answers a message of the exchange and returns what it changed; other messages are acknowledged.
-    pub fn answer(&self, message: PeerMessage) -> (PeerMessage, Vec<Change>) {
+    /// Notes that an instance has a version in force.
+    pub fn confirm(&self, instance: &InstanceId, version: Version) {
+        self.lock().confirm(instance, version);
+    }
+
+    /// Answers a message of the exchange; other messages are acknowledged.
+    pub fn answer(&self, message: PeerMessage) -> (PeerMessage, Learned) {
         match message {
+            PeerMessage::Probe { summary, .. } => {
+                let own = self.read(|state| state.digest().summary());
+                let reply = if own == summary { PeerMessage::Same } else { PeerMessage::Differs };
+                (reply, Learned::default())
+            }
             PeerMessage::Sync { digest, .. } => {
-                let reply = self.read(|state| (state.digest(), state.delta_for(&digest)));
-                (PeerMessage::SyncReply { digest: reply.0, delta: reply.1 }, Vec::new())
+                let contradiction = self.learn(&digest);
+                let (own, delta) = self.read(|state| (state.digest(), state.delta_for(&digest)));
+                let learned = Learned { changes: Vec::new(), contradiction };
+                (PeerMessage::SyncReply { digest: own, delta }, learned)
+            }
+            PeerMessage::Push { delta } => {
+                (PeerMessage::Ack, Learned { changes: self.merge(delta), contradiction: None })
             }
-            PeerMessage::Push { delta } => (PeerMessage::Ack, self.merge(delta)),
-            PeerMessage::SyncReply { .. }
-            | PeerMessage::Demand(_)
-            | PeerMessage::Relayed(_)
-            | PeerMessage::Ack => (PeerMessage::Ack, Vec::new()),
+            _ => (PeerMessage::Ack, Learned::default()),
         }
     }
 
-    /// Exchanges state with the peer at `addr` (`IP:port`) and returns what changed here.
+    /// Exchanges state with the peer at `addr` (`IP:port`) and returns what was learned.
+    ///
+    /// Equal states, the usual case, cost two small messages.
     ///
     /// # Errors
     ///
     /// Fails as [`PeerClient::exchange`] does, or if the peer's reply is of the wrong kind.
-    pub async fn exchange(&self, peers: &PeerClient, addr: &str, from: &InstanceId) -> Result<Vec<Change>> {
-        let digest = self.read(SharedState::digest);
-        let sync = PeerMessage::Sync { from: from.clone(), digest };
+    pub async fn exchange(&self, peers: &PeerClient, addr: &str, from: &InstanceId) -> Result<Learned> {
+        let own = self.read(SharedState::digest);
+        let probe = PeerMessage::Probe { from: from.clone(), summary: own.summary() };
+        match peers.exchange(addr, &probe).await? {
+            PeerMessage::Same => return Ok(Learned::default()),
+            PeerMessage::Differs => {}
+            _ => return Err(unexpected(addr)),
+        }
+        let sync = PeerMessage::Sync { from: from.clone(), digest: own };
         let PeerMessage::SyncReply { digest, delta } = peers.exchange(addr, &sync).await? else {
-            return Err(Error::Codec(format!("{addr} answered `Sync` with another message")));
+            return Err(unexpected(addr));
         };
         let changes = self.merge(delta);
+        let contradiction = self.learn(&digest);
         let delta = self.read(|state| state.delta_for(&digest));
         if delta != Delta::default() {
             peers.exchange(addr, &PeerMessage::Push { delta }).await?;
         }
-        Ok(changes)
+        Ok(Learned { changes, contradiction })
+    }
+
+    /// Takes over which instances have the manifest in force, and returns the version if the peer has another one
+    /// of the same version.
+    fn learn(&self, peer: &Digest) -> Option<Version> {
+        let mut state = self.lock();
+        state.learn_applied(peer);
+        state.digest().contradicts(peer)
     }
 
     /// Returns a receiver that is notified after each change.
@@ -92,3 +137,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn unexpected(addr: &str) -> Error {
+    Error::Codec(format!("{addr} replied with a message of the wrong kind"))
+}
