--- /dev/null
+++ b/crates/entry/src/answer.rs
@@ -0,0 +1,76 @@
+use carobwick_core::AttemptId;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use serde::Deserialize;
+
+use crate::ask::Ask;
+use crate::names::ATTEMPT;
+use crate::names::INCARNATION;
+use crate::names::LOAD;
+use crate::names::REQUEST;
+use crate::names::RUN;
+use crate::outgoing;
+
+/// What the head of an answer says to the entry.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Facts {
+    pub attempt: Option<AttemptId>,
+    pub declined: bool,
+}
+
+#[derive(Deserialize)]
+struct ChatAnswer {
+    choices: Vec<Choice>,
+    #[serde(default)]
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    #[serde(default)]
+    completion_tokens: u64,
+}
+
+/// Reads the headers that are meant for the entry.
+pub(crate) fn facts<B>(response: &Response<B>) -> Facts {
+    let headers = response.headers();
+    Facts {
+        attempt: parse(headers, &ATTEMPT),
+        declined: headers.get(RUN).is_some_and(|value| value.as_bytes() == b"no"),
+    }
+}
+
+/// Returns the headers that the caller sees.
+pub(crate) fn headers(ask: &Ask, answer: &HeaderMap) -> HeaderMap {
+    let mut headers = outgoing::end_to_end(answer);
+    for name in [ATTEMPT, LOAD, INCARNATION, REQUEST] {
+        headers.remove(name);
+    }
+    // An entry that forwarded the request accepts the answer only with its own attempt's id.
+    if let Some(attempt) = ask.headers.get(ATTEMPT) {
+        headers.insert(ATTEMPT, attempt.clone());
+    }
+    if let Ok(request) = HeaderValue::from_str(&ask.request.to_string()) {
+        headers.insert(REQUEST, request);
+    }
+    headers
+}
+
+/// Returns the tokens of a chat answer if it is complete: each choice has its `finish_reason`.
+pub(crate) fn complete_chat(body: &[u8]) -> Option<u64> {
+    let answer: ChatAnswer = serde_json::from_slice(body).ok()?;
+    let complete =
+        !answer.choices.is_empty() && answer.choices.iter().all(|choice| choice.finish_reason.is_some());
+    complete.then(|| answer.usage.map_or(0, |usage| usage.completion_tokens))
+}
+
+fn parse<T: std::str::FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/entry/src/ask.rs
@@ -0,0 +1,256 @@
+use std::borrow::Cow;
+use std::time::Duration;
+
+use axum::body::Body;
+use bytes::Bytes;
+use carobwick_core::AnswerForm;
+use carobwick_core::Artifact;
+use carobwick_core::CallerId;
+use carobwick_core::Fingerprint;
+use carobwick_core::Manifest;
+use carobwick_core::ModelId;
+use carobwick_core::RequestId;
+use carobwick_core::ServiceId;
+use carobwick_core::ServiceKind;
+use carobwick_core::Time;
+use carobwick_core::Tokens;
+use http::HeaderMap;
+use http::Method;
+use http::header::CONTENT_LENGTH;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::names::CALLER;
+use crate::names::FORWARDED;
+use crate::names::KEY;
+use crate::names::REPEATABLE;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+
+/// Part of the prompt that decides which endpoint has it in its prefix cache.
+const PREFIX: usize = 4 << 10;
+/// Typical length of a token in bytes of text.
+const TOKEN_BYTES: u64 = 4;
+const DEFAULT_MAX_TOKENS: u64 = 256;
+
+/// A request as read from its caller.
+#[derive(Debug, Clone)]
+pub(crate) struct Ask {
+    pub request: RequestId,
+    pub subject: Subject,
+    pub caller: CallerId,
+    pub form: AnswerForm,
+    pub repeatable: bool,
+    pub key: Option<String>,
+    /// Whether another zone's entry sent it; it is not forwarded again.
+    pub forwarded: bool,
+    pub deadline: Time,
+    pub fingerprint: Fingerprint,
+    pub prefix: u64,
+    pub prompt: Tokens,
+    pub max_tokens: Tokens,
+    /// Target for the first event, or for the whole answer of a plain service.
+    pub target: Duration,
+    /// Target for each token of a chat answer in one piece, beyond the first.
+    pub token_gap: Duration,
+    pub method: Method,
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// What a request is for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Subject {
+    Model(ModelId),
+    Service(ServiceId),
+}
+
+#[derive(Deserialize)]
+struct ChatBody<'a> {
+    #[serde(borrow)]
+    model: Cow<'a, str>,
+    #[serde(borrow)]
+    messages: Vec<Message<'a>>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct Message<'a> {
+    #[serde(borrow, default)]
+    content: Option<Content<'a>>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Content<'a> {
+    Text(#[serde(borrow)] Cow<'a, str>),
+    Other(IgnoredAny),
+}
+
+impl Ask {
+    /// Reads a chat request and checks it against the manifest.
+    pub fn chat(
+        request: RequestId,
+        manifest: &Manifest,
+        headers: HeaderMap,
+        body: &Bytes,
+        deadline: Time,
+    ) -> Result<Self, Refusal> {
+        let chat: ChatBody<'_> = serde_json::from_slice(body).map_err(|err| {
+            let code = if err.is_data() { Code::BadRequest } else { Code::BadJson };
+            Refusal::new(code, err.to_string())
+        })?;
+        let unknown = || Refusal::new(Code::UnknownModel, format!("model `{}` is not declared", chat.model));
+        let model: ModelId = chat.model.parse().map_err(|_invalid| unknown())?;
+        let (base, retiring) = match manifest.find(&model).ok_or_else(unknown)? {
+            Artifact::Model(spec) => (spec, spec.retiring),
+            Artifact::Adapter(adapter, base) => (base, adapter.retiring || base.retiring),
+        };
+        if retiring {
+            return Err(Refusal::new(Code::Retiring, format!("model `{model}` takes no new requests")));
+        }
+        let (prefix, length) = prefix_of(&model, &chat.messages);
+        let max_tokens = chat.max_tokens.or(chat.max_completion_tokens).unwrap_or(DEFAULT_MAX_TOKENS);
+        let form = if chat.stream == Some(true) { AnswerForm::Stream } else { AnswerForm::Chat };
+        let fingerprint = Fingerprint(xxh3_64_with_seed(body, prefix));
+        let (caller, key) = (caller(&headers)?, key(&headers)?);
+        Ok(Self {
+            request,
+            caller,
+            form,
+            repeatable: says_repeatable(&headers)?,
+            key,
+            forwarded: headers.contains_key(FORWARDED),
+            deadline,
+            fingerprint,
+            prefix,
+            prompt: Tokens(length / TOKEN_BYTES),
+            max_tokens: Tokens(max_tokens),
+            target: base.first_token.duration(),
+            token_gap: base.token_gap.duration(),
+            method: Method::POST,
+            path: "/v1/chat/completions".to_owned(),
+            headers,
+            subject: Subject::Model(model),
+            body: body.clone(),
+        })
+    }
+
+    /// Builds the request for a path of a plain service and checks it against the manifest.
+    pub fn service(
+        request: RequestId,
+        manifest: &Manifest,
+        service: &str,
+        target: (Method, String),
+        headers: HeaderMap,
+        body: Bytes,
+        deadline: Time,
+    ) -> Result<Self, Refusal> {
+        let unknown = || Refusal::new(Code::UnknownService, format!("service `{service}` is not declared"));
+        let id: ServiceId = service.parse().map_err(|_invalid| unknown())?;
+        let spec = manifest.services.get(&id).filter(|spec| spec.kind == ServiceKind::Plain);
+        let spec = spec.ok_or_else(unknown)?;
+        let (method, path) = target;
+        let route = spec.routes.iter().filter(|route| path.starts_with(&route.prefix));
+        let route = route.max_by_key(|route| route.prefix.len());
+        let repeatable = route.is_none_or(|route| route.repeatable) && says_repeatable(&headers)?;
+        let fingerprint = Fingerprint(xxh3_64_with_seed(&body, xxh3_64_with_seed(path.as_bytes(), 0)));
+        let (caller, key) = (caller(&headers)?, key(&headers)?);
+        Ok(Self {
+            request,
+            caller,
+            form: AnswerForm::Plain,
+            repeatable,
+            key,
+            forwarded: headers.contains_key(FORWARDED),
+            deadline,
+            fingerprint,
+            prefix: fingerprint.0,
+            prompt: Tokens(0),
+            max_tokens: Tokens(0),
+            target: spec.target.duration(),
+            token_gap: Duration::ZERO,
+            method,
+            path,
+            headers,
+            subject: Subject::Service(id),
+            body,
+        })
+    }
+}
+
+/// Reads the body of a request within the limits of size and time.
+pub(crate) async fn read_body(
+    headers: &HeaderMap,
+    body: Body,
+    max: usize,
+    timeout: Duration,
+) -> Result<Bytes, Refusal> {
+    let too_large = || Refusal::new(Code::BodyTooLarge, format!("the body is longer than {max} bytes"));
+    let length = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    if length.is_some_and(|length| length > max as u64) {
+        return Err(too_large());
+    }
+    match tokio::time::timeout(timeout, Limited::new(body, max).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(err)) if err.is::<http_body_util::LengthLimitError>() => Err(too_large()),
+        Ok(Err(err)) => Err(Refusal::new(Code::BadRequest, format!("the body broke off: {err}"))),
+        Err(_) => Err(Refusal::new(Code::BodyTimeout, format!("the body did not arrive in {timeout:?}"))),
+    }
+}
+
+fn prefix_of(model: &ModelId, messages: &[Message<'_>]) -> (u64, u64) {
+    let mut hasher = Xxh3::new();
+    hasher.update(model.as_str().as_bytes());
+    let (mut left, mut length) = (PREFIX, 0);
+    for message in messages {
+        if let Some(Content::Text(text)) = &message.content {
+            let part = &text.as_bytes()[..text.len().min(left)];
+            hasher.update(part);
+            left -= part.len();
+            length += text.len() as u64;
+        }
+    }
+    (hasher.digest(), length)
+}
+
+fn caller(headers: &HeaderMap) -> Result<CallerId, Refusal> {
+    let text = match headers.get(CALLER) {
+        Some(value) => value.to_str().map_err(|err| bad_header("carobwick-caller", &err.to_string()))?,
+        None => "anonymous",
+    };
+    text.parse().map_err(|err| bad_header("carobwick-caller", &format!("{err}")))
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<String>, Refusal> {
+    let Some(value) = headers.get(KEY) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|err| bad_header("idempotency-key", &err.to_string()))?;
+    if text.is_empty() || text.len() > 256 {
+        return Err(bad_header("idempotency-key", "length is not in 1..=256"));
+    }
+    Ok(Some(text.to_owned()))
+}
+
+fn says_repeatable(headers: &HeaderMap) -> Result<bool, Refusal> {
+    match headers.get(REPEATABLE).map(http::HeaderValue::as_bytes) {
+        None | Some(b"yes") => Ok(true),
+        Some(b"no") => Ok(false),
+        Some(_) => Err(bad_header("carobwick-repeatable", "neither `yes` nor `no`")),
+    }
+}
+
+fn bad_header(name: &str, reason: &str) -> Refusal {
+    Refusal::new(Code::BadHeader, format!("{name}: {reason}"))
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,126 @@
+use std::sync::Arc;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::Path;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::any;
+use axum::routing::get;
+use axum::routing::post;
+use bytes::Bytes;
+use carobwick_core::Manifest;
+use carobwick_core::RequestId;
+use carobwick_core::Time;
+use carobwick_runtime::now;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use serde_json::json;
+
+use crate::ask::Ask;
+use crate::ask::read_body;
+use crate::flight::Flight;
+use crate::health;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+use crate::serving::Serving;
+use crate::show;
+
+/// Builds the API for callers.
+pub(crate) fn router(serving: Arc<Serving>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(chat))
+        .route("/v1/models", get(models))
+        .route("/services/{service}", any(service_root))
+        .route("/services/{service}/{*path}", any(service))
+        .route("/healthz", get(health::live))
+        .route("/readyz", get(health::ready))
+        .fallback(unknown_path)
+        .method_not_allowed_fallback(wrong_method)
+        .with_state(serving)
+}
+
+async fn chat(State(serving): State<Arc<Serving>>, request: Request) -> Response {
+    let (parts, body) = request.into_parts();
+    serve(&serving, parts.headers, body, move |id, manifest, headers, body, deadline| {
+        Ask::chat(id, manifest, headers, &body, deadline)
+    })
+    .await
+}
+
+async fn service_root(state: State<Arc<Serving>>, Path(service): Path<String>, request: Request) -> Response {
+    serve_plain(&state.0, service, request).await
+}
+
+async fn service(
+    state: State<Arc<Serving>>,
+    Path((service, _)): Path<(String, String)>,
+    request: Request,
+) -> Response {
+    serve_plain(&state.0, service, request).await
+}
+
+async fn serve_plain(serving: &Arc<Serving>, service: String, request: Request) -> Response {
+    let (parts, body) = request.into_parts();
+    // The path is passed on as it was written, without decoding.
+    let full = parts.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
+    let rest = full.trim_start_matches("/services/");
+    let rest = rest.find(['/', '?']).map_or("", |at| &rest[at..]);
+    let path = if rest.starts_with('/') { rest.to_owned() } else { format!("/{rest}") };
+    let target = (parts.method, path);
+    serve(serving, parts.headers, body, move |id, manifest, headers, body, deadline| {
+        Ask::service(id, manifest, &service, target, headers, body, deadline)
+    })
+    .await
+}
+
+async fn serve<F>(serving: &Arc<Serving>, headers: HeaderMap, body: Body, read: F) -> Response
+where
+    F: FnOnce(RequestId, &Manifest, HeaderMap, Bytes, Time) -> Result<Ask, Refusal>,
+{
+    serving.meters.request();
+    let started = async {
+        let config = serving.config()?;
+        let in_flight = serving.enter()?;
+        let limits = &serving.settings.limits;
+        let body = read_body(&headers, body, limits.max_body, limits.read_timeout.duration()).await?;
+        let deadline = now() + limits.deadline.duration();
+        let ask = read(Serving::new_request(), &config.manifest, headers, body, deadline)?;
+        Ok((ask, in_flight))
+    };
+    match started.await {
+        Ok((ask, in_flight)) => {
+            let flight = Flight::start(Arc::clone(serving), ask, in_flight);
+            show::response(serving, flight).await
+        }
+        Err(refusal) => show::refused(serving, refusal),
+    }
+}
+
+async fn models(State(serving): State<Arc<Serving>>) -> Response {
+    let config = match serving.config() {
+        Ok(config) => config,
+        Err(refusal) => return show::refused(&serving, refusal),
+    };
+    let manifest = &config.manifest;
+    let names = manifest.models.keys().chain(manifest.adapters.keys());
+    let data: Vec<_> =
+        names.map(|id| json!({"id": id, "object": "model", "owned_by": manifest.deployment})).collect();
+    let body = json!({"object": "list", "data": data}).to_string();
+    let headers = [(CONTENT_TYPE, HeaderValue::from_static("application/json"))];
+    (StatusCode::OK, headers, body).into_response()
+}
+
+async fn unknown_path(State(serving): State<Arc<Serving>>, request: Request) -> Response {
+    let text = format!("`{}` is not a path of this API", request.uri().path());
+    show::refused(&serving, Refusal::new(Code::UnknownPath, text))
+}
+
+async fn wrong_method(State(serving): State<Arc<Serving>>, request: Request) -> Response {
+    let text = format!("`{}` does not take {}", request.uri().path(), request.method());
+    show::refused(&serving, Refusal::new(Code::WrongMethod, text))
+}
--- /dev/null
+++ b/crates/entry/src/demand.rs
@@ -0,0 +1,61 @@
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use carobwick_core::ModelDemand;
+use carobwick_core::ModelId;
+use carobwick_core::Tokens;
+use indexmap::IndexMap;
+
+/// Demand seen since the last report to the zone's leader.
+#[derive(Debug, Default)]
+pub(crate) struct Demand {
+    models: Mutex<IndexMap<ModelId, ModelDemand>>,
+}
+
+impl Demand {
+    pub fn arrived(&self, model: &ModelId) {
+        self.change(model, |demand| demand.arrivals += 1);
+    }
+
+    pub fn refused(&self, model: &ModelId) {
+        self.change(model, |demand| demand.refusals += 1);
+    }
+
+    /// Counts an answer that was delivered.
+    pub fn answered(&self, model: &ModelId, attained: bool, tokens: u64) {
+        self.change(model, |demand| {
+            demand.attained += u32::from(attained);
+            demand.tokens = Tokens(demand.tokens.0 + tokens);
+        });
+    }
+
+    /// Takes what was counted.
+    pub fn take(&self) -> IndexMap<ModelId, ModelDemand> {
+        std::mem::take(&mut self.lock())
+    }
+
+    /// Adds counts back that could not be reported.
+    pub fn restore(&self, models: IndexMap<ModelId, ModelDemand>) {
+        for (model, lost) in models {
+            self.change(&model, |demand| {
+                demand.arrivals += lost.arrivals;
+                demand.refusals += lost.refusals;
+                demand.attained += lost.attained;
+                demand.tokens = Tokens(demand.tokens.0 + lost.tokens.0);
+            });
+        }
+    }
+
+    fn change(&self, model: &ModelId, f: impl FnOnce(&mut ModelDemand)) {
+        let mut models = self.lock();
+        match models.get_mut(model) {
+            Some(demand) => f(demand),
+            None => f(models.entry(model.clone()).or_default()),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<ModelId, ModelDemand>> {
+        self.models.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,121 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use carobwick_core::EventKind;
+use carobwick_runtime::Metrics;
+use carobwick_runtime::Node;
+use carobwick_runtime::Supervisor;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::Error;
+use crate::Result;
+use crate::Settings;
+use crate::callers;
+use crate::exchange;
+use crate::operators;
+use crate::server::Server;
+use crate::serving::Serving;
+use crate::tidy;
+
+/// A running entry; dropping it ends its tasks without waiting.
+#[derive(Debug)]
+pub struct Entry {
+    callers: SocketAddr,
+    operators: SocketAddr,
+    serving: Arc<Serving>,
+    closing: CancellationToken,
+    stop: CancellationToken,
+    root: JoinHandle<anyhow::Result<()>>,
+}
+
+impl Entry {
+    /// Checks the settings, binds the addresses and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a setting is wrong or an address can't be bound.
+    pub async fn bind(settings: Settings) -> Result<Self> {
+        settings.validate()?;
+        let metrics = Metrics::open().map_err(|err| Error::Start(format!("metrics: {err}")))?;
+        let (callers, callers_addr) = listen("callers", settings.callers).await?;
+        let (operators, operators_addr) = listen("operators", settings.operators).await?;
+        let limits = settings.limits.clone();
+        let serving = Arc::new(Serving::new(settings, metrics));
+        let (closing, stop) = (CancellationToken::new(), CancellationToken::new());
+        let router = callers::router(Arc::clone(&serving));
+        let callers = Server::new(callers, router, limits.clone(), closing.clone(), serving.work.clone());
+        let router = operators::router(Arc::clone(&serving));
+        let operators = Server::new(operators, router, limits, closing.clone(), serving.work.clone());
+        let (sync, demand, tidied) = (Arc::clone(&serving), Arc::clone(&serving), Arc::clone(&serving));
+        let root = Supervisor::new("entry", stop.clone())
+            .task("callers", move || callers.clone().accept())
+            .task("operators", move || operators.clone().accept())
+            .task("sync", move || exchange::sync(Arc::clone(&sync)))
+            .task("demand", move || exchange::report_demand(Arc::clone(&demand)))
+            .task("tidy", move || tidy::tidy(Arc::clone(&tidied)));
+        let root = tokio::spawn(root.run());
+        serving.timeline.add(EventKind::Process, format!("serves callers at {callers_addr}"));
+        tracing::info!("entry: serves callers at {callers_addr} and operators at {operators_addr}");
+        Ok(Self { callers: callers_addr, operators: operators_addr, serving, closing, stop, root })
+    }
+
+    /// Returns the bound address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns the bound address for operators.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Returns the state that the entry shares with its peers.
+    pub fn node(&self) -> &Node {
+        &self.serving.node
+    }
+
+    /// Waits until a task fails too often, which ends the entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the task's last error.
+    pub async fn failed(&mut self) -> anyhow::Result<()> {
+        (&mut self.root).await?
+    }
+
+    /// Stops: readiness goes first, then new connections end, then requests in flight finish.
+    pub async fn shutdown(self) {
+        let limits = &self.serving.settings.limits;
+        tracing::info!("entry: stopping with {} requests in flight", self.serving.in_flight());
+        self.serving.timeline.add(EventKind::Process, "is stopping");
+        self.serving.leaving.store(true, Ordering::Relaxed);
+        tokio::time::sleep(limits.stop_delay.duration()).await;
+        self.closing.cancel();
+        self.serving.work.close();
+        // Longer than any request in flight can take.
+        let longest =
+            limits.read_timeout.duration() + limits.deadline.duration() + limits.stream_limit.duration();
+        if tokio::time::timeout(longest, self.serving.work.wait()).await.is_err() {
+            tracing::warn!("entry: a connection did not end in {longest:?} and is cut off");
+        }
+        self.stop.cancel();
+        tracing::info!("entry: stopped");
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.closing.cancel();
+        self.stop.cancel();
+    }
+}
+
+async fn listen(name: &'static str, addr: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
+    let failed = |err: std::io::Error| Error::Start(format!("{name}: {addr}: {err}"));
+    let listener = TcpListener::bind(addr).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
+}
--- /dev/null
+++ b/crates/entry/src/events.rs
@@ -0,0 +1,84 @@
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Longest event of a stream; a longer one breaks the stream, so that memory stays bounded.
+const MAX_EVENT: usize = 1 << 20;
+const DONE: &[u8] = b"data: [DONE]";
+/// Starts of the events with which an engine or another entry ends a stream that it can't complete.
+const ERRORS: [&[u8]; 2] = [b"event: error", b"data: {\"error\""];
+
+/// Splits a stream of server-sent events at the events' ends without reading their content.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    /// Start of an event whose end has not arrived.
+    partial: BytesMut,
+}
+
+/// Complete events from one piece of a stream.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Events {
+    pub bytes: Bytes,
+    pub count: u64,
+    pub end: StreamEnd,
+}
+
+/// Whether a stream went on after some events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StreamEnd {
+    /// It goes on.
+    Open,
+    /// The last event was `[DONE]`.
+    Done,
+    /// An error event followed, which is not among the events.
+    Error,
+    /// An event exceeds the limit.
+    TooLong,
+}
+
+impl EventSplitter {
+    /// Takes a piece of the stream and returns the events that it completes.
+    pub fn push(&mut self, piece: Bytes) -> Events {
+        let piece = if self.partial.is_empty() {
+            piece
+        } else {
+            self.partial.extend_from_slice(&piece);
+            self.partial.split().freeze()
+        };
+        let (mut start, mut count, mut end) = (0, 0, StreamEnd::Open);
+        while let Some(length) = find_end(&piece[start..]) {
+            let event = &piece[start..start + length];
+            if ERRORS.iter().any(|error| event.starts_with(error)) {
+                end = StreamEnd::Error;
+                break;
+            }
+            start += length;
+            // Comments and empty events keep a connection alive; they are shown, but not counted.
+            count += u64::from(event[0] != b':' && !event.starts_with(b"\n"));
+            if event.starts_with(DONE) {
+                end = StreamEnd::Done;
+                break;
+            }
+        }
+        if end == StreamEnd::Open {
+            self.partial.extend_from_slice(&piece[start..]);
+            if self.partial.len() > MAX_EVENT {
+                end = StreamEnd::TooLong;
+            }
+        }
+        Events { bytes: piece.slice(..start), count, end }
+    }
+}
+
+/// Returns the length of the first event, with the empty line that ends it.
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    let mut from = 0;
+    while let Some(line) = bytes[from..].iter().position(|byte| *byte == b'\n') {
+        let next = from + line + 1;
+        match bytes.get(next..) {
+            Some([b'\n', ..]) => return Some(next + 1),
+            Some([b'\r', b'\n', ..]) => return Some(next + 2),
+            _ => from = next,
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/entry/src/exchange.rs
@@ -0,0 +1,139 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use carobwick_core::Change;
+use carobwick_core::DemandReport;
+use carobwick_core::Digest;
+use carobwick_core::EventKind;
+use carobwick_core::PeerMessage;
+use carobwick_runtime::PeerClient;
+use tokio::time::Instant;
+use tokio::time::MissedTickBehavior;
+
+use crate::serving::Serving;
+
+const SYNC_INTERVAL: Duration = Duration::from_millis(500);
+const DEMAND_INTERVAL: Duration = Duration::from_secs(2);
+/// Also bounds how long a silent planner delays the use of another one.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// Time on another planner after which the instance's own is tried again.
+const FALLBACK_TIME: Duration = Duration::from_secs(5);
+
+/// Planners in order of preference, with the one in use.
+#[derive(Debug)]
+struct Planners {
+    addrs: Vec<SocketAddr>,
+    current: usize,
+    since: Instant,
+}
+
+/// Exchanges the shared state with a planner.
+pub(crate) async fn sync(serving: Arc<Serving>) -> anyhow::Result<()> {
+    let client = PeerClient::open(TIMEOUT);
+    let mut planners = Planners::new(&serving);
+    let mut ticks = tokio::time::interval(SYNC_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let addr = planners.current();
+        if let Err(err) = sync_with(&serving, &client, &addr).await {
+            tracing::debug!("entry: exchange with planner {addr} failed: {err}");
+            planners.advance();
+        }
+    }
+}
+
+/// Reports demand to the zone's leader.
+pub(crate) async fn report_demand(serving: Arc<Serving>) -> anyhow::Result<()> {
+    let client = PeerClient::open(TIMEOUT);
+    let mut ticks = tokio::time::interval(DEMAND_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = Instant::now();
+    loop {
+        ticks.tick().await;
+        let models = serving.demand.take();
+        if models.is_empty() {
+            last = Instant::now();
+            continue;
+        }
+        let interval_ms = last.elapsed().as_millis() as u64;
+        let instance = serving.settings.instance.clone();
+        let message = PeerMessage::Demand(DemandReport { instance, interval_ms, models: models.clone() });
+        match client.exchange(&leader(&serving), &message).await {
+            Ok(_) => last = Instant::now(),
+            Err(err) => {
+                tracing::debug!("entry: demand report failed: {err}");
+                serving.demand.restore(models);
+            }
+        }
+    }
+}
+
+async fn sync_with(serving: &Serving, client: &PeerClient, addr: &str) -> anyhow::Result<()> {
+    let own = serving.node.read(carobwick_core::SharedState::digest);
+    let message = PeerMessage::Sync { from: serving.settings.instance.clone(), digest: own };
+    let reply = client.exchange(addr, &message).await?;
+    let PeerMessage::SyncReply { digest, delta } = reply else {
+        anyhow::bail!("the reply to a sync is not one");
+    };
+    for change in serving.node.merge(delta) {
+        note(serving, &change);
+    }
+    let own = serving.node.read(carobwick_core::SharedState::digest);
+    if lacks(&digest, &own) {
+        let delta = serving.node.read(|state| state.delta_for(&digest));
+        client.exchange(addr, &PeerMessage::Push { delta }).await?;
+    }
+    Ok(())
+}
+
+fn note(serving: &Serving, change: &Change) {
+    match change {
+        Change::Config(version) => {
+            tracing::info!("entry: manifest version {version} is in force");
+            serving.timeline.add(EventKind::Config, format!("manifest version {version} is in force"));
+        }
+        Change::Drains => serving.timeline.add(EventKind::Drain, "drains changed"),
+        Change::View(zone) => tracing::debug!("entry: new view of zone {zone}"),
+        Change::Suspects => serving.timeline.add(EventKind::Endpoint, "a crash report arrived"),
+    }
+}
+
+/// Returns whether a peer lacks something of what this process has.
+fn lacks(peer: &Digest, own: &Digest) -> bool {
+    let version = |digest: &Digest| digest.config.map(|(version, _)| version);
+    version(peer) < version(own)
+        || peer.reports < own.reports
+        || peer.drains != own.drains
+        || own.views.iter().any(|(zone, rank)| peer.views.get(zone).is_none_or(|known| known < rank))
+}
+
+fn leader(serving: &Serving) -> String {
+    let known = serving.node.read(|state| {
+        let view = state.views.get(&serving.settings.zone)?;
+        view.instances.get(&view.leader).map(|leader| leader.peer.clone())
+    });
+    known.unwrap_or_else(|| serving.settings.planner.to_string())
+}
+
+impl Planners {
+    fn new(serving: &Serving) -> Self {
+        let settings = &serving.settings;
+        let addrs = std::iter::once(settings.planner).chain(settings.fallbacks.iter().copied()).collect();
+        Self { addrs, current: 0, since: Instant::now() }
+    }
+
+    fn current(&mut self) -> String {
+        if self.current != 0 && self.since.elapsed() >= FALLBACK_TIME {
+            self.current = 0;
+            self.since = Instant::now();
+        }
+        self.addrs[self.current].to_string()
+    }
+
+    fn advance(&mut self) {
+        self.current = (self.current + 1) % self.addrs.len();
+        self.since = Instant::now();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/flight.rs
@@ -0,0 +1,345 @@
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use carobwick_core::AnswerForm;
+use carobwick_core::AttemptId;
+use carobwick_core::Delivery;
+use carobwick_core::DeliveryEvent;
+use carobwick_core::DeliveryStep;
+use carobwick_core::DeliveryTerms;
+use carobwick_core::GiveUp;
+use carobwick_core::Run;
+use carobwick_core::Time;
+use carobwick_runtime::now;
+use http::HeaderMap;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use tokio::time::Sleep;
+
+use crate::answer;
+use crate::ask::Ask;
+use crate::ask::Subject;
+use crate::dispatch::Target;
+use crate::events::EventSplitter;
+use crate::events::StreamEnd;
+use crate::outgoing;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+use crate::serving::InFlight;
+use crate::serving::Serving;
+use crate::upstream::Reply;
+use crate::upstream::SendError;
+
+/// One request in flight: performs what its [`Delivery`] asks for.
+///
+/// Dropping it cancels the attempt that is under way.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    serving: Arc<Serving>,
+    ask: Ask,
+    delivery: Delivery,
+    step: DeliveryStep,
+    arrived: Time,
+    timer: Pin<Box<Sleep>>,
+    attempt: AttemptId,
+    target: Option<Target>,
+    reply: Option<Reply>,
+    head: Option<Head>,
+    splitter: EventSplitter,
+    /// Events or the body of an answer, not shown yet.
+    pending: BytesMut,
+    refusal: Option<Refusal>,
+    tokens: u64,
+    first_output: Option<Duration>,
+    _counted: InFlight,
+}
+
+/// Status and headers of an answer, as its caller sees them.
+#[derive(Debug, Clone)]
+pub(crate) struct Head {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+}
+
+/// What the caller sees next.
+#[derive(Debug)]
+pub(crate) enum Output {
+    /// A whole answer.
+    Whole(Head, Bytes),
+    /// Events of a stream that goes on.
+    Events(Head, Bytes),
+    /// The last events of a stream.
+    Last(Head, Bytes),
+    /// A refusal; nothing was shown before.
+    Refused(Refusal),
+    /// The error event that ends a stream.
+    Broken(Refusal),
+}
+
+impl Flight {
+    pub fn start(serving: Arc<Serving>, ask: Ask, in_flight: InFlight) -> Self {
+        let arrived = now();
+        // A key marks a request whose effects matter, except that generating text again has none.
+        let repeatable = ask.repeatable && (ask.key.is_none() || ask.form != AnswerForm::Plain);
+        let terms = DeliveryTerms {
+            request: ask.request,
+            form: ask.form,
+            repeatable,
+            deadline: ask.deadline,
+            attempts: serving.settings.limits.attempts,
+        };
+        if let Subject::Model(model) = &ask.subject {
+            serving.demand.arrived(model);
+        }
+        tracing::debug!(
+            "entry: request {} of {} for {:?}: fingerprint {}, prefix {:016x}, {} prompt tokens, {} at most",
+            ask.request,
+            ask.caller,
+            ask.subject,
+            ask.fingerprint,
+            ask.prefix,
+            ask.prompt,
+            ask.max_tokens,
+        );
+        let mut delivery = Delivery::new(terms);
+        let step = delivery.on(DeliveryEvent::Accepted, arrived);
+        Self {
+            timer: Box::pin(tokio::time::sleep(ask.deadline - arrived)),
+            serving,
+            ask,
+            delivery,
+            step,
+            arrived,
+            attempt: AttemptId::default(),
+            target: None,
+            reply: None,
+            head: None,
+            splitter: EventSplitter::default(),
+            pending: BytesMut::new(),
+            refusal: None,
+            tokens: 0,
+            first_output: None,
+            _counted: in_flight,
+        }
+    }
+
+    /// Goes on until there is something to show to the caller.
+    pub async fn next(&mut self) -> Output {
+        loop {
+            let event = match self.step {
+                DeliveryStep::Wait => self.receive().await,
+                DeliveryStep::Send { attempt } | DeliveryStep::Retry { attempt } => self.place(attempt).await,
+                DeliveryStep::Resume { attempt, of, received } => {
+                    self.serving.meters.resume();
+                    self.send(attempt, Some((of, received))).await
+                }
+                DeliveryStep::Forward => {
+                    self.note_output();
+                    self.step = DeliveryStep::Wait;
+                    let bytes = self.pending.split().freeze();
+                    return Output::Events(self.head(), bytes);
+                }
+                DeliveryStep::Finish => return self.finish(),
+                DeliveryStep::Refuse { reason, run } => return Output::Refused(self.refuse(reason, run)),
+                DeliveryStep::Fail { reason } => {
+                    self.end_attempt();
+                    return Output::Broken(self.refuse(reason, Run::Unknown));
+                }
+            };
+            self.step = self.delivery.on(event, now());
+        }
+    }
+
+    async fn place(&mut self, attempt: AttemptId) -> DeliveryEvent {
+        self.end_attempt();
+        match self.serving.dispatch.place(&self.ask) {
+            Ok(target) => self.target = Some(target),
+            Err(refusal) => {
+                self.refusal = Some(refusal);
+                return DeliveryEvent::Unplaced { attempt };
+            }
+        }
+        self.send(attempt, None).await
+    }
+
+    async fn send(&mut self, attempt: AttemptId, resume: Option<(AttemptId, u64)>) -> DeliveryEvent {
+        self.attempt = attempt;
+        self.reply = None;
+        self.splitter = EventSplitter::default();
+        let Some(target) = &self.target else {
+            return DeliveryEvent::Unplaced { attempt };
+        };
+        let resumes = matches!(target, Target::Endpoint { .. });
+        let sent = self.delivery.on(DeliveryEvent::Sent { attempt, resumes }, now());
+        debug_assert_eq!(sent, DeliveryStep::Wait, "nothing follows from a send");
+        self.serving.meters.attempt();
+        let zone = &self.serving.settings.zone;
+        let request = outgoing::request(&self.ask, target, zone, attempt, resume);
+        let (addr, upstream) = (target.addr(), &self.serving.upstream);
+        let result = tokio::select! {
+            biased;
+            result = upstream.send(addr, request) => result,
+            () = &mut self.timer => return DeliveryEvent::TimedOut,
+        };
+        match result {
+            Ok(reply) => self.on_head(attempt, reply),
+            Err(err) => self.on_error(attempt, &err),
+        }
+    }
+
+    fn on_head(&mut self, attempt: AttemptId, reply: Reply) -> DeliveryEvent {
+        let facts = answer::facts(&reply.response);
+        let status = reply.response.status();
+        tracing::trace!("entry: attempt {attempt}: {status}, {facts:?}");
+        self.head = Some(Head { status, headers: answer::headers(&self.ask, reply.response.headers()) });
+        self.reply = Some(reply);
+        // What an earlier attempt left must not become a part of this answer.
+        self.pending.clear();
+        DeliveryEvent::Headers {
+            attempt,
+            claimed: facts.attempt,
+            status: status.as_u16(),
+            declined: facts.declined,
+        }
+    }
+
+    fn on_error(&mut self, attempt: AttemptId, err: &SendError) -> DeliveryEvent {
+        tracing::debug!("entry: request {} attempt {attempt} failed: {err}", self.ask.request);
+        self.reply = None;
+        match err {
+            SendError::Silent => DeliveryEvent::Silent { attempt },
+            err => DeliveryEvent::Failed { attempt, written: err.is_written() },
+        }
+    }
+
+    /// Waits for the next part of the answer.
+    async fn receive(&mut self) -> DeliveryEvent {
+        let attempt = self.attempt;
+        let Some(reply) = &mut self.reply else {
+            return DeliveryEvent::Failed { attempt, written: true };
+        };
+        let frame = tokio::select! {
+            biased;
+            frame = reply.response.body_mut().frame() => frame,
+            () = &mut self.timer => return DeliveryEvent::TimedOut,
+        };
+        match frame {
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(data) => self.on_data(attempt, data),
+                Err(_) => DeliveryEvent::Chunk { attempt, events: 0 },
+            },
+            Some(Err(err)) => self.on_error(attempt, &SendError::from(&err)),
+            None => DeliveryEvent::End { attempt, complete: self.is_complete() },
+        }
+    }
+
+    fn on_data(&mut self, attempt: AttemptId, data: Bytes) -> DeliveryEvent {
+        if !self.is_stream() {
+            self.pending.extend_from_slice(&data);
+            if self.pending.len() > self.serving.settings.limits.max_answer {
+                return DeliveryEvent::End { attempt, complete: false };
+            }
+            return DeliveryEvent::Chunk { attempt, events: 0 };
+        }
+        let events = self.splitter.push(data);
+        self.pending.extend_from_slice(&events.bytes);
+        self.tokens += events.count;
+        match events.end {
+            StreamEnd::Open => DeliveryEvent::Chunk { attempt, events: events.count },
+            StreamEnd::Done => DeliveryEvent::End { attempt, complete: true },
+            StreamEnd::Error | StreamEnd::TooLong => DeliveryEvent::End { attempt, complete: false },
+        }
+    }
+
+    fn is_stream(&self) -> bool {
+        self.ask.form == AnswerForm::Stream && self.head.as_ref().is_some_and(|head| head.status.is_success())
+    }
+
+    fn is_complete(&mut self) -> bool {
+        match self.ask.form {
+            _ if self.head.as_ref().is_some_and(|head| !head.status.is_success()) => true,
+            AnswerForm::Plain => true,
+            AnswerForm::Stream => false,
+            AnswerForm::Chat => {
+                let tokens = answer::complete_chat(&self.pending);
+                self.tokens = tokens.unwrap_or(0);
+                tokens.is_some()
+            }
+        }
+    }
+
+    fn finish(&mut self) -> Output {
+        self.note_output();
+        if let Subject::Model(model) = &self.ask.subject {
+            self.serving.demand.answered(model, self.is_attained(), self.tokens);
+        }
+        self.end_attempt();
+        let (head, bytes) = (self.head(), self.pending.split().freeze());
+        if self.is_stream() { Output::Last(head, bytes) } else { Output::Whole(head, bytes) }
+    }
+
+    fn note_output(&mut self) {
+        if self.first_output.is_some() {
+            return;
+        }
+        let delay = now() - self.arrived;
+        self.first_output = Some(delay);
+        self.serving.meters.first_output(delay);
+        if self.is_stream() {
+            let limit = self.serving.settings.limits.stream_limit.duration();
+            self.timer.as_mut().reset(tokio::time::Instant::now() + limit);
+        }
+    }
+
+    fn is_attained(&self) -> bool {
+        let gaps = match self.ask.form {
+            AnswerForm::Chat => self.ask.token_gap * u32::try_from(self.tokens).unwrap_or(u32::MAX),
+            AnswerForm::Stream | AnswerForm::Plain => Duration::ZERO,
+        };
+        self.first_output.is_some_and(|delay| delay <= self.ask.target + gaps)
+    }
+
+    fn head(&self) -> Head {
+        let empty = || Head { status: StatusCode::OK, headers: HeaderMap::new() };
+        self.head.clone().unwrap_or_else(empty)
+    }
+
+    fn refuse(&mut self, reason: GiveUp, run: Run) -> Refusal {
+        self.end_attempt();
+        if let Subject::Model(model) = &self.ask.subject {
+            self.serving.demand.refused(model);
+        }
+        let second = Duration::from_secs(1);
+        match (reason, self.refusal.take()) {
+            (GiveUp::Unplaced, Some(refusal)) => refusal.with_run(run),
+            (GiveUp::Unplaced | GiveUp::Exhausted, _) => {
+                let code = if run == Run::No { Code::NoEndpoint } else { Code::EndpointFailed };
+                Refusal::new(code, "no endpoint completed the request").with_run(run).after(second)
+            }
+            (GiveUp::AnswerLost, _) => {
+                Refusal::new(Code::AnswerLost, "the answer was lost on its way").with_run(run)
+            }
+            (GiveUp::Deadline, _) => {
+                Refusal::new(Code::Deadline, "the request's time is used up").with_run(run).after(second)
+            }
+        }
+    }
+
+    fn end_attempt(&mut self) {
+        self.reply = None;
+        if let Some(target) = self.target.take() {
+            self.serving.dispatch.ended(&target);
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.delivery.on(DeliveryEvent::Cancelled, now());
+        self.end_attempt();
+        self.serving.dispatch.finished(self.ask.request);
+    }
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,2 +1,30 @@
-//! placeholder
-fn main() {}
+//! Runs an entry until it is told to stop.
+
+use carobwick_entry::Entry;
+use carobwick_entry::settings;
+use carobwick_runtime::start_logs;
+use mimalloc::MiMalloc;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let settings = settings().run();
+    settings.validate()?;
+    if settings.check {
+        return Ok(());
+    }
+    start_logs(&settings.log, true)?;
+    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let mut entry = Entry::bind(settings).await?;
+    tokio::select! {
+        result = entry.failed() => return result,
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    entry.shutdown().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/outgoing.rs
@@ -0,0 +1,90 @@
+use bytes::Bytes;
+use carobwick_core::AttemptId;
+use carobwick_core::ZoneId;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::Uri;
+use http::header;
+use http_body_util::Full;
+
+use crate::ask::Ask;
+use crate::dispatch::Target;
+use crate::names::ATTEMPT;
+use crate::names::CALLER;
+use crate::names::FORWARDED;
+use crate::names::KEY;
+use crate::names::REPEATABLE;
+use crate::names::RESUME;
+
+/// Headers that belong to one connection, or that this entry sets itself.
+const OWN: [HeaderName; 10] = [
+    header::CONNECTION,
+    header::HOST,
+    header::CONTENT_LENGTH,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::EXPECT,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Builds the request of one attempt.
+pub(crate) fn request(
+    ask: &Ask,
+    target: &Target,
+    zone: &ZoneId,
+    attempt: AttemptId,
+    resume: Option<(AttemptId, u64)>,
+) -> Request<Full<Bytes>> {
+    let mut headers = end_to_end(&ask.headers);
+    headers.remove(FORWARDED);
+    headers.remove(RESUME);
+    headers.insert(ATTEMPT, text(&attempt.to_string()));
+    headers.insert(CALLER, text(ask.caller.as_str()));
+    if let Some((of, received)) = resume {
+        headers.insert(RESUME, text(&format!("{of},{received}")));
+    }
+    if let Target::Zone { .. } = target {
+        headers.insert(FORWARDED, text(zone.as_str()));
+        // The key's record is this entry's; the other zone must only know that the request runs once.
+        if headers.remove(KEY).is_some() || !ask.repeatable {
+            headers.insert(REPEATABLE, HeaderValue::from_static("no"));
+        }
+    }
+    let mut request = Request::new(Full::new(ask.body.clone()));
+    *request.method_mut() = ask.method.clone();
+    *request.uri_mut() = uri(target, ask);
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Copies the headers that are not bound to one connection.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut copy = HeaderMap::with_capacity(headers.len() + 4);
+    for (name, value) in headers {
+        if !OWN.contains(name) {
+            copy.append(name, value.clone());
+        }
+    }
+    copy
+}
+
+fn uri(target: &Target, ask: &Ask) -> Uri {
+    let path = match (target, &ask.subject) {
+        (Target::Zone { .. }, crate::ask::Subject::Service(service)) => {
+            format!("/services/{service}{}", ask.path)
+        }
+        _ => ask.path.clone(),
+    };
+    let uri = format!("http://{}{path}", target.addr());
+    // The path came from a valid URI and the address from a zone view; an invalid address fails to connect.
+    Uri::try_from(uri).unwrap_or_default()
+}
+
+fn text(value: &str) -> HeaderValue {
+    HeaderValue::from_str(value).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
--- /dev/null
+++ b/crates/entry/src/refusal.rs
@@ -0,0 +1,129 @@
+use std::time::Duration;
+
+use axum::response::IntoResponse;
+use axum::response::Response;
+use bytes::Bytes;
+use carobwick_core::Run;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use serde_json::json;
+
+use crate::names::RUN;
+
+/// Answer to a request that is not served, or not served to its end.
+#[derive(Debug, Clone)]
+pub(crate) struct Refusal {
+    pub code: Code,
+    pub message: String,
+    pub run: Run,
+    pub retry_after: Option<Duration>,
+}
+
+/// Stable code of a refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Code {
+    BadHeader,
+    BadJson,
+    BadRequest,
+    BodyTimeout,
+    BodyTooLarge,
+    UnknownModel,
+    UnknownPath,
+    UnknownService,
+    WrongMethod,
+    Deadline,
+    EndpointFailed,
+    AnswerLost,
+    NoEndpoint,
+    NotReady,
+    Overloaded,
+    Retiring,
+}
+
+impl Refusal {
+    /// Builds a refusal of a request that did not run.
+    pub fn new(code: Code, message: impl Into<String>) -> Self {
+        Self { code, message: message.into(), run: Run::No, retry_after: None }
+    }
+
+    #[must_use]
+    pub fn after(mut self, delay: Duration) -> Self {
+        self.retry_after = Some(delay);
+        self
+    }
+
+    #[must_use]
+    pub fn with_run(mut self, run: Run) -> Self {
+        self.run = run;
+        self
+    }
+
+    /// Renders the JSON body.
+    pub fn body(&self) -> String {
+        let mut error = json!({"code": self.code.as_str(), "message": self.message, "run": self.run});
+        if let Some(delay) = self.retry_after {
+            error["retry_after_ms"] = json!(delay.as_millis() as u64);
+        }
+        json!({"error": error}).to_string()
+    }
+
+    /// Renders the event that ends a stream of which a part was shown.
+    pub fn event(&self) -> Bytes {
+        Bytes::from(format!("event: error\ndata: {}\n\n", self.body()))
+    }
+}
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> Response {
+        let mut response = Response::new(self.body().into());
+        *response.status_mut() = self.code.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if self.run == Run::No {
+            headers.insert(RUN, HeaderValue::from_static("no"));
+        }
+        if let Some(delay) = self.retry_after {
+            headers.insert(RETRY_AFTER, HeaderValue::from(delay.as_millis().div_ceil(1_000).max(1) as u64));
+        }
+        response
+    }
+}
+
+impl Code {
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::BadHeader => "bad_header",
+            Self::BadJson => "bad_json",
+            Self::BadRequest => "bad_request",
+            Self::BodyTimeout => "body_timeout",
+            Self::BodyTooLarge => "body_too_large",
+            Self::UnknownModel => "unknown_model",
+            Self::UnknownPath => "unknown_path",
+            Self::UnknownService => "unknown_service",
+            Self::WrongMethod => "wrong_method",
+            Self::Deadline => "deadline",
+            Self::EndpointFailed => "endpoint_failed",
+            Self::AnswerLost => "answer_lost",
+            Self::NoEndpoint => "no_endpoint",
+            Self::NotReady => "not_ready",
+            Self::Overloaded => "overloaded",
+            Self::Retiring => "retiring",
+        }
+    }
+
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadHeader | Self::BadJson | Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::UnknownModel | Self::UnknownPath | Self::UnknownService => StatusCode::NOT_FOUND,
+            Self::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
+            Self::Retiring => StatusCode::GONE,
+            Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
+            Self::EndpointFailed | Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::NoEndpoint | Self::NotReady | Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,116 @@
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::Limits;
+
+const ACCEPT_DELAY: Duration = Duration::from_millis(100);
+const PEEK_DELAY: Duration = Duration::from_millis(5);
+const PING_INTERVAL: Duration = Duration::from_secs(10);
+/// Data that is buffered per stream when its caller reads slowly.
+const STREAM_BUFFER: usize = 64 << 10;
+const MAX_STREAMS: u32 = 1_024;
+
+/// Serves HTTP/1.1 and HTTP/2 on one address.
+#[derive(Debug, Clone)]
+pub(crate) struct Server {
+    listener: Arc<TcpListener>,
+    router: Router,
+    limits: Limits,
+    /// Ends new connections; those that are open end after their requests.
+    closing: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl Server {
+    pub fn new(
+        listener: TcpListener,
+        router: Router,
+        limits: Limits,
+        closing: CancellationToken,
+        connections: TaskTracker,
+    ) -> Self {
+        Self { listener: Arc::new(listener), router, limits, closing, connections }
+    }
+
+    /// Accepts connections until the server is closed.
+    pub async fn accept(self) -> anyhow::Result<()> {
+        loop {
+            let accepted = tokio::select! {
+                () = self.closing.cancelled() => return Ok(()),
+                accepted = self.listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    self.connections.spawn(self.clone().serve(stream));
+                }
+                Err(err) => {
+                    // Descriptors may be used up; the accept would fail again at once.
+                    tracing::warn!("entry: accept failed: {err}");
+                    tokio::time::sleep(ACCEPT_DELAY).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let timeout = self.limits.read_timeout.duration();
+        let Ok(Some(is_http2)) = tokio::time::timeout(timeout, is_http2(&stream)).await else {
+            return;
+        };
+        let mut builder = Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(timeout)
+            .max_buf_size(self.limits.max_head);
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_header_list_size(self.limits.max_head as u32)
+            .max_concurrent_streams(MAX_STREAMS)
+            .max_send_buf_size(STREAM_BUFFER)
+            .keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(timeout);
+        let builder = if is_http2 { builder.http2_only() } else { builder.http1_only() };
+        let service = TowerToHyperService::new(self.router);
+        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        let result = tokio::select! {
+            result = connection.as_mut() => result,
+            () = self.closing.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(err) = result {
+            tracing::debug!("entry: connection of a caller ended: {err}");
+        }
+    }
+}
+
+/// Tells from its first two bytes whether a connection starts with the preface of HTTP/2.
+async fn is_http2(stream: &TcpStream) -> Option<bool> {
+    let mut start = [0; 2];
+    loop {
+        match stream.peek(&mut start).await {
+            Ok(2) => return Some(&start == b"PR"),
+            Ok(1) if start[0] == b'P' => tokio::time::sleep(PEEK_DELAY).await,
+            Ok(1) => return Some(false),
+            Ok(_) | Err(_) => return None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serving.rs
@@ -0,0 +1,106 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use carobwick_core::ConfigRecord;
+use carobwick_core::RequestId;
+use carobwick_runtime::Metrics;
+use carobwick_runtime::Node;
+use carobwick_runtime::Timeline;
+use tokio_util::task::TaskTracker;
+
+use crate::Settings;
+use crate::demand::Demand;
+use crate::dispatch::Dispatch;
+use crate::meters::Meters;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+use crate::upstream::Upstream;
+
+/// What all requests and tasks of an entry share.
+#[derive(Debug)]
+pub(crate) struct Serving {
+    pub settings: Settings,
+    pub node: Node,
+    pub dispatch: Dispatch,
+    pub upstream: Upstream,
+    pub demand: Demand,
+    pub metrics: Metrics,
+    pub meters: Meters,
+    pub timeline: Timeline,
+    /// Connections and requests that a stop waits for.
+    pub work: TaskTracker,
+    /// Set when a stop begins.
+    pub leaving: AtomicBool,
+    in_flight: AtomicUsize,
+}
+
+/// Counts a request in flight until dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight(Arc<Serving>);
+
+impl Serving {
+    pub fn new(settings: Settings, metrics: Metrics) -> Self {
+        let node = Node::open();
+        Self {
+            dispatch: Dispatch::new(node.clone(), settings.zone.clone()),
+            upstream: Upstream::default(),
+            demand: Demand::default(),
+            meters: Meters::new(&metrics),
+            metrics,
+            timeline: Timeline::open(settings.instance.clone(), "carobwick-entry"),
+            work: TaskTracker::new(),
+            leaving: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            node,
+            settings,
+        }
+    }
+
+    /// Returns the manifest in force.
+    pub fn config(&self) -> Result<Arc<ConfigRecord>, Refusal> {
+        self.node.read(|state| state.config.clone()).ok_or_else(|| {
+            Refusal::new(Code::NotReady, "no manifest has arrived yet").after(Duration::from_secs(1))
+        })
+    }
+
+    /// Returns why the entry is not ready for callers, if it is not.
+    pub fn unready(&self) -> Option<&'static str> {
+        if self.leaving.load(Ordering::Relaxed) {
+            return Some("the entry is stopping");
+        }
+        self.node.read(|state| {
+            if state.config.is_none() {
+                return Some("no manifest has arrived yet");
+            }
+            let known = state.views.contains_key(&self.settings.zone);
+            if known { None } else { Some("no view of the zone has arrived yet") }
+        })
+    }
+
+    /// Counts a request in, or refuses it above the limit.
+    pub fn enter(self: &Arc<Self>) -> Result<InFlight, Refusal> {
+        let before = self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let guard = InFlight(Arc::clone(self));
+        if before < self.settings.limits.max_requests {
+            return Ok(guard);
+        }
+        Err(Refusal::new(Code::Overloaded, "too many requests in flight").after(Duration::from_secs(1)))
+    }
+
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    pub fn new_request() -> RequestId {
+        RequestId(rand::random())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/tidy.rs
@@ -0,0 +1,22 @@
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::serving::Serving;
+
+const INTERVAL: Duration = Duration::from_secs(10);
+
+/// Closes connections to addresses that left the zone views.
+pub(crate) async fn tidy(serving: Arc<Serving>) -> anyhow::Result<()> {
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let known: HashSet<String> = serving.node.read(|state| {
+            let views = state.views.values();
+            let endpoints =
+                views.clone().flat_map(|view| view.endpoints.values().map(|one| one.addr.clone()));
+            let entries = views.flat_map(|view| view.instances.values().map(|one| one.entry.clone()));
+            endpoints.chain(entries).collect()
+        });
+        serving.upstream.retain(|addr| known.contains(addr));
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstream.rs
@@ -0,0 +1,211 @@
+use std::collections::HashMap;
+use std::fmt;
+use std::io::ErrorKind;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http2;
+use hyper::client::conn::http2::SendRequest;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpStream;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// With a timeout of 1 s, a connection that went silent is closed within 2 s.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+const PING_TIMEOUT: Duration = Duration::from_secs(1);
+/// Data of one stream that is buffered when its caller reads slowly.
+const STREAM_WINDOW: u32 = 64 << 10;
+/// Streams of one connection; endpoints commonly allow no more.
+const MAX_STREAMS: usize = 100;
+/// Large enough that slow callers of all streams together can't stop the connection's other streams.
+const CONNECTION_WINDOW: u32 = STREAM_WINDOW * MAX_STREAMS as u32;
+
+/// HTTP/2 connections to endpoints and to other zones' entries.
+#[derive(Debug, Default)]
+pub(crate) struct Upstream {
+    pools: Mutex<HashMap<String, Arc<Pool>>>,
+}
+
+/// Head of an answer with its body still open.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub response: Response<Incoming>,
+    _slot: Slot,
+}
+
+/// Why an exchange failed.
+#[derive(Debug)]
+pub(crate) enum SendError {
+    /// The connection was refused; nothing was written.
+    Refused(String),
+    /// No connection could be made for another reason; nothing was written.
+    Connect(String),
+    /// The connection closed before anything was written.
+    NotWritten(String),
+    /// The exchange broke off.
+    Lost(String),
+    /// The connection answered no pings and was closed.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct Pool {
+    connections: Mutex<Vec<Connection>>,
+    /// Held while a connection is made, so that a burst does not make one per request.
+    connecting: tokio::sync::Mutex<()>,
+}
+
+#[derive(Debug, Clone)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    streams: Arc<AtomicUsize>,
+}
+
+/// Counts one stream of a connection until dropped.
+#[derive(Debug)]
+struct Slot(Arc<AtomicUsize>);
+
+impl Upstream {
+    /// Sends a request to `addr` (`IP:port`) and returns the head of its answer.
+    pub async fn send(&self, addr: &str, request: Request<Full<Bytes>>) -> Result<Reply, SendError> {
+        let pool = self.pool(addr);
+        let mut request = request;
+        loop {
+            let (mut sender, slot) = match pool.take() {
+                Some(taken) => taken,
+                None => pool.connect(addr).await?,
+            };
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(Reply { response, _slot: slot }),
+                Err(mut err) => match err.take_message() {
+                    // The connection closed while idle; the next one taken is another or a new one.
+                    Some(unsent) if sender.is_closed() => request = unsent,
+                    Some(_) => return Err(SendError::NotWritten(err.error().to_string())),
+                    None => return Err(SendError::from(err.error())),
+                },
+            }
+        }
+    }
+
+    /// Drops connections without streams to addresses that are not in use any more.
+    pub fn retain(&self, in_use: impl Fn(&str) -> bool) {
+        lock(&self.pools).retain(|addr, pool| in_use(addr) || !pool.is_idle());
+    }
+
+    fn pool(&self, addr: &str) -> Arc<Pool> {
+        let mut pools = lock(&self.pools);
+        if let Some(pool) = pools.get(addr) {
+            return Arc::clone(pool);
+        }
+        let pool = Arc::new(Pool::default());
+        pools.insert(addr.to_owned(), Arc::clone(&pool));
+        pool
+    }
+}
+
+impl Pool {
+    fn take(&self) -> Option<(SendRequest<Full<Bytes>>, Slot)> {
+        let mut connections = lock(&self.connections);
+        connections.retain(|connection| !connection.sender.is_closed());
+        let free = connections.iter().find(|one| one.streams.load(Ordering::Relaxed) < MAX_STREAMS)?;
+        Some((free.sender.clone(), Slot::take(&free.streams)))
+    }
+
+    async fn connect(&self, addr: &str) -> Result<(SendRequest<Full<Bytes>>, Slot), SendError> {
+        let _connecting = self.connecting.lock().await;
+        if let Some(taken) = self.take() {
+            return Ok(taken);
+        }
+        let sender = match tokio::time::timeout(CONNECT_TIMEOUT, open(addr)).await {
+            Ok(result) => result?,
+            Err(_) => return Err(SendError::Connect(format!("{addr}: no answer"))),
+        };
+        let connection = Connection { sender: sender.clone(), streams: Arc::default() };
+        let slot = Slot::take(&connection.streams);
+        lock(&self.connections).push(connection);
+        Ok((sender, slot))
+    }
+
+    fn is_idle(&self) -> bool {
+        lock(&self.connections).iter().all(|connection| connection.streams.load(Ordering::Relaxed) == 0)
+    }
+}
+
+impl Slot {
+    fn take(streams: &Arc<AtomicUsize>) -> Self {
+        streams.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(streams))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl SendError {
+    /// Returns whether any byte of the request may have been written.
+    pub fn is_written(&self) -> bool {
+        matches!(self, Self::Lost(_) | Self::Silent)
+    }
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(text) => write!(f, "connection refused: {text}"),
+            Self::Connect(text) => write!(f, "no connection: {text}"),
+            Self::NotWritten(text) => write!(f, "not written: {text}"),
+            Self::Lost(text) => write!(f, "exchange lost: {text}"),
+            Self::Silent => f.write_str("connection is silent"),
+        }
+    }
+}
+
+impl From<&hyper::Error> for SendError {
+    fn from(err: &hyper::Error) -> Self {
+        if err.is_timeout() { Self::Silent } else { Self::Lost(err.to_string()) }
+    }
+}
+
+async fn open(addr: &str) -> Result<SendRequest<Full<Bytes>>, SendError> {
+    let stream = TcpStream::connect(addr).await.map_err(|err| match err.kind() {
+        ErrorKind::ConnectionRefused => SendError::Refused(addr.to_owned()),
+        _ => SendError::Connect(format!("{addr}: {err}")),
+    })?;
+    stream.set_nodelay(true).map_err(|err| SendError::Connect(err.to_string()))?;
+    let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .keep_alive_while_idle(true)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|err| SendError::Connect(format!("{addr}: {err}")))?;
+    let addr = addr.to_owned();
+    tokio::spawn(async move {
+        if let Err(err) = connection.await {
+            tracing::debug!("entry: connection to {addr} ended: {err}");
+        }
+    });
+    Ok(sender)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
