--- /dev/null
+++ b/crates/core/src/adapters.rs
@@ -0,0 +1,72 @@
+use std::time::Duration;
+
+use crate::Action;
+use crate::AdapterSpec;
+use crate::EndpointId;
+use crate::ModelId;
+use crate::Resident;
+use crate::placement::Placer;
+
+/// An adapter that was used more recently is not unloaded for another one, or the two would alternate.
+const MIN_IDLE: Duration = Duration::from_secs(10);
+
+impl<'a> Placer<'a> {
+    /// Loads adapters that are asked for where their base is resident.
+    pub(crate) fn place_adapters(&mut self) {
+        let scene = self.scene;
+        let mut left = scene.adapter_loads;
+        for (id, spec) in &scene.manifest.adapters {
+            if spec.retiring || scene.demand.last_used(id, scene.now).is_none() {
+                continue;
+            }
+            if self.expected(id, Some(&spec.version)).next().is_some() {
+                continue;
+            }
+            if left == 0 {
+                self.block(id, "waits for the limit on adapter loads");
+                continue;
+            }
+            if self.place_adapter(id, spec) {
+                left -= 1;
+            }
+        }
+    }
+
+    fn place_adapter(&mut self, id: &'a ModelId, spec: &'a AdapterSpec) -> bool {
+        let hosts: Vec<&EndpointId> = self.serving(&spec.base, None).collect();
+        if hosts.is_empty() {
+            // Another zone holds the base, and requests are forwarded there.
+            return false;
+        }
+        let mut hosts: Vec<&EndpointId> =
+            hosts.into_iter().filter(|host| !self.busy.contains(*host)).collect();
+        hosts.sort_by(|a, b| self.engine_load(a).total_cmp(&self.engine_load(b)));
+        let room = |host: &&EndpointId| {
+            self.scene.ledger.get(host).is_some_and(|account| account.has_room(spec.size))
+        };
+        if let Some(host) = hosts.iter().copied().find(room) {
+            let base = Some(spec.base.clone());
+            let action =
+                Action::Load { model: id.clone(), version: spec.version.clone(), size: spec.size, base };
+            self.push(host.clone(), action, "asked for");
+            return true;
+        }
+        let victim = hosts.iter().find_map(|host| Some(((*host).clone(), self.least_used(host)?)));
+        if let Some((host, victim)) = victim {
+            let action = Action::Unload { model: victim.model, version: victim.version };
+            self.push(host, action, &format!("makes room for {id}"));
+        }
+        self.block(id, "waits for room beside its base");
+        false
+    }
+
+    fn least_used(&self, host: &EndpointId) -> Option<Resident> {
+        let scene = &self.scene;
+        let account = scene.ledger.get(host)?;
+        let adapters = account.resident().iter();
+        let adapters = adapters.filter(|resident| scene.manifest.adapters.contains_key(&resident.model));
+        let used = |resident: &&Resident| scene.demand.last_used(&resident.model, scene.now);
+        let idle = adapters.filter(|resident| used(resident).is_none_or(|at| scene.now - at >= MIN_IDLE));
+        idle.min_by_key(used).cloned()
+    }
+}
--- /dev/null
+++ b/crates/core/src/demand.rs
@@ -0,0 +1,134 @@
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::Artifact;
+use crate::DemandReport;
+use crate::InstanceId;
+use crate::Manifest;
+use crate::ModelDemand;
+use crate::ModelId;
+use crate::Time;
+
+/// Time in which an estimate falls by half; it rises at once.
+const HALF_LIFE: Duration = Duration::from_mins(5);
+
+/// Reports arrive every 2 s; an entry that is silent for longer has stopped.
+const STALE: Duration = Duration::from_secs(6);
+
+/// Answers are counted when they end, so single reports are lumpy; they are averaged over about this time.
+const SMOOTHING: f64 = 10.0;
+
+/// Time for which an adapter counts as used after its last request.
+const IDLE_AFTER: Duration = Duration::from_mins(2);
+
+/// Demand of a zone, estimated from the reports of its entries.
+#[derive(Debug, Clone, Default)]
+pub struct Demand {
+    entries: IndexMap<InstanceId, EntryRates>,
+    models: IndexMap<ModelId, Estimate>,
+}
+
+#[derive(Debug, Clone)]
+struct EntryRates {
+    at: Time,
+    models: IndexMap<ModelId, Rates>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Rates {
+    arrivals: f64,
+    tokens: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Estimate {
+    rates: Rates,
+    at: Time,
+    used: Time,
+}
+
+impl Demand {
+    /// Adds the report of an entry.
+    pub fn add(&mut self, now: Time, report: &DemandReport) {
+        let seconds = report.interval_ms.max(1) as f64 / 1_000.0;
+        let share = (seconds / SMOOTHING).min(1.0);
+        let entry = self.entries.entry(report.instance.clone());
+        let entry = entry.or_insert_with(|| EntryRates { at: now, models: IndexMap::new() });
+        entry.at = now;
+        for rates in entry.models.values_mut() {
+            rates.arrivals *= 1.0 - share;
+            rates.tokens *= 1.0 - share;
+        }
+        for (model, demand) in &report.models {
+            let rates = entry.models.entry(model.clone()).or_default();
+            rates.arrivals += share * f64::from(demand.arrivals) / seconds;
+            rates.tokens += share * full_tokens(demand) / seconds;
+        }
+        entry.models.retain(|_, rates| rates.arrivals > 1e-6 || rates.tokens > 1e-6);
+        self.entries.retain(|_, entry| now - entry.at < STALE);
+        self.update(now, report);
+    }
+
+    /// Returns how many slots a model's requests keep busy if they just meet their targets, adapters included.
+    pub fn busy_slots(&self, manifest: &Manifest, model: &ModelId, now: Time) -> f64 {
+        let adapters = manifest.adapters.iter().filter(|(_, spec)| spec.base == *model).map(|(id, _)| id);
+        std::iter::once(model).chain(adapters).map(|id| self.slots_of(manifest, id, now)).sum()
+    }
+
+    /// Returns the arrivals per second of a model, adapters included.
+    pub fn arrivals(&self, manifest: &Manifest, model: &ModelId, now: Time) -> f64 {
+        let adapters = manifest.adapters.iter().filter(|(_, spec)| spec.base == *model).map(|(id, _)| id);
+        std::iter::once(model).chain(adapters).map(|id| self.rates(id, now).arrivals).sum()
+    }
+
+    /// Returns when a model or adapter was last asked for, if that is not long ago.
+    pub fn last_used(&self, model: &ModelId, now: Time) -> Option<Time> {
+        self.models.get(model).map(|estimate| estimate.used).filter(|used| now - *used < IDLE_AFTER)
+    }
+
+    fn update(&mut self, now: Time, report: &DemandReport) {
+        let names: Vec<ModelId> =
+            self.entries.values().flat_map(|entry| entry.models.keys().cloned()).collect();
+        for model in names {
+            let measured = self.entries.values().filter_map(|entry| entry.models.get(&model));
+            let measured = measured.fold(Rates::default(), |sum, rates| Rates {
+                arrivals: sum.arrivals + rates.arrivals,
+                tokens: sum.tokens + rates.tokens,
+            });
+            let decayed = self.rates(&model, now);
+            let rates = Rates {
+                arrivals: measured.arrivals.max(decayed.arrivals),
+                tokens: measured.tokens.max(decayed.tokens),
+            };
+            let asked = report.models.get(&model).is_some_and(|demand| demand.arrivals > 0);
+            let used = self.models.get(&model).map_or(Time::ZERO, |estimate| estimate.used);
+            self.models.insert(model, Estimate { rates, at: now, used: if asked { now } else { used } });
+        }
+        self.models.retain(|_, estimate| now - estimate.at < HALF_LIFE * 10);
+    }
+
+    fn slots_of(&self, manifest: &Manifest, id: &ModelId, now: Time) -> f64 {
+        let Some(Artifact::Model(spec) | Artifact::Adapter(_, spec)) = manifest.find(id) else {
+            return 0.0;
+        };
+        let rates = self.rates(id, now);
+        let gap = spec.token_gap.duration().as_secs_f64();
+        rates.arrivals * spec.first_token.duration().as_secs_f64() + rates.tokens * gap
+    }
+
+    fn rates(&self, model: &ModelId, now: Time) -> Rates {
+        let Some(estimate) = self.models.get(model) else {
+            return Rates::default();
+        };
+        let age = (now - estimate.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let factor = 0.5_f64.powf(age);
+        Rates { arrivals: estimate.rates.arrivals * factor, tokens: estimate.rates.tokens * factor }
+    }
+}
+
+/// Returns the tokens that would have been generated had no request been refused.
+fn full_tokens(demand: &ModelDemand) -> f64 {
+    let answered = demand.arrivals.saturating_sub(demand.refusals).max(1);
+    demand.tokens.0 as f64 * f64::from(demand.arrivals.max(1)) / f64::from(answered)
+}
--- /dev/null
+++ b/crates/core/src/homes.rs
@@ -0,0 +1,27 @@
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Manifest;
+use crate::ModelId;
+use crate::ZoneId;
+
+/// Returns the zones that may hold a model, its home zone first.
+///
+/// The order is by rendezvous hash, so that a zone which is added or removed moves only the models that it wins or
+/// held. Models that are not declared have no zones.
+pub fn zone_order<'a>(manifest: &'a Manifest, model: &ModelId) -> Vec<&'a ZoneId> {
+    let Some(spec) = manifest.models.get(model) else {
+        return Vec::new();
+    };
+    let mut zones: Vec<&ZoneId> = manifest.zones_of(spec).iter().collect();
+    zones.sort_by_key(|zone| std::cmp::Reverse((weight(model, zone), (*zone).clone())));
+    zones
+}
+
+/// Returns the home zone of a model, which never drops its last copy.
+pub fn home_zone<'a>(manifest: &'a Manifest, model: &ModelId) -> Option<&'a ZoneId> {
+    zone_order(manifest, model).into_iter().next()
+}
+
+fn weight(model: &ModelId, zone: &ZoneId) -> u64 {
+    xxh3_64(format!("{model}\n{zone}").as_bytes())
+}
--- /dev/null
+++ b/crates/core/src/lease.rs
@@ -0,0 +1,238 @@
+use std::time::Duration;
+
+use carobwick_derive::data;
+
+use crate::Fence;
+use crate::InstanceId;
+use crate::Time;
+use crate::WriteId;
+
+/// Time to live of the lease at the key-value service.
+pub const LEASE_TTL: Duration = Duration::from_secs(5);
+
+/// Part of the lease that the holder does not use: clocks may drift apart by this much during one lease.
+pub const DRIFT_MARGIN: Duration = Duration::from_secs(1);
+
+const KEEP_ALIVE: Duration = Duration::from_millis(1_500);
+const RETRY: Duration = Duration::from_millis(250);
+
+/// Election of a zone's leader, as one planner takes part in it.
+///
+/// The planner asks [`Lease::step`] which call to make and reports its outcome with [`Lease::on`]; one call is in
+/// flight at a time. [`Lease::standing`] says from the clock alone what the planner may do.
+///
+/// # Examples
+///
+/// ```
+/// use carobwick_core::Lease;
+/// use carobwick_core::LeaseEvent;
+/// use carobwick_core::LeaseStep;
+/// use carobwick_core::Standing;
+/// use carobwick_core::Time;
+/// use carobwick_core::WriteId;
+///
+/// let mut lease = Lease::new("i1".parse().unwrap());
+/// assert_eq!(lease.step(Time::ZERO, WriteId(7)), LeaseStep::Read);
+/// lease.on(Time::ZERO, LeaseEvent::Read(None));
+/// assert_eq!(lease.step(Time::ZERO, WriteId(7)), LeaseStep::Grant);
+/// lease.on(Time::ZERO, LeaseEvent::Granted(1));
+/// assert!(matches!(lease.step(Time::ZERO, WriteId(7)), LeaseStep::Create { .. }));
+/// lease.on(Time::ZERO, LeaseEvent::Created(42));
+/// assert!(matches!(lease.standing(Time::ZERO), Standing::Leader(_)));
+/// ```
+#[derive(Debug, Clone)]
+pub struct Lease {
+    instance: InstanceId,
+    state: State,
+    sent: Option<Time>,
+    resigned: bool,
+    interval: Duration,
+}
+
+/// Value of the key that names a zone's leader.
+#[data]
+pub struct LeaderRecord {
+    /// The leader.
+    pub instance: InstanceId,
+    /// Identity of the write, by which its writer recognises it.
+    pub write_id: WriteId,
+}
+
+/// What a planner may do by its lease and the clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It does not lead.
+    Follower,
+    /// It leads, with this first fencing number.
+    Leader(Fence),
+    /// Its lease may have ended; it may still order engines that check fencing numbers.
+    Expired(Fence),
+}
+
+/// The next call to the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// None for now.
+    Wait,
+    /// Read the leader's key.
+    Read,
+    /// Create a lease of [`LEASE_TTL`].
+    Grant,
+    /// Create the leader's key, if absent, bound to the lease.
+    Create {
+        /// The lease.
+        lease: u64,
+        /// Identity of the write.
+        write_id: WriteId,
+    },
+    /// Renew the lease.
+    KeepAlive(u64),
+    /// End the lease.
+    Revoke(u64),
+}
+
+/// Outcome of a call.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LeaseEvent {
+    /// The leader's key with the revision of its write, or none.
+    Read(Option<(LeaderRecord, u64)>),
+    /// The lease was created.
+    Granted(u64),
+    /// The key was created at this revision.
+    Created(u64),
+    /// The key exists, as given.
+    Exists(Option<(LeaderRecord, u64)>),
+    /// The lease was renewed, or is gone.
+    Kept(bool),
+    /// The lease was ended.
+    Revoked,
+    /// The call failed or its outcome is unknown.
+    Failed,
+}
+
+#[derive(Debug, Clone)]
+enum State {
+    Follower { next: Time },
+    Granting,
+    Creating { lease: u64, granted: Time, write_id: WriteId, read_back: bool },
+    Holder { lease: u64, revision: u64, until: Time, next: Time },
+}
+
+impl Lease {
+    /// Starts as a follower that looks for the leader immediately.
+    pub fn new(instance: InstanceId) -> Self {
+        let state = State::Follower { next: Time::ZERO };
+        Self { instance, state, sent: None, resigned: false, interval: Duration::from_secs(1) }
+    }
+
+    /// Returns the value to write into the leader's key.
+    pub fn record(&self, write_id: WriteId) -> LeaderRecord {
+        LeaderRecord { instance: self.instance.clone(), write_id }
+    }
+
+    /// Sets how often a follower reads the leader's key.
+    pub fn set_interval(&mut self, interval: Duration) {
+        self.interval = interval;
+    }
+
+    /// Gives up the lease, or takes part in elections again.
+    pub fn set_resigned(&mut self, resigned: bool) {
+        self.resigned = resigned;
+    }
+
+    /// Stops leading at once; the lease ends by itself.
+    pub fn abandon(&mut self, now: Time) {
+        self.state = State::Follower { next: now + self.interval };
+    }
+
+    /// Returns what the planner may do now.
+    pub fn standing(&self, now: Time) -> Standing {
+        match self.state {
+            State::Holder { revision, until, .. } if now < until => Standing::Leader(Fence::first(revision)),
+            State::Holder { revision, .. } => Standing::Expired(Fence::first(revision)),
+            _ => Standing::Follower,
+        }
+    }
+
+    /// Returns the next call, which counts as sent at `now`; `write_id` identifies a write that starts now.
+    pub fn step(&mut self, now: Time, write_id: WriteId) -> LeaseStep {
+        if self.sent.is_some() {
+            return LeaseStep::Wait;
+        }
+        let step = self.next_call(now, write_id);
+        if step != LeaseStep::Wait {
+            self.sent = Some(now);
+        }
+        step
+    }
+
+    /// Takes the outcome of the call in flight.
+    pub fn on(&mut self, now: Time, event: LeaseEvent) {
+        let Some(sent) = self.sent.take() else {
+            return;
+        };
+        let later = State::Follower { next: now + self.interval };
+        self.state = match (self.state.clone(), event) {
+            (State::Follower { .. }, LeaseEvent::Read(None)) if !self.resigned => State::Granting,
+            (State::Granting, LeaseEvent::Granted(lease)) => {
+                State::Creating { lease, granted: sent, write_id: WriteId::default(), read_back: false }
+            }
+            (State::Creating { lease, granted, .. }, LeaseEvent::Created(revision)) => {
+                holder(lease, revision, granted)
+            }
+            (
+                State::Creating { lease, granted, write_id, .. },
+                LeaseEvent::Read(Some((record, revision))) | LeaseEvent::Exists(Some((record, revision))),
+            ) if record.write_id == write_id => holder(lease, revision, granted),
+            // The create may still take effect; a repeated one with the same write id then finds it.
+            (
+                State::Creating { lease, granted, write_id, .. },
+                LeaseEvent::Read(None) | LeaseEvent::Exists(None),
+            ) => State::Creating { lease, granted, write_id, read_back: false },
+            (State::Creating { lease, granted, write_id, .. }, LeaseEvent::Failed) => {
+                State::Creating { lease, granted, write_id, read_back: true }
+            }
+            (State::Holder { lease, revision, until, .. }, LeaseEvent::Kept(true)) => {
+                let State::Holder { until: renewed, next, .. } = holder(lease, revision, sent) else {
+                    unreachable!("holder builds a holder");
+                };
+                State::Holder { lease, revision, until: until.max(renewed), next }
+            }
+            (State::Holder { .. }, LeaseEvent::Kept(false)) => State::Follower { next: now },
+            (State::Holder { lease, revision, until, .. }, LeaseEvent::Failed) if !self.resigned => {
+                State::Holder { lease, revision, until, next: now + RETRY }
+            }
+            _ => later,
+        };
+    }
+
+    fn next_call(&mut self, now: Time, write_id: WriteId) -> LeaseStep {
+        match &mut self.state {
+            State::Follower { next } if now >= *next && !self.resigned => LeaseStep::Read,
+            State::Granting => LeaseStep::Grant,
+            State::Creating { granted, .. } if now - *granted >= usable() => {
+                // The lease may have ended, so a key created now would be gone or unusable.
+                self.state = State::Follower { next: now };
+                LeaseStep::Wait
+            }
+            State::Creating { read_back: true, .. } => LeaseStep::Read,
+            State::Creating { lease, write_id: own, .. } => {
+                if *own == WriteId::default() {
+                    *own = write_id;
+                }
+                LeaseStep::Create { lease: *lease, write_id: *own }
+            }
+            State::Holder { lease, .. } if self.resigned => LeaseStep::Revoke(*lease),
+            State::Holder { lease, next, .. } if now >= *next => LeaseStep::KeepAlive(*lease),
+            State::Follower { .. } | State::Holder { .. } => LeaseStep::Wait,
+        }
+    }
+}
+
+fn holder(lease: u64, revision: u64, sent: Time) -> State {
+    State::Holder { lease, revision, until: sent + usable(), next: sent + KEEP_ALIVE }
+}
+
+fn usable() -> Duration {
+    LEASE_TTL.saturating_sub(DRIFT_MARGIN)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,25 +6,47 @@
 //! # Tour
 //!
 //! Start with [`Manifest`], what operators declare, and [`ZoneView`], what an availability zone holds. The
-//! exchange between processes is [`SharedState`]. `docs/design.md` describes the rest of the system.
+//! exchange between processes is [`SharedState`]. A zone is led by a [`Controller`], which runs the election
+//! ([`Lease`]), charges memory ([`Ledger`]), writes the plan ahead ([`PlanStore`]) and places models ([`place`]).
+//! `docs/design.md` describes the rest of the system.
 
 #[macro_use]
 mod macros;
 
+mod adapters;
 mod config;
+mod controller;
+mod demand;
 mod drain;
 mod engine;
 mod error;
 mod event;
+mod homes;
 mod ids;
+mod lease;
+mod ledger;
 mod manifest;
+mod pacing;
+mod placement;
+mod plan;
 mod quarantine;
+mod room;
+mod settle;
 mod sync;
+mod term;
+mod term_decide;
+mod term_view;
 mod time;
 mod units;
 mod view;
 
 pub use config::ConfigRecord;
+pub use controller::Command;
+pub use controller::Controller;
+pub use controller::Fleet;
+pub use controller::ListedEndpoint;
+pub use controller::Tick;
+pub use demand::Demand;
 pub use drain::DrainMark;
 pub use drain::DrainSet;
 pub use drain::DrainTarget;
@@ -41,6 +63,8 @@
 pub use error::Result;
 pub use event::Event;
 pub use event::EventKind;
+pub use homes::home_zone;
+pub use homes::zone_order;
 pub use ids::AttemptId;
 pub use ids::CallerId;
 pub use ids::EndpointId;
@@ -56,6 +80,16 @@
 pub use ids::Version;
 pub use ids::WriteId;
 pub use ids::ZoneId;
+pub use lease::DRIFT_MARGIN;
+pub use lease::LEASE_TTL;
+pub use lease::LeaderRecord;
+pub use lease::Lease;
+pub use lease::LeaseEvent;
+pub use lease::LeaseStep;
+pub use lease::Standing;
+pub use ledger::Account;
+pub use ledger::Ledger;
+pub use ledger::ORDER_GRACE;
 pub use manifest::AdapterSpec;
 pub use manifest::Artifact;
 pub use manifest::Manifest;
@@ -65,6 +99,22 @@
 pub use manifest::ServiceKind;
 pub use manifest::ServiceSpec;
 pub use manifest::StoreLimits;
+pub use pacing::Pacing;
+pub use pacing::adapter_loads;
+pub use pacing::concurrent;
+pub use placement::Availability;
+pub use placement::EngineStanding;
+pub use placement::Move;
+pub use placement::Placement;
+pub use placement::Scene;
+pub use placement::place;
+pub use plan::EndpointPlan;
+pub use plan::PlanEvent;
+pub use plan::PlanProgress;
+pub use plan::PlanStep;
+pub use plan::PlanStore;
+pub use plan::PlannedOrder;
+pub use plan::ZonePlan;
 pub use quarantine::CrashReport;
 pub use quarantine::SuspectSet;
 pub use sync::Change;
--- /dev/null
+++ b/crates/core/src/room.rs
@@ -0,0 +1,203 @@
+use crate::Account;
+use crate::Action;
+use crate::Bytes;
+use crate::EndpointId;
+use crate::ModelId;
+use crate::ModelSpec;
+use crate::Resident;
+use crate::placement::Need;
+use crate::placement::Part;
+use crate::placement::Placer;
+
+impl<'a> Placer<'a> {
+    /// Starts to make room for a model and returns whether there is a way.
+    ///
+    /// Copies that are not needed are unloaded first. If that is not enough, a needed copy is loaded on another
+    /// engine, after which it is not needed where it is.
+    pub(crate) fn make_room(&mut self, need: Need, id: &'a ModelId, spec: &'a ModelSpec) -> bool {
+        let mut engines = self.engines_of(spec);
+        if engines
+            .any(|(_, account)| account.open_orders().any(|order| !matches!(order.action, Action::Noop)))
+        {
+            // What is under way may make the room; a second way must not be started at the same time.
+            return true;
+        }
+        if need == Need::Growth && self.gain(id, spec) <= 2.0 * self.scene.manifest.objective.moves {
+            return false;
+        }
+        if let Some((endpoint, victim)) = self.cheapest_eviction(need, id, spec) {
+            let action = Action::Unload { model: victim.model, version: victim.version };
+            self.push(endpoint, action, &format!("makes room for {id}"));
+            return true;
+        }
+        need < Need::Growth && self.relocate(id, spec)
+    }
+
+    /// Unloads what is not declared, superseded versions, and copies that the manifest does not allow here.
+    pub(crate) fn tidy(&mut self) {
+        let scene = self.scene;
+        for (endpoint, account) in scene.ledger.accounts() {
+            if self.busy.contains(endpoint) {
+                continue;
+            }
+            let found =
+                account.resident().iter().find(|resident| self.is_superfluous(endpoint, account, resident));
+            if let Some(resident) = found {
+                let resident = self.first_to_leave(account, resident);
+                let action =
+                    Action::Unload { model: resident.model.clone(), version: resident.version.clone() };
+                self.push(endpoint.clone(), action, "not declared here, or superseded");
+            }
+        }
+    }
+
+    fn is_superfluous(&mut self, endpoint: &EndpointId, account: &Account, resident: &Resident) -> bool {
+        if let Some(spec) = self.scene.manifest.adapters.get(&resident.model) {
+            let current = account.resident().iter();
+            let current = current.filter(|r| r.model == resident.model).any(|r| r.version == spec.version);
+            return spec.version != resident.version && current;
+        }
+        let Some(spec) = self.scene.manifest.models.get(&resident.model) else {
+            return true;
+        };
+        if self.part_of(&resident.model) == Part::Outside {
+            return self.is_droppable(Need::Reach, endpoint, resident);
+        }
+        // The new version must serve wherever the zone needs it before the old one goes.
+        spec.version != resident.version
+            && self.serving(&resident.model, Some(&spec.version)).next().is_some()
+    }
+
+    /// Returns an adapter of the resident model, which must leave before its base, or the model itself.
+    fn first_to_leave(&self, account: &Account, resident: &Resident) -> Resident {
+        let adapters = &self.scene.manifest.adapters;
+        let twin = |r: &&Resident| r.model == resident.model && r.version != resident.version;
+        if account.resident().iter().any(|r| twin(&r)) {
+            return resident.clone();
+        }
+        let on_base = |r: &&Resident| adapters.get(&r.model).is_some_and(|spec| spec.base == resident.model);
+        account.resident().iter().find(on_base).unwrap_or(resident).clone()
+    }
+
+    /// Returns the engine where the fewest unloads make room, and the first of them.
+    fn cheapest_eviction(
+        &mut self,
+        need: Need,
+        id: &ModelId,
+        spec: &'a ModelSpec,
+    ) -> Option<(EndpointId, Resident)> {
+        let mut best: Option<(usize, EndpointId, Resident)> = None;
+        for (endpoint, account) in self.engines_of(spec) {
+            if self.busy.contains(endpoint) || account.has(id, &spec.version) {
+                continue;
+            }
+            let victims = self.victims(need, endpoint, account, id);
+            let mut room = self.room_on(endpoint, id).unwrap_or_default();
+            let mut first = None;
+            for (count, victim) in victims.iter().enumerate() {
+                first = first.or(Some(victim));
+                room = room + victim.size;
+                if room >= spec.size {
+                    let better = best.as_ref().is_none_or(|(fewest, ..)| count + 1 < *fewest);
+                    if let (true, Some(first)) = (better, first) {
+                        let first = self.first_to_leave(account, first);
+                        best = Some((count + 1, endpoint.clone(), first));
+                    }
+                    break;
+                }
+            }
+        }
+        best.map(|(_, endpoint, victim)| (endpoint, victim))
+    }
+
+    /// Returns what can be unloaded from an engine, the least useful first.
+    fn victims(
+        &mut self,
+        need: Need,
+        endpoint: &EndpointId,
+        account: &Account,
+        id: &ModelId,
+    ) -> Vec<Resident> {
+        let mut victims: Vec<(u8, Resident)> = Vec::new();
+        for resident in account.resident() {
+            if resident.model == *id {
+                continue;
+            }
+            let manifest = self.scene.manifest;
+            let idle = self.scene.demand.last_used(&resident.model, self.scene.now).is_none();
+            let class = match manifest.models.get(&resident.model) {
+                _ if manifest.adapters.contains_key(&resident.model) => idle.then_some(3),
+                None => Some(0),
+                Some(spec) if !self.is_droppable(need, endpoint, resident) => {
+                    // A copy of a retiring model takes no work.
+                    spec.retiring.then_some(1)
+                }
+                Some(_) => Some(2),
+            };
+            victims.extend(class.map(|class| (class, resident.clone())));
+        }
+        victims.sort_by_key(|(class, resident)| (*class, std::cmp::Reverse(resident.size)));
+        victims.into_iter().map(|(_, resident)| resident).collect()
+    }
+
+    /// Returns whether a copy of a declared model can go: others serve, or the home zone's plan holds it.
+    fn is_droppable(&mut self, need: Need, endpoint: &EndpointId, resident: &Resident) -> bool {
+        let model = &resident.model;
+        let Some(spec) = self.scene.manifest.models.get(model) else {
+            return true;
+        };
+        let others = self.serving(model, None).filter(|other| *other != endpoint).count();
+        let kept = self.scene.kept.get(model).copied().unwrap_or(0);
+        let load = self.model_load(model, spec);
+        let wanted = match need {
+            // Reaching a model is worth more than another one's extra copies.
+            Need::Reach | Need::Version => 1,
+            Need::Growth | Need::Backup => kept.max(load.ceil() as usize).max(1),
+        };
+        if others >= wanted {
+            return true;
+        }
+        let home = crate::homes::home_zone(self.scene.manifest, model);
+        let Some(home) = home.filter(|home| *home != self.scene.zone) else {
+            return false;
+        };
+        // For growth, the last copy of a zone is not given up either: it has demand of its own.
+        if need == Need::Growth && load > 0.0 {
+            return false;
+        }
+        if let Some(held) = self.scene.held.get(home) {
+            return held.contains(model);
+        }
+        self.decision.questions.insert(home.clone());
+        false
+    }
+
+    /// Loads a needed copy elsewhere so that its place can be given to a model that fits only there.
+    fn relocate(&mut self, id: &ModelId, spec: &'a ModelSpec) -> bool {
+        let mut best: Option<(Bytes, &ModelId, EndpointId)> = None;
+        for (endpoint, account) in self.engines_of(spec) {
+            let room = self.room_on(endpoint, id).unwrap_or_default();
+            for resident in account.resident() {
+                let Some((name, other)) = self.scene.manifest.models.get_key_value(&resident.model) else {
+                    continue;
+                };
+                let enough = room + resident.size >= spec.size && resident.version == other.version;
+                let smaller = best.as_ref().is_none_or(|(size, ..)| resident.size < *size);
+                if name == id || !enough || !smaller {
+                    continue;
+                }
+                if let Some(target) = self.destination(name, other) {
+                    best = Some((resident.size, name, target));
+                }
+            }
+        }
+        let Some((_, name, target)) = best else {
+            return false;
+        };
+        let spec = &self.scene.manifest.models[name];
+        let action =
+            Action::Load { model: name.clone(), version: spec.version.clone(), size: spec.size, base: None };
+        self.push(target, action, &format!("moves, to make room for {id}"));
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/settle.rs
@@ -0,0 +1,21 @@
+use crate::EngineState;
+use crate::Order;
+use crate::OrderOutcome;
+use crate::ledger::ORDER_GRACE;
+
+/// Returns whether an order can't take effect any more, whatever the engine does.
+///
+/// It is not sent after its expiry, is at most 3 s under way, and clocks differ by at most 1 s.
+pub(crate) fn is_gone(order: &Order, wall_ms: u64) -> bool {
+    wall_ms > order.expires_ms + ORDER_GRACE.as_millis() as u64
+}
+
+/// Returns whether the state of an engine that checks fencing numbers shows the effect of an order, or that the
+/// order comes too late for it.
+pub(crate) fn is_overtaken(order: &Order, state: &EngineState) -> bool {
+    // An unload that waits for requests in flight has not freed its memory yet.
+    let started = |outcome| outcome == OrderOutcome::Started;
+    let unloading = matches!(order.action, crate::Action::Unload { .. })
+        && state.results.iter().any(|result| result.id == order.id && started(result.outcome));
+    state.fence >= order.fence && !unloading
+}
--- /dev/null
+++ b/crates/core/src/term.rs
@@ -0,0 +1,297 @@
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::Command;
+use crate::Controller;
+use crate::EndpointId;
+use crate::EngineState;
+use crate::Fence;
+use crate::Ledger;
+use crate::ListedEndpoint;
+use crate::LoadReport;
+use crate::Manifest;
+use crate::ModelId;
+use crate::Order;
+use crate::OrderId;
+use crate::OrderOutcome;
+use crate::Pacing;
+use crate::Placement;
+use crate::PlanStep;
+use crate::PlanStore;
+use crate::Tick;
+use crate::Time;
+use crate::Version;
+use crate::ZoneId;
+use crate::ZonePlan;
+use crate::ZoneView;
+
+/// Time after which an order is repeated if there was no reply.
+const RESEND: Duration = Duration::from_secs(1);
+
+/// Pause of an engine that could not carry out an order.
+const BACKOFF: Duration = Duration::from_secs(5);
+
+/// Pause after a failed call to the key-value service.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// Time without a step after which the process must have been paused, so that silence proves nothing.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// What a leader knows and has under way since it took over or last read the plan.
+#[derive(Debug)]
+pub(crate) struct Term {
+    /// Tells replies to this term's calls from those to an earlier one.
+    pub tag: u64,
+    pub first: Fence,
+    pub last: Fence,
+    pub store: PlanStore,
+    pub since: Time,
+    pub ledger: Ledger,
+    pub services: IndexMap<EndpointId, ListedEndpoint>,
+    pub health: IndexMap<EndpointId, Health>,
+    pub kept: IndexMap<ModelId, usize>,
+    pub pacing: Option<Pacing>,
+    pub peers: IndexMap<ZoneId, PeerPlan>,
+    pub asking: IndexMap<ZoneId, Time>,
+    pub decision: Placement,
+    pub shown: Option<ZoneView>,
+    pub residency_at: Time,
+    restored: bool,
+    stepped: Time,
+    retry_at: Time,
+    sendable: IndexSet<OrderId>,
+    sent: IndexMap<OrderId, Sent>,
+    raised: IndexMap<EndpointId, Time>,
+}
+
+/// How an engine answers.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Health {
+    pub answered: Option<Time>,
+    pub pause: Time,
+    pub load: LoadReport,
+}
+
+/// What another zone's plan held when it was read.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerPlan {
+    pub asked: Time,
+    pub version: Version,
+    pub held: IndexSet<ModelId>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    at: Time,
+    replied: bool,
+}
+
+impl Term {
+    pub(crate) fn new(tick: &Tick, first: Fence, last: Fence) -> Self {
+        Self {
+            tag: tick.seed,
+            first,
+            last,
+            store: PlanStore::default(),
+            since: tick.now,
+            ledger: Ledger::default(),
+            services: IndexMap::new(),
+            health: IndexMap::new(),
+            kept: IndexMap::new(),
+            pacing: None,
+            peers: IndexMap::new(),
+            asking: IndexMap::new(),
+            decision: Placement::default(),
+            shown: None,
+            residency_at: Time::ZERO,
+            restored: false,
+            stepped: tick.now,
+            retry_at: Time::ZERO,
+            sendable: IndexSet::new(),
+            sent: IndexMap::new(),
+            raised: IndexMap::new(),
+        }
+    }
+
+    /// Makes the next calls, sends the orders that are due and, if it leads within its lease, decides.
+    pub(crate) fn step(
+        &mut self,
+        controller: &Controller,
+        tick: &Tick,
+        leads: bool,
+        commands: &mut Vec<Command>,
+    ) {
+        if tick.now - self.stepped > PAUSE {
+            self.since = tick.now;
+            for health in self.health.values_mut() {
+                health.answered = None;
+            }
+        }
+        self.stepped = tick.now;
+        self.call_store(tick, commands);
+        let Some(config) = controller.config.as_deref() else {
+            return;
+        };
+        if !self.store.is_loaded() {
+            return;
+        }
+        if !self.restored {
+            self.restore(&config.manifest);
+        }
+        self.update_accounts(controller, &config.manifest, tick);
+        self.send_orders(tick, leads, commands);
+        if leads && self.store.is_idle() {
+            self.plan(controller, config, tick, commands);
+            self.call_store(tick, commands);
+        }
+    }
+
+    /// The proposed plan is written, so its orders may be sent.
+    pub(crate) fn written(&mut self) {
+        let plan = self.store.written();
+        let orders = plan.into_iter().flat_map(|plan| &plan.endpoints).flat_map(|endpoint| &endpoint.orders);
+        self.sendable = orders.map(|planned| planned.order.id).collect();
+        self.sent.retain(|id, _| self.sendable.contains(id));
+    }
+
+    pub(crate) fn failed(&mut self, now: Time) {
+        self.retry_at = now + RETRY;
+    }
+
+    pub(crate) fn on_zone(&mut self, zone: &ZoneId, asked: Time, plan: Option<&ZonePlan>) {
+        match plan {
+            None => self.peers.shift_remove(zone),
+            Some(plan) => {
+                let held = plan.held.iter().cloned().collect();
+                self.peers.insert(zone.clone(), PeerPlan { asked, version: plan.manifest_version, held })
+            }
+        };
+    }
+
+    pub(crate) fn on_state(
+        &mut self,
+        tick: &Tick,
+        endpoint: &EndpointId,
+        asked: (Time, u64),
+        state: Option<&EngineState>,
+    ) {
+        let (Some(account), Some(state)) = (self.ledger.get_mut(endpoint), state) else {
+            return;
+        };
+        account.observe(state, asked.0, asked.1);
+        let health = self.health.entry(endpoint.clone()).or_default();
+        health.answered = Some(tick.now);
+        health.load = LoadReport { running: state.running, queued: state.queued, ..LoadReport::default() };
+    }
+
+    pub(crate) fn on_order(
+        &mut self,
+        tick: &Tick,
+        endpoint: &EndpointId,
+        id: OrderId,
+        reply: Option<OrderOutcome>,
+    ) {
+        let Some(outcome) = reply else {
+            return;
+        };
+        if let Some(sent) = self.sent.get_mut(&id) {
+            sent.replied = true;
+        }
+        if outcome == OrderOutcome::Failed {
+            self.health.entry(endpoint.clone()).or_default().pause = tick.now + BACKOFF;
+        }
+    }
+
+    pub(crate) fn next_fence(&mut self) -> Fence {
+        self.last = self.last.next();
+        self.last
+    }
+
+    fn call_store(&mut self, tick: &Tick, commands: &mut Vec<Command>) {
+        if tick.now < self.retry_at {
+            return;
+        }
+        match self.store.step() {
+            PlanStep::Wait => {}
+            step => commands.push(Command::Plan(self.tag, step)),
+        }
+    }
+
+    fn restore(&mut self, manifest: &Manifest) {
+        self.restored = true;
+        let Some(plan) = self.store.written().cloned() else {
+            return;
+        };
+        for endpoint in &plan.endpoints {
+            let service = manifest.services.get(&endpoint.service);
+            let (memory, checks) =
+                service.map_or_else(Default::default, |spec| (spec.memory, spec.checks_fence));
+            self.ledger.open(&endpoint.id, memory, checks).restore(endpoint);
+            let listed = ListedEndpoint {
+                service: endpoint.service.clone(),
+                addr: endpoint.addr.clone(),
+                leaving: false,
+            };
+            self.services.insert(endpoint.id.clone(), listed);
+            for resident in &endpoint.resident {
+                *self.kept.entry(resident.model.clone()).or_default() += 1;
+            }
+        }
+    }
+
+    fn send_orders(&mut self, tick: &Tick, leads: bool, commands: &mut Vec<Command>) {
+        let mut unsent: Vec<(EndpointId, Order)> = Vec::new();
+        let mut raise: Vec<EndpointId> = Vec::new();
+        for (endpoint, account) in self.ledger.accounts() {
+            let Some(listed) = self.services.get(endpoint) else {
+                continue;
+            };
+            for order in account.open_orders() {
+                let sent = self.sent.get(&order.id).copied();
+                let own = order.fence > self.first && order.fence.revision() == self.first.revision();
+                let live = tick.wall_ms < order.expires_ms;
+                if own && live && self.sendable.contains(&order.id) {
+                    let again =
+                        sent.is_some_and(|s| account.checks() && !s.replied && tick.now - s.at >= RESEND);
+                    if (sent.is_none() || again) && (leads || account.checks()) {
+                        self.sent.insert(order.id, Sent { at: tick.now, replied: false });
+                        commands.push(send(endpoint, listed, order.clone()));
+                    }
+                } else if own && !live && sent.is_none() {
+                    unsent.push((endpoint.clone(), order.clone()));
+                } else if account.checks() && !(own && live) {
+                    raise.push(endpoint.clone());
+                }
+            }
+        }
+        for (endpoint, order) in unsent {
+            // Only this leader could have sent it, so it never takes effect.
+            if let Some(account) = self.ledger.get_mut(&endpoint) {
+                account.withdraw(&order);
+            }
+        }
+        raise.dedup();
+        for endpoint in raise {
+            self.raise_fence(tick, &endpoint, commands);
+        }
+    }
+
+    /// Raises the fencing number that an engine has seen, after which its state settles all earlier orders.
+    fn raise_fence(&mut self, tick: &Tick, endpoint: &EndpointId, commands: &mut Vec<Command>) {
+        if self.raised.get(endpoint).is_some_and(|at| tick.now - *at < RESEND) {
+            return;
+        }
+        let Some(listed) = self.services.get(endpoint).cloned() else {
+            return;
+        };
+        self.raised.insert(endpoint.clone(), tick.now);
+        let order = self.new_order(tick, crate::Action::Noop);
+        commands.push(send(endpoint, &listed, order));
+    }
+}
+
+fn send(endpoint: &EndpointId, listed: &ListedEndpoint, order: Order) -> Command {
+    Command::Send { endpoint: endpoint.clone(), addr: listed.addr.clone(), order }
+}
--- /dev/null
+++ b/crates/core/src/term_decide.rs
@@ -0,0 +1,326 @@
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Account;
+use crate::Action;
+use crate::Availability;
+use crate::Command;
+use crate::ConfigRecord;
+use crate::Controller;
+use crate::DrainTarget;
+use crate::EndpointId;
+use crate::EndpointPlan;
+use crate::EngineStanding;
+use crate::Fence;
+use crate::Manifest;
+use crate::ModelId;
+use crate::Order;
+use crate::OrderId;
+use crate::Pacing;
+use crate::Scene;
+use crate::ServiceKind;
+use crate::Tick;
+use crate::Time;
+use crate::Version;
+use crate::WriteId;
+use crate::ZoneId;
+use crate::ZonePlan;
+use crate::place;
+use crate::term::Term;
+
+/// Time in which an order must reach an engine that checks its fencing number.
+const ORDER_TTL_MS: u64 = 5_000;
+
+/// The same for engines that ignore the number, whose next order waits for this one's expiry.
+const SHORT_TTL_MS: u64 = 3_000;
+
+/// Time without an answer after which an engine's copies are replaced.
+pub(crate) const DOWN_AFTER: Duration = Duration::from_secs(10);
+
+/// Time without an answer after which an engine gets no orders and its copies don't allow others to be dropped.
+pub(crate) const STALE_AFTER: Duration = Duration::from_secs(3);
+
+/// Time for which demand is unknown after a leader change.
+const UNKNOWN_DEMAND: Duration = Duration::from_mins(5);
+
+/// Time between writes of the plan that only note what is resident.
+const RESIDENCY_WRITES: Duration = Duration::from_secs(1);
+
+impl Term {
+    pub(crate) fn polled(&self, controller: &Controller) -> Vec<(EndpointId, String)> {
+        let Some(config) = &controller.config else {
+            return Vec::new();
+        };
+        let engines = self.services.iter().filter(|(_, listed)| is_engine(&config.manifest, listed));
+        engines.map(|(id, listed)| (id.clone(), listed.addr.clone())).collect()
+    }
+
+    /// Follows the instance list and the manifest; an endpoint that is not listed any more goes once it is silent.
+    pub(crate) fn update_accounts(&mut self, controller: &Controller, manifest: &Manifest, tick: &Tick) {
+        for (id, listed) in &controller.fleet.endpoints {
+            self.services.insert(id.clone(), listed.clone());
+        }
+        let gone = |id: &EndpointId| !controller.fleet.endpoints.contains_key(id);
+        let silent = |id: &EndpointId| {
+            self.ledger.get(id).is_none_or(|account| {
+                self.availability(controller, id, tick.now) == Availability::Down
+                    && account.is_unreachable(tick.wall_ms)
+            })
+        };
+        let leaving: Vec<EndpointId> =
+            self.services.keys().filter(|id| gone(id) && silent(id)).cloned().collect();
+        for id in leaving {
+            self.services.shift_remove(&id);
+            self.health.shift_remove(&id);
+            self.ledger.close(&id);
+        }
+        for (id, listed) in &self.services {
+            if is_engine(manifest, listed) {
+                let spec = &manifest.services[&listed.service];
+                self.ledger
+                    .open(id, spec.memory, spec.checks_fence)
+                    .set_limits(spec.memory, spec.checks_fence);
+            }
+        }
+    }
+
+    /// Decides what to do and proposes a plan if it differs from the one that is written.
+    pub(crate) fn plan(
+        &mut self,
+        controller: &Controller,
+        config: &ConfigRecord,
+        tick: &Tick,
+        commands: &mut Vec<Command>,
+    ) {
+        let written = self.store.written().map(|plan| (plan.manifest_version, plan.fence));
+        let claimed = written.is_some_and(|(_, fence)| fence == self.first);
+        let older = written.is_some_and(|(version, _)| version > config.version);
+        if claimed && !older {
+            // Other zones rely on what the plan says under its manifest, so an older manifest must not change it.
+            self.decide(controller, &config.manifest, config.version, tick, commands);
+        }
+        let version = written.map_or(config.version, |(version, _)| version.max(config.version));
+        let plan = self.build_plan(controller, config, version, tick);
+        if self.is_material(&plan, tick.now) {
+            self.residency_at = tick.now;
+            self.store.propose(plan);
+        }
+    }
+
+    pub(crate) fn new_order(&mut self, tick: &Tick, action: Action) -> Order {
+        let fence = self.next_fence();
+        let expires_ms = tick.wall_ms + ORDER_TTL_MS;
+        Order { id: OrderId(mix(tick.seed, fence.0)), fence, expires_ms, action }
+    }
+
+    pub(crate) fn availability(&self, controller: &Controller, id: &EndpointId, now: Time) -> Availability {
+        let answered = self.health.get(id).and_then(|health| health.answered);
+        let leaving = self.services.get(id).is_some_and(|listed| listed.leaving);
+        if leaving || controller.drains.is_drained(&DrainTarget::Endpoint(id.clone())) {
+            return Availability::Drained;
+        }
+        match answered {
+            Some(at) if now - at < DOWN_AFTER => Availability::Ready,
+            None if now - self.since < DOWN_AFTER => Availability::Unconfirmed,
+            _ => Availability::Down,
+        }
+    }
+
+    pub(crate) fn is_fresh(&self, id: &EndpointId, now: Time) -> bool {
+        let answered = self.health.get(id).and_then(|health| health.answered);
+        answered.is_some_and(|at| now - at < STALE_AFTER)
+    }
+
+    fn decide(
+        &mut self,
+        controller: &Controller,
+        manifest: &Manifest,
+        version: Version,
+        tick: &Tick,
+        commands: &mut Vec<Command>,
+    ) {
+        if tick.now - self.since >= UNKNOWN_DEMAND {
+            self.kept.clear();
+        }
+        let engines = self.standings(controller, manifest, tick.now);
+        let held = self.held_elsewhere(version, tick.now);
+        let (models, adapters) = self.loads_in_flight(manifest);
+        let pacing = self.pacing.get_or_insert_with(|| Pacing::new(manifest, tick.now));
+        let model_loads =
+            u32::from(pacing.allows(manifest, &controller.zone, tick.now, tick.wall_ms, models));
+        let scene = Scene {
+            zone: &controller.zone,
+            manifest,
+            ledger: &self.ledger,
+            engines: &engines,
+            demand: &controller.demand,
+            held: &held,
+            kept: &self.kept,
+            model_loads,
+            adapter_loads: crate::adapter_loads(manifest).saturating_sub(adapters),
+            now: tick.now,
+        };
+        let decision = place(&scene);
+        for step in &decision.moves {
+            commands.push(Command::Note(format!(
+                "{}: {}: {}",
+                step.endpoint,
+                describe(&step.action),
+                step.reason
+            )));
+            self.order(manifest, tick, &step.endpoint, step.action.clone());
+        }
+        for zone in &decision.questions {
+            let due = self.asking.get(zone).is_none_or(|at| tick.now - *at >= Duration::from_secs(1));
+            if due {
+                self.asking.insert(zone.clone(), tick.now);
+                commands.push(Command::ReadZone(zone.clone()));
+            }
+        }
+        self.decision = decision;
+    }
+
+    fn order(&mut self, manifest: &Manifest, tick: &Tick, endpoint: &EndpointId, action: Action) {
+        if let (Action::Load { base: None, .. }, Some(pacing)) = (&action, &mut self.pacing) {
+            pacing.count(manifest, tick.now);
+        }
+        let mut order = self.new_order(tick, action);
+        if let Some(account) = self.ledger.get_mut(endpoint) {
+            if !account.checks() {
+                order.expires_ms = tick.wall_ms + SHORT_TTL_MS;
+            }
+            account.grant(order);
+        }
+    }
+
+    fn standings(
+        &self,
+        controller: &Controller,
+        manifest: &Manifest,
+        now: Time,
+    ) -> IndexMap<EndpointId, EngineStanding> {
+        let engines = self.services.iter().filter(|(_, listed)| is_engine(manifest, listed));
+        let standing = |(id, listed): (&EndpointId, &crate::ListedEndpoint)| {
+            let availability = self.availability(controller, id, now);
+            let fresh = self.is_fresh(id, now);
+            let paused = self.health.get(id).is_some_and(|health| now < health.pause);
+            let takes_orders = availability == Availability::Ready && fresh && !paused;
+            let service = listed.service.clone();
+            (id.clone(), EngineStanding { service, availability, fresh, takes_orders })
+        };
+        engines.map(standing).collect()
+    }
+
+    /// Returns what other zones hold by plans that were read just now and follow the same manifest.
+    ///
+    /// Under the same manifest both zones agree on the home zone, which then never drops its last copy. It can do so
+    /// only after it follows a newer manifest, by which it in turn needs a plan of the new home zone.
+    fn held_elsewhere(&self, version: Version, now: Time) -> IndexMap<ZoneId, IndexSet<ModelId>> {
+        let valid = |peer: &crate::term::PeerPlan| peer.version == version && now - peer.asked < STALE_AFTER;
+        let peers = self.peers.iter().filter(|(_, peer)| valid(peer));
+        peers.map(|(zone, peer)| (zone.clone(), peer.held.clone())).collect()
+    }
+
+    fn loads_in_flight(&self, manifest: &Manifest) -> (u32, u32) {
+        let loading = self.ledger.accounts().flat_map(|(_, account)| account.loads_in_flight());
+        let (adapters, models): (Vec<&ModelId>, Vec<&ModelId>) =
+            loading.partition(|model| manifest.adapters.contains_key(*model));
+        (models.len() as u32, adapters.len() as u32)
+    }
+
+    fn build_plan(
+        &self,
+        controller: &Controller,
+        config: &ConfigRecord,
+        manifest_version: Version,
+        tick: &Tick,
+    ) -> ZonePlan {
+        let version = self.store.written().map_or(Version(0), |plan| plan.version).next();
+        let endpoints = self.ledger.accounts().filter_map(|(id, account)| {
+            let listed = self.services.get(id)?;
+            Some(EndpointPlan {
+                id: id.clone(),
+                service: listed.service.clone(),
+                addr: listed.addr.clone(),
+                incarnation: account.incarnation().unwrap_or_default(),
+                resident: account.held().cloned().collect(),
+                orders: account.orders().to_vec(),
+            })
+        });
+        ZonePlan {
+            fence: self.first,
+            version,
+            write_id: WriteId(mix(tick.seed, version.0)),
+            manifest_version,
+            held: self.confirmed(controller, &config.manifest, tick.now),
+            endpoints: endpoints.collect(),
+        }
+    }
+
+    /// Returns the models of which a copy serves requests and stays.
+    fn confirmed(&self, controller: &Controller, manifest: &Manifest, now: Time) -> Vec<ModelId> {
+        let mut held = IndexSet::new();
+        for (id, account) in self.ledger.accounts() {
+            let ready = self.availability(controller, id, now) == Availability::Ready;
+            if !ready || !self.is_fresh(id, now) {
+                continue;
+            }
+            let stays = account.resident().iter().filter(|r| !account.unloads(&r.model, &r.version));
+            held.extend(stays.map(|r| r.model.clone()).filter(|model| manifest.models.contains_key(model)));
+        }
+        held.sort();
+        held.into_iter().collect()
+    }
+
+    fn is_material(&self, plan: &ZonePlan, now: Time) -> bool {
+        let Some(written) = self.store.written() else {
+            return true;
+        };
+        let head = |plan: &ZonePlan| -> (Fence, Version, Vec<ModelId>) {
+            (plan.fence, plan.manifest_version, plan.held.clone())
+        };
+        if head(written) != head(plan) || open_ids(written) < open_ids(plan) {
+            return true;
+        }
+        let new = open_ids(plan).difference(&open_ids(written)).next().is_some();
+        let residency = |plan: &ZonePlan| -> Vec<_> {
+            plan.endpoints.iter().map(|e| (e.id.clone(), e.incarnation, e.resident.clone())).collect()
+        };
+        new || (now - self.residency_at >= RESIDENCY_WRITES && residency(written) != residency(plan))
+    }
+}
+
+impl Account {
+    /// Returns whether no order can reach the engine any more.
+    fn is_unreachable(&self, wall_ms: u64) -> bool {
+        self.orders().iter().all(|planned| crate::settle::is_gone(&planned.order, wall_ms))
+    }
+}
+
+fn open_ids(plan: &ZonePlan) -> std::collections::BTreeSet<OrderId> {
+    let orders = plan.endpoints.iter().flat_map(|endpoint| &endpoint.orders);
+    orders.map(|planned| planned.order.id).collect()
+}
+
+fn is_engine(manifest: &Manifest, listed: &crate::ListedEndpoint) -> bool {
+    manifest.services.get(&listed.service).is_some_and(|spec| spec.kind == ServiceKind::Engine)
+}
+
+fn describe(action: &Action) -> String {
+    match action {
+        Action::Load { model, version, .. } => format!("load {model} version {version}"),
+        Action::Unload { model, version } => format!("unload {model} version {version}"),
+        Action::Role { role } => format!("role {role:?}"),
+        Action::Noop => "raise the fencing number".to_owned(),
+    }
+}
+
+fn mix(seed: u64, count: u64) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    bytes[8..].copy_from_slice(&count.to_le_bytes());
+    xxh3_64(&bytes)
+}
--- /dev/null
+++ b/crates/core/src/term_view.rs
@@ -0,0 +1,88 @@
+use indexmap::IndexMap;
+
+use crate::Availability;
+use crate::Controller;
+use crate::EndpointId;
+use crate::EndpointState;
+use crate::EndpointView;
+use crate::LoadReport;
+use crate::ServiceKind;
+use crate::Time;
+use crate::Version;
+use crate::ZoneView;
+use crate::term::Term;
+use crate::term_decide::STALE_AFTER;
+
+impl Term {
+    /// Returns the view of the zone, with a new version if anything but load has changed.
+    ///
+    /// Entries keep the view of the previous leader until this one has heard from its engines.
+    pub(crate) fn view(&mut self, controller: &Controller, now: Time) -> Option<ZoneView> {
+        let unheard = |id: &EndpointId| self.availability(controller, id, now) == Availability::Unconfirmed;
+        let engines = self.ledger.accounts().any(|(id, _)| unheard(id));
+        if !self.store.is_loaded() || self.services.is_empty() || (engines && now - self.since < STALE_AFTER)
+        {
+            return None;
+        }
+        let version = self.shown.as_ref().map_or(Version(0), |shown| shown.version);
+        let mut view = ZoneView {
+            zone: controller.zone.clone(),
+            fence: self.first,
+            version,
+            leader: controller.instance.clone(),
+            instances: controller.fleet.instances.clone(),
+            endpoints: self.endpoint_views(controller, now),
+            blocked: self.decision.blocked.clone(),
+            reasons: self.decision.reasons.clone(),
+        };
+        let same = self.shown.as_ref().is_some_and(|shown| without_load(shown) == without_load(&view));
+        if same {
+            return self.shown.clone();
+        }
+        view.version = version.next();
+        self.shown = Some(view.clone());
+        Some(view)
+    }
+
+    fn endpoint_views(&self, controller: &Controller, now: Time) -> IndexMap<EndpointId, EndpointView> {
+        let views = self.services.iter().map(|(id, listed)| {
+            let account = self.ledger.get(id);
+            let resident = account.into_iter().flat_map(|account| {
+                let stays = |r: &&crate::Resident| !account.unloads(&r.model, &r.version);
+                account.resident().iter().filter(stays).cloned()
+            });
+            let view = EndpointView {
+                service: listed.service.clone(),
+                addr: listed.addr.clone(),
+                incarnation: account.and_then(crate::Account::incarnation).unwrap_or_default(),
+                state: self.state_of(controller, id, now),
+                resident: resident.collect(),
+                load: self.health.get(id).map(|health| health.load).unwrap_or_default(),
+            };
+            (id.clone(), view)
+        });
+        views.collect()
+    }
+
+    fn state_of(&self, controller: &Controller, id: &EndpointId, now: Time) -> EndpointState {
+        let plain = controller.config.as_deref().is_some_and(|config| {
+            let service = self.services.get(id).and_then(|l| config.manifest.services.get(&l.service));
+            service.is_some_and(|spec| spec.kind == ServiceKind::Plain)
+        });
+        match self.availability(controller, id, now) {
+            Availability::Drained => EndpointState::Leaving,
+            // Plain services have no state to poll; entries notice failures themselves.
+            _ if plain => EndpointState::Live,
+            Availability::Ready if self.is_fresh(id, now) => EndpointState::Live,
+            Availability::Ready | Availability::Unconfirmed | Availability::Down => EndpointState::Down,
+        }
+    }
+}
+
+fn without_load(view: &ZoneView) -> ZoneView {
+    let mut view = view.clone();
+    for endpoint in view.endpoints.values_mut() {
+        endpoint.load = LoadReport::default();
+    }
+    view
+}
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -30,6 +30,10 @@
     pub instances: IndexMap<InstanceId, InstanceView>,
     /// Endpoints of the zone.
     pub endpoints: IndexMap<EndpointId, EndpointView>,
+    /// What holds a change back, by model.
+    pub blocked: IndexMap<ModelId, String>,
+    /// Why each model is resident in the zone.
+    pub reasons: IndexMap<ModelId, String>,
 }
 
 /// An instance and the addresses of its processes.
--- /dev/null
+++ b/crates/planner/src/leader.rs
@@ -0,0 +1,305 @@
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use carobwick_core::Command;
+use carobwick_core::Controller;
+use carobwick_core::DemandReport;
+use carobwick_core::EndpointId;
+use carobwick_core::EngineState;
+use carobwick_core::EventKind;
+use carobwick_core::Fleet;
+use carobwick_core::InstanceId;
+use carobwick_core::LeaseEvent;
+use carobwick_core::LeaseStep;
+use carobwick_core::OrderId;
+use carobwick_core::OrderOutcome;
+use carobwick_core::PlanEvent;
+use carobwick_core::Standing;
+use carobwick_core::Tick;
+use carobwick_core::Time;
+use carobwick_core::ZoneId;
+use carobwick_core::ZonePlan;
+use carobwick_runtime::Engine;
+use carobwick_runtime::InstanceList;
+use carobwick_runtime::KeyValue;
+use carobwick_runtime::Node;
+use carobwick_runtime::Timeline;
+use carobwick_runtime::now;
+use carobwick_runtime::wall_ms;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::MissedTickBehavior;
+use tokio_util::sync::CancellationToken;
+
+use crate::leader_calls::Calls;
+
+/// Time between steps; deadlines of the lease and of orders are much longer.
+const STEP: Duration = Duration::from_millis(100);
+
+/// Time between polls of an engine's state.
+const POLL: Duration = Duration::from_secs(1);
+
+/// Time between reads of the instance list.
+const LIST: Duration = Duration::from_secs(2);
+
+/// Time that a stopping leader takes at most to give up its lease.
+const RESIGN: Duration = Duration::from_secs(2);
+
+/// Candidates that look for a missing leader often; the others look seldom, which spares the key-value service.
+const CANDIDATES: usize = 3;
+
+/// A running planner's part in leading its zone.
+#[derive(Debug)]
+pub struct Leader {
+    task: JoinHandle<()>,
+    stop: CancellationToken,
+}
+
+/// What a [`Leader`] works with.
+#[derive(Debug)]
+pub struct LeaderSetup {
+    /// Instance of the planner.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Client of the key-value service.
+    pub key_value: KeyValue,
+    /// Client of the instance list.
+    pub instances: InstanceList,
+    /// Client of the engines.
+    pub engine: Engine,
+    /// State shared with the peers; the zone's view is published there.
+    pub node: Node,
+    /// Timeline of the process.
+    pub timeline: Timeline,
+    /// Ends the leader, which gives up its lease first.
+    pub stop: CancellationToken,
+    /// Demand that entries of the zone report.
+    pub demand: mpsc::Receiver<DemandReport>,
+}
+
+/// Outcome of a call.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    Lease(LeaseEvent),
+    Plan(u64, PlanEvent),
+    Zone { zone: ZoneId, asked: Time, plan: Option<ZonePlan>, led: bool },
+    Fleet(Option<Fleet>),
+    State { endpoint: EndpointId, asked: (Time, u64), state: Option<Box<EngineState>> },
+    Order { endpoint: EndpointId, id: OrderId, outcome: Option<OrderOutcome> },
+}
+
+struct Loop {
+    controller: Controller,
+    calls: Calls,
+    node: Node,
+    timeline: Timeline,
+    standing: Standing,
+    listing: bool,
+    listed: Option<Time>,
+    polling: HashSet<EndpointId>,
+    polled: HashMap<EndpointId, Time>,
+}
+
+impl Leader {
+    /// Starts to take part in leading the zone.
+    pub fn spawn(setup: LeaderSetup) -> Self {
+        let stop = setup.stop.clone();
+        Self { task: tokio::spawn(run(setup)), stop }
+    }
+
+    /// Stops and waits until the lease was given up, for a short time at most.
+    pub async fn stop(self) {
+        self.stop.cancel();
+        if let Err(err) = self.task.await {
+            tracing::warn!("planner: leader task failed: {err}");
+        }
+    }
+
+    /// Waits until the task ends, which it does after its stop token was cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the task panicked, as it does when an invariant is violated.
+    pub async fn ended(self) -> anyhow::Result<()> {
+        Ok(self.task.await?)
+    }
+}
+
+async fn run(setup: LeaderSetup) {
+    let LeaderSetup { instance, zone, key_value, instances, engine, node, timeline, stop, mut demand } =
+        setup;
+    let (replies, mut inbox) = mpsc::unbounded_channel();
+    let calls = Calls { key_value, instances, engine, zone: zone.clone(), replies };
+    let mut state = Loop {
+        controller: Controller::new(instance, zone),
+        calls,
+        node,
+        timeline,
+        standing: Standing::Follower,
+        listing: false,
+        listed: None,
+        polling: HashSet::new(),
+        polled: HashMap::new(),
+    };
+    let mut ticks = tokio::time::interval(STEP);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut deadline = None;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            Some(reply) = inbox.recv() => state.take(reply),
+            Some(report) = demand.recv() => state.controller.add_demand(now(), &report),
+        }
+        if stop.is_cancelled() {
+            let end = *deadline.get_or_insert_with(|| now() + RESIGN);
+            if now() >= end || state.controller.standing(now()) == Standing::Follower {
+                return;
+            }
+        }
+        state.step(stop.is_cancelled());
+    }
+}
+
+impl Loop {
+    fn step(&mut self, stopping: bool) {
+        let (config, drains) = self.node.read(|shared| (shared.config.clone(), shared.drains.clone()));
+        if let Some(config) = config {
+            self.controller.set_config(config);
+        }
+        self.controller.set_drains(drains, stopping);
+        self.controller.set_interval(self.interval());
+        for command in self.controller.step(&tick()) {
+            self.run(command);
+        }
+        self.note_standing();
+        if self.standing != Standing::Follower {
+            self.read_list();
+            self.poll_engines();
+            self.publish();
+        }
+    }
+
+    fn take(&mut self, reply: Reply) {
+        let tick = tick();
+        match reply {
+            Reply::Lease(event) => self.controller.on_lease(tick.now, event),
+            Reply::Plan(tag, event) => self.controller.on_plan(&tick, tag, event),
+            Reply::Zone { zone, asked, plan, led } => {
+                self.controller.on_zone(&zone, asked, plan.as_ref(), led);
+            }
+            Reply::Fleet(fleet) => {
+                self.listing = false;
+                if let Some(fleet) = fleet {
+                    self.controller.set_fleet(fleet);
+                }
+            }
+            Reply::State { endpoint, asked, state } => {
+                self.polling.remove(&endpoint);
+                self.controller.on_state(&tick, &endpoint, asked, state.as_deref());
+            }
+            Reply::Order { endpoint, id, outcome } => {
+                self.controller.on_order(&tick, &endpoint, id, outcome);
+                // The state that shows the order's effect is read at once.
+                self.polled.remove(&endpoint);
+            }
+        }
+    }
+
+    fn run(&mut self, command: Command) {
+        match command {
+            Command::Lease(step) => {
+                let record = match &step {
+                    LeaseStep::Create { write_id, .. } => Some(self.controller.lease().record(*write_id)),
+                    _ => None,
+                };
+                self.calls.lease(step, record);
+            }
+            Command::Plan(tag, step) => {
+                if let carobwick_core::PlanStep::Write { plan, .. } = &step {
+                    let orders: usize = plan.endpoints.iter().map(|endpoint| endpoint.orders.len()).sum();
+                    self.timeline.add(
+                        EventKind::Plan,
+                        format!("write {} of zone {} with {orders} orders", plan.version, self.calls.zone),
+                    );
+                }
+                self.calls.plan(tag, step);
+            }
+            Command::ReadZone(zone) => self.calls.read_zone(zone),
+            Command::Send { endpoint, addr, order } => {
+                self.timeline.add(
+                    EventKind::Order,
+                    format!("order {} with fence {} to {endpoint}", order.id, order.fence),
+                );
+                self.calls.send(endpoint, addr, order);
+            }
+            Command::Note(text) => {
+                tracing::info!("planner: {text}");
+                self.timeline.add(EventKind::Plan, text);
+            }
+        }
+    }
+
+    fn note_standing(&mut self) {
+        let standing = self.controller.standing(now());
+        if standing == self.standing {
+            return;
+        }
+        let text = match standing {
+            Standing::Follower => format!("follows in zone {}", self.calls.zone),
+            Standing::Leader(fence) => format!("leads zone {} with fence {fence}", self.calls.zone),
+            Standing::Expired(fence) => format!("lease of zone {} with fence {fence} ended", self.calls.zone),
+        };
+        tracing::info!("planner: {text}");
+        self.timeline.add(EventKind::Lease, text);
+        self.standing = standing;
+    }
+
+    fn read_list(&mut self) {
+        let due = self.listed.is_none_or(|at| now() - at >= LIST);
+        if due && !self.listing {
+            self.listing = true;
+            self.listed = Some(now());
+            self.calls.list();
+        }
+    }
+
+    fn poll_engines(&mut self) {
+        for (endpoint, addr) in self.controller.polled() {
+            let due = self.polled.get(&endpoint).is_none_or(|at| now() - *at >= POLL);
+            if due && self.polling.insert(endpoint.clone()) {
+                self.polled.insert(endpoint.clone(), now());
+                self.calls.poll(endpoint, addr);
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        let Some(view) = self.controller.view(now()) else {
+            return;
+        };
+        let newer = |shared: &carobwick_core::SharedState| {
+            shared.views.get(&view.zone).is_none_or(|own| own.rank() < view.rank())
+        };
+        if self.node.read(newer) {
+            self.node.update(|shared| shared.merge_view(view));
+        }
+    }
+
+    /// Returns how often this planner looks for a missing leader, by its place among the zone's planners.
+    fn interval(&self) -> Duration {
+        let place = self.node.read(|shared| {
+            let view = shared.views.get(&self.calls.zone)?;
+            let mut live: Vec<&InstanceId> =
+                view.instances.iter().filter(|(_, instance)| instance.live).map(|(id, _)| id).collect();
+            live.sort();
+            live.iter().position(|id| *id == self.controller.instance())
+        });
+        if place.is_none_or(|place| place < CANDIDATES) { POLL } else { POLL * 10 }
+    }
+}
+
+fn tick() -> Tick {
+    Tick { now: now(), wall_ms: wall_ms(), seed: rand::random() }
+}
--- /dev/null
+++ b/crates/planner/src/leader_calls.rs
@@ -0,0 +1,214 @@
+use carobwick_core::EndpointId;
+use carobwick_core::Fleet;
+use carobwick_core::InstanceView;
+use carobwick_core::LEASE_TTL;
+use carobwick_core::LeaderRecord;
+use carobwick_core::LeaseEvent;
+use carobwick_core::LeaseStep;
+use carobwick_core::ListedEndpoint;
+use carobwick_core::Order;
+use carobwick_core::PlanEvent;
+use carobwick_core::PlanStep;
+use carobwick_core::ZoneId;
+use carobwick_core::ZonePlan;
+use carobwick_runtime::Engine;
+use carobwick_runtime::Error;
+use carobwick_runtime::Expect;
+use carobwick_runtime::InstanceKind;
+use carobwick_runtime::InstanceList;
+use carobwick_runtime::InstanceStatus;
+use carobwick_runtime::KeyValue;
+use carobwick_runtime::KvEntry;
+use carobwick_runtime::LeaseId;
+use carobwick_runtime::ListedInstance;
+use carobwick_runtime::Put;
+use carobwick_runtime::now;
+use carobwick_runtime::wall_ms;
+use serde::de::DeserializeOwned;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::leader::Reply;
+
+/// Makes the calls of a leader, each in a task of its own that reports its outcome.
+#[derive(Debug, Clone)]
+pub(crate) struct Calls {
+    pub key_value: KeyValue,
+    pub instances: InstanceList,
+    pub engine: Engine,
+    pub zone: ZoneId,
+    pub replies: UnboundedSender<Reply>,
+}
+
+impl Calls {
+    pub(crate) fn lease(&self, step: LeaseStep, record: Option<LeaderRecord>) {
+        let calls = self.clone();
+        self.start(async move {
+            let event = calls.try_lease(step, record).await;
+            Reply::Lease(event.unwrap_or_else(|err| {
+                tracing::debug!("planner: call for the lease failed: {err}");
+                LeaseEvent::Failed
+            }))
+        });
+    }
+
+    pub(crate) fn plan(&self, tag: u64, step: PlanStep) {
+        let calls = self.clone();
+        self.start(async move {
+            let event = calls.try_plan(step).await;
+            Reply::Plan(
+                tag,
+                event.unwrap_or_else(|err| {
+                    tracing::warn!("planner: call for the plan failed: {err}");
+                    PlanEvent::Failed
+                }),
+            )
+        });
+    }
+
+    pub(crate) fn read_zone(&self, zone: ZoneId) {
+        let calls = self.clone();
+        self.start(async move {
+            let asked = now();
+            let (plan, led) = match calls.try_zone(&zone).await {
+                Ok(found) => found,
+                Err(err) => {
+                    tracing::debug!("planner: plan of zone {zone} not read: {err}");
+                    (None, false)
+                }
+            };
+            Reply::Zone { zone, asked, plan, led }
+        });
+    }
+
+    pub(crate) fn list(&self) {
+        let calls = self.clone();
+        self.start(async move {
+            match calls.instances.list().await {
+                Ok(list) => Reply::Fleet(Some(fleet(&calls.zone, &list))),
+                Err(err) => {
+                    tracing::warn!("planner: instance list not read: {err}");
+                    Reply::Fleet(None)
+                }
+            }
+        });
+    }
+
+    pub(crate) fn poll(&self, endpoint: EndpointId, addr: String) {
+        let calls = self.clone();
+        self.start(async move {
+            let asked = (now(), wall_ms());
+            let state = calls.engine.state(&addr).await;
+            let state =
+                state.inspect_err(|err| tracing::debug!("planner: state of {endpoint} not read: {err}"));
+            Reply::State { endpoint, asked, state: state.ok().map(Box::new) }
+        });
+    }
+
+    pub(crate) fn send(&self, endpoint: EndpointId, addr: String, order: Order) {
+        let calls = self.clone();
+        self.start(async move {
+            let reply = calls.engine.order(&addr, &order).await;
+            let reply =
+                reply.inspect_err(|err| tracing::warn!("planner: order to {endpoint} without reply: {err}"));
+            Reply::Order { endpoint, id: order.id, outcome: reply.ok().map(|result| result.outcome) }
+        });
+    }
+
+    async fn try_lease(&self, step: LeaseStep, record: Option<LeaderRecord>) -> Result<LeaseEvent, Error> {
+        let key = leader_key(&self.zone);
+        Ok(match step {
+            LeaseStep::Wait => LeaseEvent::Failed,
+            LeaseStep::Read => {
+                LeaseEvent::Read(self.key_value.get(&key).await?.as_ref().map(parse).transpose()?)
+            }
+            LeaseStep::Grant => LeaseEvent::Granted(self.key_value.grant(LEASE_TTL).await?.0),
+            LeaseStep::Create { lease, .. } => {
+                let value = serde_json::to_vec(&record)?;
+                let put = self.key_value.put_if(&key, Expect::Absent, &value, Some(LeaseId(lease))).await?;
+                match put {
+                    Put::Written(revision) => LeaseEvent::Created(revision),
+                    Put::Conflict(found) => LeaseEvent::Exists(found.as_ref().map(parse).transpose()?),
+                }
+            }
+            LeaseStep::KeepAlive(lease) => LeaseEvent::Kept(self.key_value.keep_alive(LeaseId(lease)).await?),
+            LeaseStep::Revoke(lease) => {
+                self.key_value.revoke(LeaseId(lease)).await?;
+                LeaseEvent::Revoked
+            }
+        })
+    }
+
+    async fn try_plan(&self, step: PlanStep) -> Result<PlanEvent, Error> {
+        let key = plan_key(&self.zone);
+        Ok(match step {
+            PlanStep::Wait => PlanEvent::Failed,
+            PlanStep::Read => {
+                PlanEvent::Read(self.key_value.get(&key).await?.as_ref().map(boxed).transpose()?)
+            }
+            PlanStep::Write { expect, plan } => {
+                let expect = expect.map_or(Expect::Absent, Expect::Revision);
+                match self.key_value.put_if(&key, expect, &serde_json::to_vec(&plan)?, None).await? {
+                    Put::Written(revision) => PlanEvent::Written(revision),
+                    Put::Conflict(found) => PlanEvent::Conflict(found.as_ref().map(boxed).transpose()?),
+                }
+            }
+        })
+    }
+
+    async fn try_zone(&self, zone: &ZoneId) -> Result<(Option<ZonePlan>, bool), Error> {
+        let led = self.key_value.get(&leader_key(zone)).await?.is_some();
+        let plan = self.key_value.get(&plan_key(zone)).await?.as_ref().map(parse).transpose()?;
+        Ok((plan.map(|(plan, _)| plan), led))
+    }
+
+    fn start(&self, call: impl Future<Output = Reply> + Send + 'static) {
+        let replies = self.replies.clone();
+        tokio::spawn(async move {
+            // The receiver is gone only after the leader has stopped.
+            let _ = replies.send(call.await);
+        });
+    }
+}
+
+fn leader_key(zone: &ZoneId) -> String {
+    format!("zones/{zone}/leader")
+}
+
+fn plan_key(zone: &ZoneId) -> String {
+    format!("zones/{zone}/plan")
+}
+
+fn parse<T: DeserializeOwned>(entry: &KvEntry) -> Result<(T, u64), Error> {
+    Ok((serde_json::from_slice(&entry.value)?, entry.revision))
+}
+
+fn boxed(entry: &KvEntry) -> Result<(Box<ZonePlan>, u64), Error> {
+    parse(entry)
+}
+
+fn fleet(zone: &ZoneId, list: &[ListedInstance]) -> Fleet {
+    let mut fleet = Fleet::default();
+    for listed in list.iter().filter(|listed| listed.zone == *zone) {
+        let leaving = listed.state == InstanceStatus::Leaving;
+        match (listed.kind, &listed.service) {
+            (InstanceKind::Entry, _) => {
+                let view =
+                    InstanceView { entry: listed.addr.clone(), peer: listed.peer.clone(), live: !leaving };
+                if let Ok(id) = listed.id.parse() {
+                    fleet.instances.insert(id, view);
+                }
+            }
+            (InstanceKind::Endpoint, Some(service)) => {
+                let endpoint =
+                    ListedEndpoint { service: service.clone(), addr: listed.addr.clone(), leaving };
+                if let Ok(id) = listed.id.parse() {
+                    fleet.endpoints.insert(id, endpoint);
+                }
+            }
+            (InstanceKind::Endpoint, None) => {
+                tracing::warn!("planner: endpoint {} of the instance list has no service", listed.id);
+            }
+        }
+    }
+    fleet
+}
