Planner: drains and manifests run against the key-value stand-in; entries probe first

Choice of peers, choice of watchers and the write of the drains move to core, so that the random run can drive them. Entries use `Node::exchange`, which probes before it sends a digest; their own comparison of digests read hashes as counts. Tests: a publish with and without a lost reply, a watch event that is lost, a drain during an outage.

--- /dev/null
+++ b/crates/core/src/peers.rs
@@ -0,0 +1,43 @@
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::InstanceId;
+use crate::ZoneId;
+use crate::ZoneView;
+
+/// Instances with which a planner can exchange state.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PeerChoices {
+    /// Peer addresses in the own zone.
+    pub local: Vec<String>,
+    /// Peer addresses in other zones.
+    pub remote: Vec<String>,
+}
+
+impl PeerChoices {
+    /// Collects the peers that the views name.
+    ///
+    /// Instances that are not live are kept: they still hold and need state until they stop.
+    pub fn from_views(views: &IndexMap<ZoneId, Arc<ZoneView>>, zone: &ZoneId, own: &InstanceId) -> Self {
+        let mut choices = Self::default();
+        for view in views.values() {
+            let peers = view.instances.iter().filter(|(id, peer)| *id != own && !peer.peer.is_empty());
+            let peers = peers.map(|(_, peer)| peer.peer.clone());
+            if view.zone == *zone { choices.local.extend(peers) } else { choices.remote.extend(peers) }
+        }
+        choices
+    }
+}
+
+/// Returns whether a planner watches the key-value service, given the view of its own zone.
+///
+/// Two planners of a zone do: its leader, and the live one with the lowest id beside it. Without a view, as at the
+/// first start, every planner does.
+pub fn watches_config(view: Option<&ZoneView>, own: &InstanceId) -> bool {
+    let Some(view) = view else {
+        return true;
+    };
+    let others = view.instances.iter().filter(|(id, instance)| instance.live && **id != view.leader);
+    view.leader == *own || others.map(|(id, _)| id).min() == Some(own)
+}
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -4,7 +4,6 @@
 
 use carobwick_core::Change;
 use carobwick_core::DemandReport;
-use carobwick_core::Digest;
 use carobwick_core::EventKind;
 use carobwick_core::PeerMessage;
 use carobwick_runtime::PeerClient;
@@ -71,19 +70,12 @@
 }
 
 async fn sync_with(serving: &Serving, client: &PeerClient, addr: &str) -> anyhow::Result<()> {
-    let own = serving.node.read(carobwick_core::SharedState::digest);
-    let message = PeerMessage::Sync { from: serving.settings.instance.clone(), digest: own };
-    let reply = client.exchange(addr, &message).await?;
-    let PeerMessage::SyncReply { digest, delta } = reply else {
-        anyhow::bail!("the reply to a sync is not one");
-    };
-    for change in serving.node.merge(delta) {
-        note(serving, &change);
+    let learned = serving.node.exchange(client, addr, &serving.settings.instance).await?;
+    for change in &learned.changes {
+        note(serving, change);
     }
-    let own = serving.node.read(carobwick_core::SharedState::digest);
-    if lacks(&digest, &own) {
-        let delta = serving.node.read(|state| state.delta_for(&digest));
-        client.exchange(addr, &PeerMessage::Push { delta }).await?;
+    if let Some(version) = learned.contradiction {
+        tracing::error!("entry: planner {addr} has another manifest of version {version}; it is not adopted");
     }
     Ok(())
 }
@@ -100,15 +92,6 @@
     }
 }
 
-/// Returns whether a peer lacks something of what this process has.
-fn lacks(peer: &Digest, own: &Digest) -> bool {
-    let version = |digest: &Digest| digest.config.map(|(version, _)| version);
-    version(peer) < version(own)
-        || peer.reports < own.reports
-        || peer.drains != own.drains
-        || own.views.iter().any(|(zone, rank)| peer.views.get(zone).is_none_or(|known| known < rank))
-}
-
 fn leader(serving: &Serving) -> String {
     let known = serving.node.read(|state| {
         let view = state.views.get(&serving.settings.zone)?;
--- a/crates/planner/src/exchange.rs
+++ b/crates/planner/src/exchange.rs
@@ -5,10 +5,8 @@
 use std::time::Duration;
 
 use carobwick_core::DemandReport;
-use carobwick_core::InstanceId;
+use carobwick_core::PeerChoices;
 use carobwick_core::PeerMessage;
-use carobwick_core::SharedState;
-use carobwick_core::ZoneId;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
@@ -92,10 +90,11 @@
 
 /// Chooses two peers of the own zone and one of another, and seeds while too few are known.
 fn choose(context: &Context) -> Vec<String> {
-    let (local, remote) = context.node.read(|state| candidates(state, &context.zone, &context.instance));
+    let choices =
+        context.node.read(|state| PeerChoices::from_views(&state.views, &context.zone, &context.instance));
     let rng = &mut rand::rng();
-    let mut chosen: Vec<String> = local.choose_multiple(rng, LOCAL_PEERS).cloned().collect();
-    chosen.extend(remote.choose(rng).cloned());
+    let mut chosen: Vec<String> = choices.local.choose_multiple(rng, LOCAL_PEERS).cloned().collect();
+    chosen.extend(choices.remote.choose(rng).cloned());
     let missing = (LOCAL_PEERS + 1).saturating_sub(chosen.len());
     let seeds = context.seeds.choose_multiple(rng, missing).map(ToString::to_string);
     let seeds: Vec<String> = seeds.filter(|seed| !chosen.contains(seed)).collect();
@@ -103,16 +102,6 @@
     chosen
 }
 
-fn candidates(state: &SharedState, zone: &ZoneId, own: &InstanceId) -> (Vec<String>, Vec<String>) {
-    let (mut local, mut remote) = (Vec::new(), Vec::new());
-    for view in state.views.values() {
-        let peers = view.instances.iter().filter(|(id, peer)| *id != own && !peer.peer.is_empty());
-        let peers = peers.map(|(_, peer)| peer.peer.clone());
-        if view.zone == *zone { local.extend(peers) } else { remote.extend(peers) }
-    }
-    (local, remote)
-}
-
 /// Hands a report to the zone's leader, here or at another planner.
 async fn pass_on(context: &Context, report: DemandReport) {
     let leader = context.node.read(|state| {
--- a/crates/planner/src/key_value.rs
+++ b/crates/planner/src/key_value.rs
@@ -5,8 +5,12 @@
 use carobwick_core::Adoption;
 use carobwick_core::ConfigRecord;
 use carobwick_core::Delta;
+use carobwick_core::DrainEvent;
 use carobwick_core::DrainSet;
+use carobwick_core::DrainStep;
+use carobwick_core::DrainStore;
 use carobwick_core::StoredConfig;
+use carobwick_core::watches_config;
 use carobwick_runtime::Expect;
 use carobwick_runtime::KvEntry;
 use carobwick_runtime::Learned;
@@ -24,8 +28,6 @@
 
 /// Time between checks of the revisions beside a watch, whose connection can go silent without an error.
 const CHECK: Duration = Duration::from_secs(2);
-/// Compare-and-swap attempts of one write of the drains.
-const ATTEMPTS: usize = 4;
 
 /// Keeps the state up to date with the key-value service while this planner is one of its zone's watchers.
 pub(crate) async fn run(context: Context) -> anyhow::Result<()> {
@@ -58,39 +60,41 @@
     result
 }
 
-/// Stores the drains that the service lacks and returns whether it has them all now.
+/// Stores the drains that the service lacks and returns whether it is known to have them all now.
 pub(crate) async fn store_drains(context: &Context) -> Result<bool> {
-    let mut entry = observe(context, context.key_value.get(DRAINS).await)?;
-    for _ in 0..ATTEMPTS {
-        let mut stored = match &entry {
-            Some(entry) => serde_json::from_slice::<DrainSet>(&entry.value)?,
-            None => DrainSet::default(),
+    let mut store = DrainStore::default();
+    let mut step = DrainStep::Read;
+    loop {
+        let event = match step {
+            DrainStep::Read => DrainEvent::Read(read_drains(context).await?),
+            DrainStep::Write { expect, drains } => {
+                let expect = expect.map_or(Expect::Absent, Expect::Revision);
+                let put = context.key_value.put_if(DRAINS, expect, &serde_json::to_vec(&drains)?, None).await;
+                match observe(context, put)? {
+                    Put::Written(_) => DrainEvent::Written,
+                    Put::Conflict(_) => DrainEvent::Refused,
+                }
+            }
+            DrainStep::Done(durable) => return Ok(durable),
         };
         let own = context.node.read(|state| state.drains.clone());
-        take_drains(context, stored.clone());
-        if !stored.merge(&own) {
-            return Ok(true);
-        }
-        let expect = entry.map_or(Expect::Absent, |entry| Expect::Revision(entry.revision));
-        let put = context.key_value.put_if(DRAINS, expect, &serde_json::to_vec(&stored)?, None).await;
-        match observe(context, put)? {
-            Put::Written(_) => return Ok(true),
-            Put::Conflict(found) => entry = found,
-        }
+        step = store.next(event, &own);
     }
-    Ok(false)
 }
 
-/// Returns whether this planner watches: without a view of its zone, as the leader, or as the live planner with the
-/// lowest id beside the leader.
+async fn read_drains(context: &Context) -> Result<Option<(u64, DrainSet)>> {
+    let Some(entry) = observe(context, context.key_value.get(DRAINS).await)? else {
+        return Ok(None);
+    };
+    let drains: DrainSet = serde_json::from_slice(&entry.value)?;
+    take_drains(context, drains.clone());
+    Ok(Some((entry.revision, drains)))
+}
+
 fn is_watcher(context: &Context) -> bool {
-    context.node.read(|state| {
-        let Some(view) = state.views.get(&context.zone) else {
-            return true;
-        };
-        let live = view.instances.iter().filter(|(id, instance)| instance.live && **id != view.leader);
-        view.leader == context.instance || live.map(|(id, _)| id).min() == Some(&context.instance)
-    })
+    context
+        .node
+        .read(|state| watches_config(state.views.get(&context.zone).map(AsRef::as_ref), &context.instance))
 }
 
 /// Reads all keys, then follows their changes until the watch breaks, goes silent or is another planner's task.
--- a/crates/planner/tests/process.rs
+++ b/crates/planner/tests/process.rs
@@ -1,4 +1,4 @@
-//! Planners in one process, without a platform.
+//! Planners in one process, without a platform and with a stand-in for the key-value service.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,12 +8,18 @@
 use carobwick_core::DrainRequest;
 use carobwick_core::DrainTarget;
 use carobwick_core::Manifest;
+use carobwick_core::PublishReply;
 use carobwick_core::SharedState;
 use carobwick_core::StatusReport;
+use carobwick_core::Version;
 use carobwick_core::WriteId;
 use carobwick_planner::Planner;
 use carobwick_planner::Settings;
+use carobwick_runtime::Error;
 use carobwick_runtime::HttpClient;
+use carobwick_standins::KvFaults;
+use carobwick_standins::KvStandin;
+use test_case::test_case;
 
 const LOCAL: &str = "127.0.0.1:0";
 
@@ -78,3 +84,58 @@
     first.stop().await.unwrap();
     second.stop().await.unwrap();
 }
+
+async fn with_platform(faults: KvFaults) -> (KvStandin, Planner, Planner) {
+    let kv = KvStandin::spawn(LOCAL.parse().unwrap(), faults).await.unwrap();
+    let key_value = format!("http://{}", kv.server().addr());
+    let first = Settings { key_value: key_value.clone(), ..settings("p0", Vec::new()) };
+    let first = Planner::start(first).await.unwrap();
+    // No seeds: what the second planner learns comes from the key-value service.
+    let second = Planner::start(Settings { key_value, ..settings("p1", Vec::new()) }).await.unwrap();
+    (kv, first, second)
+}
+
+async fn publish(planner: &Planner, query: &str) -> Result<PublishReply, Error> {
+    let http = HttpClient::open(Duration::from_secs(10));
+    http.post(&format!("http://{}/admin/manifest{query}", planner.operators()), &manifest()).await
+}
+
+/// Guards against a publish that is lost, or reported as refused, when the reply to its write is lost.
+#[test_case(0 ; "reply arrives")]
+#[test_case(1 ; "reply is lost after the write")]
+#[tokio::test]
+async fn publish_is_accepted_once_and_reaches_the_other_planner(lose_replies: u32) {
+    let faults = KvFaults { lose_replies, ..KvFaults::default() };
+    let (_kv, first, second) = with_platform(faults).await;
+    assert_eq!(publish(&first, "").await.unwrap().version, Version(1));
+    until(&second, |state| state.config.as_ref().is_some_and(|record| record.version == Version(1))).await;
+    assert_eq!(publish(&second, "?expect=1").await.unwrap().version, Version(2));
+    until(&first, |state| state.config.as_ref().is_some_and(|record| record.version == Version(2))).await;
+    let err = publish(&first, "?expect=1").await.unwrap_err();
+    assert!(matches!(err, Error::Status(409, _)), "{err}");
+}
+
+/// Guards against a watch that misses a change and goes on.
+#[tokio::test]
+async fn missed_event_of_the_watch_is_found_by_the_check() {
+    let (kv, first, second) = with_platform(KvFaults::default()).await;
+    publish(&first, "").await.unwrap();
+    until(&second, |state| state.config.is_some()).await;
+    kv.faults().set(KvFaults { drop_events: 2, ..KvFaults::default() });
+    publish(&first, "").await.unwrap();
+    until(&second, |state| state.config.as_ref().is_some_and(|record| record.version == Version(2))).await;
+}
+
+/// Guards against drains that were accepted during an outage and are never stored.
+#[tokio::test]
+async fn drain_of_an_outage_is_stored_when_the_service_is_back() {
+    let (kv, first, second) = with_platform(KvFaults { down: true, ..KvFaults::default() }).await;
+    let target = DrainTarget::Instance("i1".parse().unwrap());
+    let http = HttpClient::open(Duration::from_secs(10));
+    let request = DrainRequest { target: target.clone(), drained: true };
+    let url = format!("http://{}/admin/drains", first.operators());
+    let reply: DrainReply = http.post(&url, &request).await.unwrap();
+    assert!(!reply.durable);
+    kv.faults().set(KvFaults::default());
+    until(&second, |state| state.drains.is_drained(&target)).await;
+}
