Load generator, and faults that break connections at once

The stand-ins need callers, and their faults must work in process as well as over `POST /faults`. `carobwick-load` sends whole, streamed or service requests in a closed or open loop and checks every answer's text. `Faults::set` now runs the same actions as the route; before, a freeze set in process had no effect. An outage closes the open connections in the call itself, so that a crashed engine can't still send an answer. The connection that changes the faults is left alone and closed after its reply.

--- /dev/null
+++ b/crates/standins/src/bin/carobwick-load.rs
@@ -0,0 +1,142 @@
+//! Load generator that acts as callers of carobwick.
+
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use carobwick_core::ModelId;
+use carobwick_core::Rate;
+use carobwick_standins::LoadOptions;
+use carobwick_standins::Pace;
+use carobwick_standins::RequestKind;
+use carobwick_standins::run_load;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Sends requests, checks every answer, and prints counts and times.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Base URL of an entry; several are used in turn
+    #[bpaf(argument("URL"), some("--url is needed"))]
+    url: Vec<String>,
+    /// The URLs are stand-ins, which expect an attempt id
+    direct: bool,
+    #[bpaf(external(pace_option), fallback(PaceOption::Closed { concurrency: 8 }))]
+    pace: PaceOption,
+    /// Seconds after which no request is started, at most 60
+    #[bpaf(argument("SECONDS"), fallback(10.0))]
+    seconds: f64,
+    /// Requests after which none is started
+    #[bpaf(argument("COUNT"))]
+    requests: Option<u64>,
+    #[bpaf(external(kind_option), fallback(KindOption::Whole))]
+    kind: KindOption,
+    /// Model to ask; several are used in random order
+    #[bpaf(argument("NAME"))]
+    model: Vec<ModelId>,
+    /// Length of a prompt
+    #[bpaf(argument("BYTES"), fallback(256))]
+    prompt_bytes: usize,
+    /// Share of a prompt that it has in common with others
+    #[bpaf(argument("SHARE"), fallback(0.75))]
+    shared: f64,
+    /// Number of different shared beginnings
+    #[bpaf(argument("COUNT"), fallback(4))]
+    prefixes: u32,
+    /// Length of an answer
+    #[bpaf(argument("TOKENS"), fallback(16))]
+    max_tokens: u32,
+    /// Number of caller names
+    #[bpaf(argument("COUNT"), fallback(4))]
+    callers: u32,
+    #[bpaf(external)]
+    repeats: Repeats,
+    /// Time after which an answer no longer counts
+    #[bpaf(argument("MS"), fallback(30_000))]
+    timeout_ms: u64,
+    /// Seed of prompts and arrivals
+    #[bpaf(argument("SEED"), fallback(1))]
+    seed: u64,
+    /// Print the result as JSON
+    json: bool,
+}
+
+#[derive(Debug, Clone, Bpaf)]
+struct Repeats {
+    /// Send an idempotency key with each request
+    keys: bool,
+    /// Say that no request may be repeated
+    once: bool,
+}
+
+#[derive(Debug, Clone, Bpaf)]
+enum PaceOption {
+    Closed {
+        /// Requests in flight at any time
+        #[bpaf(argument("COUNT"))]
+        concurrency: u32,
+    },
+    Open {
+        /// Mean number of requests per second, whether or not earlier ones have ended
+        #[bpaf(argument("RATE"))]
+        rate: Rate,
+    },
+}
+
+#[derive(Debug, Clone, Bpaf)]
+enum KindOption {
+    /// Ask for streams
+    Stream,
+    /// Ask for whole answers
+    Whole,
+    Service {
+        /// Ask a plain service at this path
+        #[bpaf(argument("PATH"))]
+        service: String,
+    },
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let options = options().run();
+    carobwick_runtime::start_logs("info", false)?;
+    let json = options.json;
+    let summary = run_load(load_options(options)?).await?;
+    if json {
+        println!("{}", serde_json::to_string(&summary)?);
+    } else {
+        print!("{summary}");
+    }
+    anyhow::ensure!(summary.foreign == 0, "{} answers belong to another request", summary.foreign);
+    Ok(())
+}
+
+fn load_options(options: Options) -> anyhow::Result<LoadOptions> {
+    let models = if options.model.is_empty() { vec!["m".parse()?] } else { options.model };
+    Ok(LoadOptions {
+        urls: options.url,
+        direct: options.direct,
+        pace: match options.pace {
+            PaceOption::Closed { concurrency } => Pace::Closed(concurrency),
+            PaceOption::Open { rate } => Pace::Open(rate),
+        },
+        duration: Duration::try_from_secs_f64(options.seconds)?,
+        requests: options.requests,
+        kind: match options.kind {
+            KindOption::Stream => RequestKind::Stream,
+            KindOption::Whole => RequestKind::Whole,
+            KindOption::Service { service } => RequestKind::Service(service),
+        },
+        models,
+        prompt_bytes: options.prompt_bytes,
+        shared: options.shared,
+        prefixes: options.prefixes,
+        max_tokens: options.max_tokens,
+        callers: options.callers,
+        keys: options.repeats.keys,
+        once: options.repeats.once,
+        timeout: Duration::from_millis(options.timeout_ms),
+        seed: options.seed,
+    })
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -48,8 +48,7 @@
         let engine = Arc::clone(&core);
         let server = Server::spawn_with(addr, |control| {
             engine.connect(control);
-            let changed = Arc::clone(&engine);
-            let switches = engine.faults.router(move |faults| changed.faults_changed(faults));
+            let switches = engine.faults.router();
             router(engine).merge(switches)
         });
         let server = server.await?;
--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -79,6 +79,13 @@
     due: Instant,
 }
 
+impl Job {
+    /// Returns the number of events of its stream: the tokens, the finish reason and the end mark.
+    pub(super) fn end(&self) -> u32 {
+        self.max_tokens + 2
+    }
+}
+
 impl Batch {
     pub(super) fn new(slots: usize, timing: EngineTiming) -> Self {
         Self { slots, timing, running: Vec::new(), queue: BTreeMap::new(), arrivals: 0, prefill_free: None }
--- a/crates/standins/src/engine/chat.rs
+++ b/crates/standins/src/engine/chat.rs
@@ -65,14 +65,9 @@
     if request.stream {
         return Ok(stream(reader, id, 0));
     }
-    let done = reader.progress.wait_for(|progress| progress.phase != Phase::Active).await;
-    match done.map(|progress| progress.phase) {
-        Ok(Phase::Done) => {
-            reader.complete = true;
-            Ok(whole(&reader.job, &id))
-        }
-        _ => Err(Refusal::ran(StatusCode::INTERNAL_SERVER_ERROR, "engine_failed", "the engine failed")),
-    }
+    reader.wait_for(reader.job.max_tokens).await;
+    reader.complete = true;
+    Ok(whole(&reader.job, &id))
 }
 
 fn submit(
@@ -153,12 +148,13 @@
             if cut == Some(index - first) {
                 return Err(io::Error::other("stream cut"));
             }
-            let Some(end) = reader.wait_for(index).await? else {
+            if index >= reader.job.end() {
                 return Ok(None);
-            };
+            }
+            let end = reader.wait_for(index).await;
             let end = cut.map_or(end, |cut| end.min(first + cut));
             let events: String = (index..end).map(|index| event(&reader.job, &id, index)).collect();
-            reader.complete = end == reader.job.max_tokens + 2;
+            reader.complete = end == reader.job.end();
             Ok(Some((Bytes::from(events), (reader, end))))
         }
     });
@@ -184,19 +180,14 @@
     }
 
     /// Waits until the event with the given index can be sent; returns the index after the last such event.
-    async fn wait_for(&mut self, index: u32) -> io::Result<Option<u32>> {
-        let end = self.job.max_tokens + 2;
-        if index >= end {
-            return Ok(None);
-        }
-        let ready = |progress: &Progress| {
-            progress.tokens > index || matches!(progress.phase, Phase::Done | Phase::Lost)
-        };
-        let progress = *self.progress.wait_for(ready).await.map_err(io::Error::other)?;
-        match progress.phase {
-            Phase::Done => Ok(Some(end)),
-            Phase::Lost => Err(io::Error::other("engine failed")),
-            Phase::Active | Phase::Paused => Ok(Some(progress.tokens)),
+    ///
+    /// It never returns if the engine crashes, as the crash closes the connection.
+    async fn wait_for(&mut self, index: u32) -> u32 {
+        let ready = |progress: &Progress| progress.tokens > index || progress.phase == Phase::Done;
+        match self.progress.wait_for(ready).await.map(|progress| *progress) {
+            Ok(Progress { phase: Phase::Done, .. }) => self.job.end(),
+            Ok(progress) => progress.tokens,
+            Err(_) => std::future::pending().await,
         }
     }
 }
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -130,7 +130,15 @@
 
     /// Sets what breaks the server's connections.
     pub(super) fn connect(&self, control: ServerControl) {
-        self.control.get_or_init(|| control);
+        self.control.get_or_init(|| control.clone());
+        self.faults.on_change(move |faults| {
+            if faults.freeze {
+                control.freeze();
+            }
+            if faults.refuse_ms > 0 {
+                control.interrupt(Duration::from_millis(faults.refuse_ms));
+            }
+        });
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
@@ -153,18 +161,6 @@
         }
     }
 
-    pub(super) fn faults_changed(&self, faults: &EngineFaults) {
-        let Some(control) = self.control.get() else {
-            return;
-        };
-        if faults.freeze {
-            control.freeze();
-        }
-        if faults.refuse_ms > 0 {
-            control.interrupt(Duration::from_millis(faults.refuse_ms));
-        }
-    }
-
     pub(super) fn crash(&self) {
         match self.options.on_crash {
             OnCrash::Exit => {
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -1,12 +1,15 @@
+use std::fmt;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 
 use axum::Extension;
 use axum::Json;
 use axum::Router;
 use axum::routing::get;
+use http::header::CONNECTION;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -15,20 +18,17 @@
 /// Fault switches of a stand-in, read with `GET /faults` and replaced with `POST /faults`.
 ///
 /// Fields that are left out of the body are off.
-#[derive(Debug)]
 pub struct Faults<T> {
     current: Arc<Mutex<T>>,
+    changed: Arc<OnceLock<Changed<T>>>,
 }
 
+type Changed<T> = Box<dyn Fn(&T) + Send + Sync>;
+
 impl<T> Faults<T> {
     /// Opens the switches with the given setting.
     pub fn open(first: T) -> Self {
-        Self { current: Arc::new(Mutex::new(first)) }
-    }
-
-    /// Replaces the setting.
-    pub fn set(&self, faults: T) {
-        *self.lock() = faults;
+        Self { current: Arc::new(Mutex::new(first)), changed: Arc::default() }
     }
 
     /// Reads the setting.
@@ -36,6 +36,11 @@
         f(&self.lock())
     }
 
+    /// Sets what is called after each replacement, for faults that break connections.
+    pub(crate) fn on_change(&self, changed: impl Fn(&T) + Send + Sync + 'static) {
+        self.changed.get_or_init(|| Box::new(changed));
+    }
+
     /// Takes one from a count of faults to come and returns whether there was one left.
     pub(crate) fn take(&self, count: impl FnOnce(&mut T) -> &mut u32) -> bool {
         let mut faults = self.lock();
@@ -51,23 +56,39 @@
     }
 }
 
+impl<T: Clone> Faults<T> {
+    /// Replaces the setting.
+    pub fn set(&self, faults: T) {
+        *self.lock() = faults.clone();
+        if let Some(changed) = self.changed.get() {
+            changed(&faults);
+        }
+    }
+}
+
 impl<T: Clone + Serialize + DeserializeOwned + Send + 'static> Faults<T> {
-    /// Returns the routes; `changed` is called after each replacement.
-    pub(crate) fn router(&self, changed: impl Fn(&T) + Clone + Send + Sync + 'static) -> Router {
+    /// Returns the routes.
+    pub(crate) fn router(&self) -> Router {
         let (shown, faults) = (self.clone(), self.clone());
         let show = move || std::future::ready(Json(shown.read(T::clone)));
         let replace = move |Extension(connection): Extension<Connection>, Json(new): Json<T>| {
             connection.exempt();
             faults.set(new.clone());
-            changed(&new);
-            std::future::ready(Json(new))
+            // An exempt connection must not be used for anything else, since faults don't reach it.
+            std::future::ready(([(CONNECTION, "close")], Json(new)))
         };
         Router::new().route("/faults", get(show).post(replace))
     }
 }
 
+impl<T: fmt::Debug> fmt::Debug for Faults<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Faults").field("current", &self.current).finish_non_exhaustive()
+    }
+}
+
 impl<T> Clone for Faults<T> {
     fn clone(&self) -> Self {
-        Self { current: Arc::clone(&self.current) }
+        Self { current: Arc::clone(&self.current), changed: Arc::clone(&self.changed) }
     }
 }
--- a/crates/standins/src/instances.rs
+++ b/crates/standins/src/instances.rs
@@ -86,7 +86,7 @@
         let router = Router::new()
             .route("/instances", get(list).post(change))
             .with_state(Arc::clone(&shared))
-            .merge(shared.faults.router(|_| {}));
+            .merge(shared.faults.router());
         Ok(Self { server: Server::spawn(addr, router).await?, shared })
     }
 
--- a/crates/standins/src/kv.rs
+++ b/crates/standins/src/kv.rs
@@ -102,11 +102,13 @@
         });
         let store = Arc::clone(&shared);
         let server = Server::spawn_with(addr, |control| {
-            let switches = store.faults.router(move |faults: &KvFaults| {
-                if faults.refuse_ms > 0 {
+            store.faults.on_change(move |faults| {
+                // An outage also ends the open watches.
+                if faults.down || faults.refuse_ms > 0 {
                     control.interrupt(Duration::from_millis(faults.refuse_ms));
                 }
             });
+            let switches = store.faults.router();
             router(store).merge(switches)
         });
         let server = server.await?;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! [`KvStandin`], [`InstancesStandin`] and [`WeightsStandin`] stand in for the platform, [`EngineStandin`] and
 //! [`ServiceStandin`] for the endpoints. Each is started with `spawn`, in process or by a binary of the same name,
-//! and runs until it is dropped. Each has switches for its faults, see [`Faults`].
+//! and runs until it is dropped. Each has switches for its faults, see [`Faults`]. [`run_load`] acts as callers.
 
 mod answer;
 mod engine;
@@ -12,6 +12,7 @@
 mod gate;
 mod instances;
 mod kv;
+mod load;
 mod program;
 mod server;
 mod service;
@@ -34,6 +35,13 @@
 pub use instances::InstancesStandin;
 pub use kv::KvFaults;
 pub use kv::KvStandin;
+pub use load::LoadOptions;
+pub use load::LoadSummary;
+pub use load::Outcome;
+pub use load::Pace;
+pub use load::Quantiles;
+pub use load::RequestKind;
+pub use load::run_load;
 pub use program::parse_faults;
 pub use program::run_until_interrupted;
 pub use server::Server;
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,192 @@
+mod check;
+mod client;
+mod request;
+mod tally;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use carobwick_core::ModelId;
+use carobwick_core::Rate;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+pub use self::check::Outcome;
+pub use self::tally::LoadSummary;
+pub use self::tally::Quantiles;
+
+use self::client::Client;
+use self::request::Writer;
+use self::tally::Tally;
+
+/// Longest run.
+const MAX_RUN: Duration = Duration::from_mins(1);
+
+/// Settings of a load run.
+#[derive(Debug, Clone)]
+pub struct LoadOptions {
+    /// Base URLs, used in turn.
+    pub urls: Vec<String>,
+    /// Whether the URLs are stand-ins, which expect an attempt id.
+    pub direct: bool,
+    /// What decides when a request is sent.
+    pub pace: Pace,
+    /// Time after which no request is started; at most 60 s.
+    pub duration: Duration,
+    /// Number of requests after which none is started.
+    pub requests: Option<u64>,
+    /// What is asked for.
+    pub kind: RequestKind,
+    /// Models, used in random order.
+    pub models: Vec<ModelId>,
+    /// Length of a prompt.
+    pub prompt_bytes: usize,
+    /// Share of a prompt that it has in common with others.
+    pub shared: f64,
+    /// Number of different shared beginnings.
+    pub prefixes: u32,
+    /// Length of an answer.
+    pub max_tokens: u32,
+    /// Number of caller names.
+    pub callers: u32,
+    /// Whether each request carries an idempotency key.
+    pub keys: bool,
+    /// Whether each request says that it must not be repeated.
+    pub once: bool,
+    /// Time after which an answer no longer counts.
+    pub timeout: Duration,
+    /// Seed of prompts and arrivals.
+    pub seed: u64,
+}
+
+/// What decides when a request is sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Pace {
+    /// So many requests are in flight at any time.
+    Closed(u32),
+    /// Requests arrive at random at this mean rate, whether or not earlier ones have ended.
+    Open(Rate),
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RequestKind {
+    /// A chat answer as server-sent events.
+    Stream,
+    /// A chat answer as a whole.
+    Whole,
+    /// The answer of a plain service at this path.
+    Service(String),
+}
+
+/// State that the requests of a run share.
+struct Run {
+    options: LoadOptions,
+    client: Client,
+    writer: Writer,
+    tally: Mutex<Tally>,
+    started: AtomicU64,
+    in_flight: AtomicU64,
+    end: Instant,
+}
+
+/// Sends requests, checks every answer, and returns counts and times.
+///
+/// # Errors
+///
+/// Fails if the settings make no sense, such as no URL or a duration above 60 s.
+pub async fn run_load(options: LoadOptions) -> anyhow::Result<LoadSummary> {
+    anyhow::ensure!(!options.urls.is_empty(), "at least one URL is needed");
+    anyhow::ensure!(options.duration <= MAX_RUN, "a run lasts at most {MAX_RUN:?}");
+    anyhow::ensure!(!options.models.is_empty(), "at least one model is needed");
+    let start = Instant::now();
+    let run = Arc::new(Run {
+        client: Client::open(&options.urls)?,
+        writer: Writer::new(&options),
+        tally: Mutex::new(Tally::new()),
+        started: AtomicU64::new(0),
+        in_flight: AtomicU64::new(0),
+        end: start + options.duration,
+        options,
+    });
+    match run.options.pace {
+        Pace::Closed(concurrency) => closed_loop(&run, concurrency).await?,
+        Pace::Open(rate) => open_loop(&run, rate).await?,
+    }
+    Ok(run.tally().summary(start.elapsed()))
+}
+
+impl Run {
+    /// Returns the number of the next request, or nothing when the run is over.
+    fn next(&self) -> Option<u64> {
+        if Instant::now() >= self.end {
+            return None;
+        }
+        let number = self.started.fetch_add(1, Ordering::Relaxed);
+        self.options.requests.is_none_or(|limit| number < limit).then_some(number)
+    }
+
+    async fn request(&self, number: u64, due: Instant) {
+        let in_flight = self.in_flight.fetch_add(1, Ordering::Relaxed) + 1;
+        let asked = self.writer.write(number);
+        let exchange = check::exchange(&self.client, &asked, due);
+        let result = tokio::time::timeout(self.options.timeout, exchange).await;
+        let result = result.unwrap_or_else(|_| check::Exchange::failed(Outcome::Timeout));
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.tally().add(&result, due.elapsed(), in_flight);
+    }
+
+    fn tally(&self) -> MutexGuard<'_, Tally> {
+        self.tally.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn closed_loop(run: &Arc<Run>, concurrency: u32) -> anyhow::Result<()> {
+    let mut workers = JoinSet::new();
+    for _ in 0..concurrency {
+        let run = Arc::clone(run);
+        workers.spawn(async move {
+            while let Some(number) = run.next() {
+                run.request(number, Instant::now()).await;
+            }
+        });
+    }
+    while let Some(ended) = workers.join_next().await {
+        ended?;
+    }
+    Ok(())
+}
+
+async fn open_loop(run: &Arc<Run>, rate: Rate) -> anyhow::Result<()> {
+    anyhow::ensure!(rate.0 > 0.0, "the rate must be above zero");
+    let mut random = ChaCha8Rng::seed_from_u64(run.options.seed);
+    let mut requests = JoinSet::new();
+    let mut due = Instant::now();
+    loop {
+        // Exponential gaps: arrivals of many independent callers. Times count from the planned arrival, so that a
+        // slow server doesn't hide its own queue.
+        let gap = -(1.0 - random.random::<f64>()).ln() / rate.0;
+        due += Duration::from_secs_f64(gap);
+        tokio::time::sleep_until(due).await;
+        let Some(number) = run.next() else {
+            break;
+        };
+        let run = Arc::clone(run);
+        requests.spawn(async move { run.request(number, due).await });
+        while let Some(ended) = requests.try_join_next() {
+            ended?;
+        }
+    }
+    while let Some(ended) = requests.join_next().await {
+        ended?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/load/client.rs
@@ -0,0 +1,125 @@
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::request::Asked;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// HTTP/1.1 client that keeps its connections open, as callers of the service do.
+#[derive(Debug)]
+pub(super) struct Client {
+    targets: Vec<Target>,
+}
+
+#[derive(Debug)]
+struct Target {
+    authority: String,
+    idle: Mutex<Vec<Sender>>,
+}
+
+/// A connection in use; it goes back to the idle ones when the answer was read to its end.
+#[derive(Debug)]
+pub(super) struct Lent<'a> {
+    target: &'a Target,
+    sender: Option<Sender>,
+    reusable: AtomicBool,
+}
+
+impl Client {
+    /// Opens a client for base URLs such as `http://127.0.0.1:7000`.
+    pub(super) fn open(urls: &[String]) -> anyhow::Result<Self> {
+        let target = |url: &String| {
+            let uri: http::Uri = url.parse()?;
+            let authority = uri.authority().ok_or_else(|| anyhow::anyhow!("{url}: no address in the URL"))?;
+            Ok(Target { authority: authority.to_string(), idle: Mutex::default() })
+        };
+        Ok(Self { targets: urls.iter().map(target).collect::<anyhow::Result<_>>()? })
+    }
+
+    /// Sends a request and returns the answer with its body still open.
+    pub(super) async fn send(&self, asked: &Asked) -> anyhow::Result<(Response<Incoming>, Lent<'_>)> {
+        let target = &self.targets[(asked.number % self.targets.len() as u64) as usize];
+        if let Some(mut sender) = target.take() {
+            match sender.try_send_request(request(target, asked)?).await {
+                Ok(response) => return Ok((response, Lent::new(target, sender))),
+                // The server closed the idle connection before anything was sent.
+                Err(err) if err.message().is_some() => {}
+                Err(err) => return Err(err.into_error().into()),
+            }
+        }
+        let mut sender = target.connect().await?;
+        let response = sender.send_request(request(target, asked)?).await?;
+        Ok((response, Lent::new(target, sender)))
+    }
+}
+
+impl Target {
+    fn take(&self) -> Option<Sender> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        while let Some(sender) = idle.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self) -> anyhow::Result<Sender> {
+        let stream = TcpStream::connect(&self.authority).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(async move {
+            if let Err(err) = connection.await {
+                tracing::debug!("load: connection ended: {err}");
+            }
+        });
+        Ok(sender)
+    }
+}
+
+impl<'a> Lent<'a> {
+    fn new(target: &'a Target, sender: Sender) -> Self {
+        Self { target, sender: Some(sender), reusable: AtomicBool::new(false) }
+    }
+
+    /// Marks the connection as reusable: the answer was read to its end.
+    pub(super) fn finished(&self) {
+        self.reusable.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Lent<'_> {
+    fn drop(&mut self) {
+        if let Some(sender) = self.sender.take().filter(|_| self.reusable.load(Ordering::Relaxed)) {
+            self.target.idle.lock().unwrap_or_else(PoisonError::into_inner).push(sender);
+        }
+    }
+}
+
+fn request(target: &Target, asked: &Asked) -> anyhow::Result<Request<Full<Bytes>>> {
+    let mut request = Request::post(&asked.path)
+        .header("host", &target.authority)
+        .header("content-type", "application/json")
+        .header("carobwick-caller", &asked.caller);
+    if let Some(attempt) = asked.attempt {
+        request = request.header("carobwick-attempt", attempt.to_string());
+    }
+    if let Some(key) = &asked.key {
+        request = request.header("idempotency-key", key);
+    }
+    if asked.once {
+        request = request.header("carobwick-repeatable", "no");
+    }
+    Ok(request.body(Full::new(asked.body.clone()))?)
+}
--- /dev/null
+++ b/crates/standins/src/load/request.rs
@@ -0,0 +1,129 @@
+use bytes::Bytes;
+use carobwick_core::AttemptId;
+use carobwick_core::ModelId;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use serde_json::json;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::LoadOptions;
+use super::RequestKind;
+use crate::ChatMessage;
+use crate::ChatRequest;
+use crate::answer_text;
+use crate::service_hash;
+
+/// Words of the made-up prompts.
+const WORDS: [&str; 16] = [
+    "anvil ", "brass ", "casting ", "draft ", "engrave ", "foil ", "gilding ", "hinge ", "inlay ", "joint ",
+    "kiln ", "letter ", "mould ", "neon ", "outline ", "primer ",
+];
+
+/// Writes the requests of a run; the same seed and number give the same request.
+#[derive(Debug)]
+pub(super) struct Writer {
+    kind: RequestKind,
+    direct: bool,
+    keys: bool,
+    once: bool,
+    models: Vec<ModelId>,
+    prefixes: Vec<String>,
+    own_bytes: usize,
+    max_tokens: u32,
+    callers: u32,
+    seed: u64,
+}
+
+/// A request and what its answer must be.
+#[derive(Debug)]
+pub(super) struct Asked {
+    pub number: u64,
+    pub path: String,
+    pub body: Bytes,
+    pub caller: String,
+    pub attempt: Option<AttemptId>,
+    pub key: Option<String>,
+    pub once: bool,
+    pub expected: Expected,
+}
+
+/// What an answer must be.
+#[derive(Debug)]
+pub(super) enum Expected {
+    /// A stream with this text.
+    Stream(String),
+    /// A whole chat answer with this text.
+    Whole(String),
+    /// A service's answer to a body with this hash.
+    Service(String),
+}
+
+impl Writer {
+    pub(super) fn new(options: &LoadOptions) -> Self {
+        let shared = (options.prompt_bytes as f64 * options.shared.clamp(0.0, 1.0)) as usize;
+        let prefix = |index| words(xxh3_64_with_seed(b"prefix", options.seed ^ u64::from(index)), shared);
+        Self {
+            kind: options.kind.clone(),
+            direct: options.direct,
+            keys: options.keys,
+            once: options.once,
+            models: options.models.clone(),
+            prefixes: (0..options.prefixes.max(1)).map(prefix).collect(),
+            own_bytes: options.prompt_bytes - shared,
+            max_tokens: options.max_tokens.max(1),
+            callers: options.callers.max(1),
+            seed: options.seed,
+        }
+    }
+
+    pub(super) fn write(&self, number: u64) -> Asked {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed ^ number.rotate_left(32));
+        let prefix = &self.prefixes[random.random_range(0..self.prefixes.len())];
+        let own = words(random.random(), self.own_bytes);
+        // The number makes the prompt unique, so that an answer to another request is noticed.
+        let prompt = format!("{prefix}[{}-{number}] {own}", self.seed);
+        let model = &self.models[random.random_range(0..self.models.len())];
+        let (path, body, expected) = match &self.kind {
+            RequestKind::Service(path) => {
+                let body = Bytes::from(json!({"text": prompt}).to_string());
+                (path.clone(), body.clone(), Expected::Service(service_hash(&body)))
+            }
+            RequestKind::Stream => self.chat(model, prompt, true),
+            RequestKind::Whole => self.chat(model, prompt, false),
+        };
+        Asked {
+            number,
+            path,
+            body,
+            caller: format!("caller-{}", random.random_range(0..self.callers)),
+            attempt: self.direct.then(|| AttemptId(random.random())),
+            key: self.keys.then(|| format!("load-{}-{number}", self.seed)),
+            once: self.once,
+            expected,
+        }
+    }
+
+    fn chat(&self, model: &ModelId, prompt: String, stream: bool) -> (String, Bytes, Expected) {
+        let request = ChatRequest {
+            model: model.to_string(),
+            messages: vec![ChatMessage { role: "user".to_owned(), content: prompt.into() }],
+            max_tokens: self.max_tokens,
+            stream,
+        };
+        let text = answer_text(request.hash(), self.max_tokens);
+        let expected = if stream { Expected::Stream(text) } else { Expected::Whole(text) };
+        let body = serde_json::to_vec(&request).unwrap_or_default();
+        ("/v1/chat/completions".to_owned(), body.into(), expected)
+    }
+}
+
+fn words(seed: u64, bytes: usize) -> String {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut text = String::with_capacity(bytes + 8);
+    while text.len() < bytes {
+        text.push_str(WORDS[random.random_range(0..WORDS.len())]);
+    }
+    text.truncate(bytes);
+    text
+}
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -1,5 +1,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -34,6 +37,8 @@
 #[derive(Debug, Clone)]
 pub struct ServerControl {
     outages: mpsc::UnboundedSender<Duration>,
+    /// Closes the connections that are open.
+    open: Arc<Mutex<CancellationToken>>,
     freezes: Arc<AtomicU64>,
 }
 
@@ -41,6 +46,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Connection {
     close: CancellationToken,
+    /// Whether outages and freezes leave the connection alone, so that faults can be changed over it.
     exempt: Arc<AtomicBool>,
 }
 
@@ -66,9 +72,10 @@
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
         let (outages, requests) = mpsc::unbounded_channel();
-        let control = ServerControl { outages, freezes: Arc::default() };
         let stop = CancellationToken::new();
-        let run = Run { addr, router: router(control.clone()), freezes: Arc::clone(&control.freezes) };
+        let open = Arc::new(Mutex::new(stop.child_token()));
+        let control = ServerControl { outages, open, freezes: Arc::default() };
+        let run = Run { addr, router: router(control.clone()), control: control.clone() };
         tokio::spawn(run.run(listener, requests, stop.clone()));
         Ok(Self { addr, control, _stop: stop.drop_guard() })
     }
@@ -92,6 +99,8 @@
 impl ServerControl {
     /// Closes all connections and refuses new ones for `duration`.
     pub fn interrupt(&self, duration: Duration) {
+        // The connections are closed here already, so that nothing is sent after the call.
+        self.token().cancel();
         // The receiver is gone only if the server has ended, and then all connections are closed anyway.
         let _ = self.outages.send(duration);
     }
@@ -100,6 +109,10 @@
     pub fn freeze(&self) {
         self.freezes.fetch_add(1, Ordering::SeqCst);
     }
+
+    fn token(&self) -> MutexGuard<'_, CancellationToken> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Connection {
@@ -109,7 +122,7 @@
         std::future::pending().await
     }
 
-    /// Keeps the connection out of [`ServerControl::freeze`], so that faults can be changed over it.
+    /// Keeps the connection out of outages and freezes.
     pub(crate) fn exempt(&self) {
         self.exempt.store(true, Ordering::SeqCst);
     }
@@ -118,7 +131,7 @@
 struct Run {
     addr: SocketAddr,
     router: Router,
-    freezes: Arc<AtomicU64>,
+    control: ServerControl,
 }
 
 impl Run {
@@ -128,19 +141,18 @@
         mut outages: mpsc::UnboundedReceiver<Duration>,
         stop: CancellationToken,
     ) {
-        let mut open = stop.child_token();
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
                 Some(outage) = outages.recv() => {
-                    open.cancel();
+                    self.control.token().cancel();
                     drop(listener);
                     tokio::time::sleep(outage).await;
                     listener = self.rebind().await;
-                    open = stop.child_token();
+                    *self.control.token() = stop.child_token();
                 }
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.connect(stream, open.child_token()),
+                    Ok((stream, _)) => self.connect(stream, &stop),
                     Err(err) => {
                         tracing::warn!("standin: accept failed: {err}");
                         tokio::time::sleep(Duration::from_millis(50)).await;
@@ -162,13 +174,15 @@
         }
     }
 
-    fn connect(&self, stream: TcpStream, close: CancellationToken) {
+    fn connect(&self, stream: TcpStream, stop: &CancellationToken) {
         if let Err(err) = stream.set_nodelay(true) {
             tracing::debug!("standin: connection ended early: {err}");
             return;
         }
+        let (open, close) = (self.control.token().clone(), stop.child_token());
         let connection = Connection { close: close.clone(), exempt: Arc::default() };
-        let gate = Gate::new(stream, Arc::clone(&self.freezes), Arc::clone(&connection.exempt));
+        let exempt = Arc::clone(&connection.exempt);
+        let gate = Gate::new(stream, Arc::clone(&self.control.freezes), Arc::clone(&exempt));
         let router = self.router.clone();
         let service = hyper::service::service_fn(move |mut request: hyper::Request<Incoming>| {
             request.extensions_mut().insert(connection.clone());
@@ -178,8 +192,16 @@
             let mut builder = Builder::new(TokioExecutor::new());
             builder.http2().max_concurrent_streams(MAX_STREAMS);
             let served = builder.serve_connection(TokioIo::new(gate), service);
+            let outage = async {
+                open.cancelled().await;
+                if exempt.load(Ordering::SeqCst) {
+                    std::future::pending::<()>().await;
+                }
+            };
             tokio::select! {
+                biased;
                 () = close.cancelled() => {}
+                () = outage => {}
                 ended = served => if let Err(err) = ended {
                     tracing::debug!("standin: connection ended: {err}");
                 }
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -184,7 +184,7 @@
 
 fn router(shared: Arc<Shared>) -> Router {
     let control = shared.control.clone();
-    let switches = shared.faults.router(move |faults: &ServiceFaults| {
+    shared.faults.on_change(move |faults| {
         if faults.freeze {
             control.freeze();
         }
@@ -192,6 +192,7 @@
             control.interrupt(Duration::from_millis(faults.refuse_ms));
         }
     });
+    let switches = shared.faults.router();
     Router::new().route("/executions", get(executions)).fallback(answer).with_state(shared).merge(switches)
 }
 
--- a/crates/standins/src/weights.rs
+++ b/crates/standins/src/weights.rs
@@ -131,7 +131,7 @@
             .route("/load", post(load))
             .route("/stats", get(stats))
             .with_state(Arc::clone(&shared))
-            .merge(shared.faults.router(|_| {}));
+            .merge(shared.faults.router());
         Ok(Self { server: Server::spawn(addr, router).await?, shared })
     }
 
