--- a/crates/core/src/delivery.rs
+++ b/crates/core/src/delivery.rs
@@ -6,6 +6,7 @@
 
 use crate::AttemptId;
 use crate::RequestId;
+use crate::RunStatus;
 use crate::Time;
 
 /// Resumes of one stream without an event in between, after which the stream counts as lost.
@@ -182,7 +183,7 @@
         /// Why.
         reason: GiveUp,
         /// Whether the request can have run.
-        run: Run,
+        run: RunStatus,
     },
     /// End the stream by an error event; a part was shown.
     Fail {
@@ -191,17 +192,6 @@
     },
 }
 
-/// What a refusal says about the request.
-#[key]
-#[derive(Copy)]
-#[serde(rename_all = "snake_case")]
-pub enum Run {
-    /// It did not run.
-    No,
-    /// It may have run.
-    Unknown,
-}
-
 /// Why a request is given up.
 #[key]
 #[derive(Copy)]
@@ -254,8 +244,8 @@
     }
 
     /// Returns what a refusal may say at this point.
-    pub fn run(&self) -> Run {
-        if self.unsettled == 0 { Run::No } else { Run::Unknown }
+    pub fn run(&self) -> RunStatus {
+        if self.unsettled == 0 { RunStatus::No } else { RunStatus::Unknown }
     }
 
     /// Returns the time that is left before the deadline.
@@ -393,7 +383,7 @@
             return self.start_resume(attempt);
         }
         if self.has_shown() || !self.terms.repeatable {
-            return self.give_up(GiveUp::AnswerLost, Run::Unknown);
+            return self.give_up(GiveUp::AnswerLost, RunStatus::Unknown);
         }
         if self.runs < self.terms.attempts {
             return self.start_run(now);
@@ -427,12 +417,12 @@
         id
     }
 
-    fn give_up(&mut self, reason: GiveUp, run: Run) -> DeliveryStep {
+    fn give_up(&mut self, reason: GiveUp, run: RunStatus) -> DeliveryStep {
         self.phase = Phase::Closed;
         if self.has_shown() {
             return DeliveryStep::Fail { reason };
         }
-        assert!(run == Run::Unknown || self.unsettled == 0, "I4: a refused request may have run");
+        assert!(run == RunStatus::Unknown || self.unsettled == 0, "I4: a refused request may have run");
         DeliveryStep::Refuse { reason, run }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -53,7 +53,6 @@
 pub use delivery::DeliveryStep;
 pub use delivery::DeliveryTerms;
 pub use delivery::GiveUp;
-pub use delivery::Run;
 pub use dispatch::Dispatcher;
 pub use drain::DrainMark;
 pub use drain::DrainSet;
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -11,7 +11,7 @@
 use carobwick_core::DeliveryStep;
 use carobwick_core::DeliveryTerms;
 use carobwick_core::GiveUp;
-use carobwick_core::Run;
+use carobwick_core::RunStatus;
 use carobwick_core::Time;
 use carobwick_runtime::now;
 use http::HeaderMap;
@@ -146,7 +146,7 @@
                 DeliveryStep::Refuse { reason, run } => return Output::Refused(self.refuse(reason, run)),
                 DeliveryStep::Fail { reason } => {
                     self.end_attempt();
-                    return Output::Broken(self.refuse(reason, Run::Unknown));
+                    return Output::Broken(self.refuse(reason, RunStatus::Unknown));
                 }
             };
             self.step = self.delivery.on(event, now());
@@ -307,7 +307,7 @@
         self.head.clone().unwrap_or_else(empty)
     }
 
-    fn refuse(&mut self, reason: GiveUp, run: Run) -> Refusal {
+    fn refuse(&mut self, reason: GiveUp, run: RunStatus) -> Refusal {
         self.end_attempt();
         if let Subject::Model(model) = &self.ask.subject {
             self.serving.demand.refused(model);
@@ -316,7 +316,7 @@
         match (reason, self.refusal.take()) {
             (GiveUp::Unplaced, Some(refusal)) => refusal.with_run(run),
             (GiveUp::Unplaced | GiveUp::Exhausted, _) => {
-                let code = if run == Run::No { Code::NoEndpoint } else { Code::EndpointFailed };
+                let code = if run == RunStatus::No { Code::NoEndpoint } else { Code::EndpointFailed };
                 Refusal::new(code, "no endpoint completed the request").with_run(run).after(second)
             }
             (GiveUp::AnswerLost, _) => {
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -3,7 +3,7 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use bytes::Bytes;
-use carobwick_core::Run;
+use carobwick_core::RunStatus;
 use http::HeaderValue;
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
@@ -17,7 +17,7 @@
 pub(crate) struct Refusal {
     pub code: Code,
     pub message: String,
-    pub run: Run,
+    pub run: RunStatus,
     pub retry_after: Option<Duration>,
 }
 
@@ -45,7 +45,7 @@
 impl Refusal {
     /// Builds a refusal of a request that did not run.
     pub fn new(code: Code, message: impl Into<String>) -> Self {
-        Self { code, message: message.into(), run: Run::No, retry_after: None }
+        Self { code, message: message.into(), run: RunStatus::No, retry_after: None }
     }
 
     #[must_use]
@@ -55,7 +55,7 @@
     }
 
     #[must_use]
-    pub fn with_run(mut self, run: Run) -> Self {
+    pub fn with_run(mut self, run: RunStatus) -> Self {
         self.run = run;
         self
     }
@@ -81,7 +81,7 @@
         *response.status_mut() = self.code.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if self.run == Run::No {
+        if self.run == RunStatus::No {
             headers.insert(RUN, HeaderValue::from_static("no"));
         }
         if let Some(delay) = self.retry_after {
--- /dev/null
+++ b/crates/proof/src/delivery_run/callers.rs
@@ -0,0 +1,135 @@
+use carobwick_core::AnswerForm;
+use carobwick_core::AttemptId;
+use carobwick_core::RunStatus;
+
+use super::endpoints::Piece;
+
+/// What callers asked for, what ran and what each of them was shown.
+#[derive(Debug, Default)]
+pub(super) struct Callers {
+    pub operations: Vec<Operation>,
+    pub violations: Vec<String>,
+    arrivals: Vec<Arrival>,
+}
+
+/// Something that a caller wants done, however often it sends it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Operation {
+    pub form: AnswerForm,
+    pub key: Option<u64>,
+    pub repeatable: bool,
+    /// Events of the answer.
+    pub length: u64,
+    pub executions: u32,
+}
+
+#[derive(Debug, Default)]
+struct Arrival {
+    operation: usize,
+    executions: u32,
+    /// Events shown, and the run that they came from.
+    shown: u64,
+    run: Option<AttemptId>,
+    answered: bool,
+    /// Whether it was refused as not run.
+    refused: bool,
+}
+
+impl Callers {
+    pub fn arrive(&mut self, operation: usize) -> usize {
+        self.arrivals.push(Arrival { operation, ..Arrival::default() });
+        self.arrivals.len() - 1
+    }
+
+    /// Counts a run of a request and returns its operation.
+    pub fn execute(&mut self, id: usize) -> usize {
+        let arrival = &mut self.arrivals[id];
+        arrival.executions += 1;
+        if arrival.refused {
+            self.violations.push(format!("I4: request {id} runs after a refusal with run: no"));
+        }
+        let operation = &mut self.operations[arrival.operation];
+        operation.executions += 1;
+        if !operation.repeatable && operation.executions > 1 {
+            let text = format!("I5: operation {} runs {} times", arrival.operation, operation.executions);
+            self.violations.push(text);
+        }
+        arrival.operation
+    }
+
+    pub fn show(&mut self, id: usize, piece: Option<Piece>) {
+        self.check_open(id);
+        let Some(piece) = piece else {
+            self.violations.push(format!("I3: request {id} is shown something that did not arrive"));
+            return;
+        };
+        let arrival = &mut self.arrivals[id];
+        if piece.operation != arrival.operation {
+            self.violations.push(format!("I3: request {id} is shown a part of another answer"));
+        }
+        if piece.first != arrival.shown {
+            let text = format!("I3: request {id} is shown event {} after {}", piece.first, arrival.shown);
+            self.violations.push(text);
+        }
+        if arrival.run.is_some_and(|run| run != piece.run) {
+            self.violations.push(format!("I3: request {id} is shown a mix of two answers"));
+        }
+        arrival.run = Some(piece.run);
+        arrival.shown = piece.first + piece.count;
+    }
+
+    pub fn finish(&mut self, id: usize, piece: Option<Piece>) {
+        self.show(id, piece);
+        let arrival = &mut self.arrivals[id];
+        arrival.answered = true;
+        if arrival.shown != self.operations[arrival.operation].length {
+            let text = format!("I3: request {id} ends after {} events without an error", arrival.shown);
+            self.violations.push(text);
+        }
+    }
+
+    pub fn replay(&mut self, id: usize, body: &[u8]) {
+        self.check_open(id);
+        let arrival = &mut self.arrivals[id];
+        arrival.answered = true;
+        if body != (arrival.operation as u64).to_le_bytes() {
+            self.violations.push(format!("I3: request {id} is shown the stored answer of another"));
+        }
+    }
+
+    pub fn refuse(&mut self, id: usize, run: RunStatus) {
+        self.check_open(id);
+        let arrival = &mut self.arrivals[id];
+        arrival.answered = true;
+        if run == RunStatus::Unknown {
+            return;
+        }
+        arrival.refused = true;
+        if arrival.executions > 0 {
+            self.violations.push(format!("I4: request {id} ran and is refused with run: no"));
+        }
+    }
+
+    /// The stream ends by an error event.
+    pub fn fail(&mut self, id: usize) {
+        self.check_open(id);
+        self.arrivals[id].answered = true;
+    }
+
+    /// The caller leaves, or its connection breaks.
+    pub fn leave(&mut self, id: usize) {
+        self.arrivals[id].answered = true;
+    }
+
+    pub fn check_answered(&mut self, id: usize) {
+        if !self.arrivals[id].answered {
+            self.violations.push(format!("request {id} has no answer long after its deadline"));
+        }
+    }
+
+    fn check_open(&mut self, id: usize) {
+        if self.arrivals[id].answered {
+            self.violations.push(format!("I3: request {id} is answered twice"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/proof/src/delivery_run/platform.rs
@@ -0,0 +1,51 @@
+use carobwick_core::OnceEvent;
+use carobwick_core::OnceRecord;
+use indexmap::IndexMap;
+
+/// The key-value service, as far as idempotency records use it.
+#[derive(Debug, Default)]
+pub(super) struct Platform {
+    pub down: bool,
+    records: IndexMap<u64, (OnceRecord, u64)>,
+    revision: u64,
+}
+
+/// A call to the key-value service, with its key.
+#[derive(Debug, Clone)]
+pub(super) enum Write {
+    Create(u64, OnceRecord),
+    Read(u64),
+    Swap(u64, OnceRecord, u64),
+    Delete(u64, u64),
+}
+
+impl Platform {
+    /// Carries a call out and returns its reply.
+    pub fn apply(&mut self, write: Write) -> OnceEvent {
+        match write {
+            Write::Read(key) => OnceEvent::Read(self.records.get(&key).cloned()),
+            Write::Create(key, record) => match self.records.get(&key) {
+                Some(found) => OnceEvent::Conflict(Some(found.clone())),
+                None => self.put(key, record),
+            },
+            Write::Swap(key, record, revision) => match self.records.get(&key) {
+                Some((_, at)) if *at == revision => self.put(key, record),
+                found => OnceEvent::Conflict(found.cloned()),
+            },
+            Write::Delete(key, revision) => match self.records.get(&key) {
+                Some((_, at)) if *at == revision => {
+                    self.records.swap_remove(&key);
+                    self.revision += 1;
+                    OnceEvent::Written(self.revision)
+                }
+                found => OnceEvent::Conflict(found.cloned()),
+            },
+        }
+    }
+
+    fn put(&mut self, key: u64, record: OnceRecord) -> OnceEvent {
+        self.revision += 1;
+        self.records.insert(key, (record, self.revision));
+        OnceEvent::Written(self.revision)
+    }
+}
