bench: request policy against baselines under a queueing model

Nothing measured the dispatcher. carobwick-policy runs entries and endpoints of both current deployments in virtual time: morning burst, tenfold swings, faults, and constant loads up to 10x.

--- /dev/null
+++ b/crates/bench/src/engine.rs
@@ -0,0 +1,204 @@
+use std::collections::VecDeque;
+
+use carobwick_core::Incarnation;
+use carobwick_core::LoadReport;
+use carobwick_core::ModelId;
+use carobwick_core::Time;
+
+use crate::PrefixCache;
+
+/// Speed and size of one endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Hardware {
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Seconds that each prefill takes beside its tokens.
+    pub fixed: f64,
+    /// Seconds of prefill per token that the prefix cache lacks.
+    pub prefill: f64,
+    /// Seconds per generated token with an empty batch.
+    pub gap: f64,
+    /// Seconds per generated token that each request in the batch adds.
+    pub slope: f64,
+    /// Tokens that the prefix cache holds.
+    pub cache: u64,
+    /// Seconds to load an adapter on its first use.
+    pub adapter: f64,
+}
+
+/// Queueing model of an endpoint: slots, one prefill at a time, a shared batch, a limited prefix cache.
+#[derive(Debug)]
+pub struct Engine {
+    hardware: Hardware,
+    incarnation: Incarnation,
+    up: bool,
+    adapters: Vec<ModelId>,
+    queue: VecDeque<Job>,
+    prefill: VecDeque<Job>,
+    prefill_end: Option<f64>,
+    batch: Vec<(Job, f64)>,
+    /// Tokens that a request which has been in the batch from the start would have generated.
+    generated: f64,
+    now: f64,
+    cache: PrefixCache,
+}
+
+/// Work of one request.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Number of the request in the run.
+    pub flow: usize,
+    /// Identity and length of the shared part of the prompt.
+    pub brief: Option<(u64, u64)>,
+    /// Length of the rest of the prompt.
+    pub question: u64,
+    /// Tokens to generate.
+    pub tokens: u64,
+    /// Adapter, if it needs one.
+    pub adapter: Option<ModelId>,
+}
+
+/// Something that a request's entry sees.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Output {
+    /// The first token of a request.
+    First(usize),
+    /// The end of a request.
+    Done(usize),
+}
+
+impl Engine {
+    /// Starts an endpoint that holds the given adapters.
+    pub fn new(hardware: Hardware, adapters: Vec<ModelId>) -> Self {
+        Self {
+            hardware,
+            incarnation: Incarnation(1),
+            up: true,
+            adapters,
+            queue: VecDeque::new(),
+            prefill: VecDeque::new(),
+            prefill_end: None,
+            batch: Vec::new(),
+            generated: 0.0,
+            now: 0.0,
+            cache: PrefixCache::new(hardware.cache),
+        }
+    }
+
+    /// Returns the identity of its current run.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns whether it takes requests.
+    pub fn is_up(&self) -> bool {
+        self.up
+    }
+
+    /// Returns its load.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            running: (self.prefill.len() + self.batch.len()) as u32,
+            queued: self.queue.len() as u32,
+            cached_tokens: self.cache.tokens(),
+            free_tokens: self.hardware.cache - self.cache.tokens(),
+        }
+    }
+
+    /// Takes a request.
+    pub fn push(&mut self, job: Job) {
+        self.queue.push_back(job);
+        self.fill();
+    }
+
+    /// Returns when the next output or change is due.
+    pub fn next(&self) -> Option<Time> {
+        let at = self.next_seconds()?;
+        // One more microsecond, since rounding could otherwise give a time just before the event.
+        Some(Time((at * 1e6).ceil() as u64 + 1))
+    }
+
+    /// Runs until `now` and returns what happened.
+    pub fn advance(&mut self, now: Time) -> Vec<Output> {
+        let end = now.0 as f64 / 1e6;
+        let mut outputs = Vec::new();
+        while let Some(at) = self.next_seconds().filter(|at| *at <= end) {
+            self.run_to(at);
+            if self.prefill_end.is_some_and(|done| done <= at) {
+                self.end_prefill(&mut outputs);
+            }
+            let generated = self.generated + 1e-9;
+            let done = self.batch.extract_if(.., |(_, target)| *target <= generated);
+            outputs.extend(done.map(|(job, _)| Output::Done(job.flow)));
+            self.fill();
+        }
+        self.run_to(end);
+        outputs
+    }
+
+    /// Ends its process and returns the requests that it had.
+    pub fn crash(&mut self) -> Vec<usize> {
+        self.up = false;
+        self.prefill_end = None;
+        self.cache = PrefixCache::new(self.hardware.cache);
+        let mut lost: Vec<usize> =
+            self.queue.drain(..).chain(self.prefill.drain(..)).map(|job| job.flow).collect();
+        lost.extend(self.batch.drain(..).map(|(job, _)| job.flow));
+        lost
+    }
+
+    /// Starts a new process with an empty cache.
+    pub fn restart(&mut self) {
+        self.up = true;
+        self.incarnation.0 += 1;
+    }
+
+    fn next_seconds(&self) -> Option<f64> {
+        let least = self.batch.iter().map(|(_, target)| *target).min_by(f64::total_cmp);
+        let decode = least.map(|target| self.now + (target - self.generated).max(0.0) * self.token_time());
+        [self.prefill_end, decode].into_iter().flatten().min_by(f64::total_cmp)
+    }
+
+    fn token_time(&self) -> f64 {
+        self.hardware.gap + self.hardware.slope * self.batch.len() as f64
+    }
+
+    fn run_to(&mut self, at: f64) {
+        if !self.batch.is_empty() {
+            self.generated += (at - self.now).max(0.0) / self.token_time();
+        }
+        self.now = self.now.max(at);
+    }
+
+    fn end_prefill(&mut self, outputs: &mut Vec<Output>) {
+        self.prefill_end = None;
+        let Some(job) = self.prefill.pop_front() else { return };
+        if let Some((brief, tokens)) = job.brief {
+            self.cache.insert(brief, tokens);
+        }
+        outputs.push(Output::First(job.flow));
+        let target = self.generated + job.tokens as f64;
+        self.batch.push((job, target));
+    }
+
+    fn fill(&mut self) {
+        while self.prefill.len() + self.batch.len() < self.hardware.slots {
+            let Some(job) = self.queue.pop_front() else { break };
+            self.prefill.push_back(job);
+        }
+        if self.prefill_end.is_none()
+            && let Some(job) = self.prefill.front()
+        {
+            let cold =
+                job.brief.map_or(0, |(brief, tokens)| if self.cache.touch(brief) { 0 } else { tokens });
+            let mut took = self.hardware.fixed + self.hardware.prefill * (cold + job.question) as f64;
+            if let Some(adapter) = &job.adapter
+                && !self.adapters.contains(adapter)
+            {
+                took += self.hardware.adapter;
+                self.adapters.push(adapter.clone());
+            }
+            self.prefill_end = Some(self.now + took);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/score.rs
@@ -0,0 +1,87 @@
+use hdrhistogram::Histogram;
+
+/// What one run of a policy gave.
+#[derive(Debug, Clone)]
+pub struct Score {
+    /// Requests that arrived after the warm-up.
+    pub arrived: u64,
+    /// Requests that met their targets.
+    pub attained: u64,
+    /// Requests that were refused.
+    pub refused: u64,
+    /// Requests that were lost or ended with an error.
+    pub failed: u64,
+    /// Seconds that were counted.
+    pub seconds: f64,
+    /// Accelerators in use.
+    pub accelerators: u32,
+    /// Time to the first token in microseconds.
+    pub first: Histogram<u64>,
+    /// Mean time between tokens of each request, in microseconds.
+    pub gap: Histogram<u64>,
+}
+
+/// Median and range over seeds.
+#[derive(Debug, Clone, Copy)]
+pub struct Spread {
+    /// Lowest value.
+    pub low: f64,
+    /// Median.
+    pub median: f64,
+    /// Highest value.
+    pub high: f64,
+}
+
+impl Score {
+    /// Creates an empty score.
+    pub fn new(seconds: f64, accelerators: u32) -> Self {
+        let histogram =
+            || Histogram::new_with_max(600_000_000, 3).expect("the bounds of the histogram are valid");
+        Self {
+            arrived: 0,
+            attained: 0,
+            refused: 0,
+            failed: 0,
+            seconds,
+            accelerators,
+            first: histogram(),
+            gap: histogram(),
+        }
+    }
+
+    /// Returns the fraction of requests that met their targets.
+    pub fn attainment(&self) -> f64 {
+        self.attained as f64 / self.arrived.max(1) as f64
+    }
+
+    /// Returns the attainment per accelerator.
+    pub fn per_accelerator(&self) -> f64 {
+        self.attainment() / f64::from(self.accelerators)
+    }
+
+    /// Returns the requests per second that met their targets.
+    pub fn goodput(&self) -> f64 {
+        self.attained as f64 / self.seconds
+    }
+
+    /// Returns the fraction of requests that were refused.
+    pub fn refusals(&self) -> f64 {
+        self.refused as f64 / self.arrived.max(1) as f64
+    }
+}
+
+impl Spread {
+    /// Summarises values; there must be at least one.
+    pub fn of(values: impl Iterator<Item = f64>) -> Self {
+        let mut sorted: Vec<f64> = values.collect();
+        sorted.sort_by(f64::total_cmp);
+        Self { low: sorted[0], median: sorted[sorted.len() / 2], high: sorted[sorted.len() - 1] }
+    }
+
+    /// Writes the median and the range, scaled, with a number of decimals.
+    pub fn text(&self, scale: f64, decimals: usize) -> String {
+        let Self { low, median, high } = *self;
+        let (low, median, high) = (low * scale, median * scale, high * scale);
+        format!("{median:.decimals$} ({low:.decimals$}..{high:.decimals$})")
+    }
+}
--- /dev/null
+++ b/crates/bench/src/shape.rs
@@ -0,0 +1,174 @@
+use std::fmt;
+use std::str::FromStr;
+
+use carobwick_core::CallerId;
+use carobwick_core::ModelId;
+use carobwick_core::Time;
+use carobwick_core::ZoneId;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::Deployment;
+
+/// Mean number of tokens that a request generates.
+pub const MEAN_TOKENS: f64 = 80.0;
+/// Seconds at the start that are not counted.
+pub const WARM_UP: u64 = 10;
+const CALLERS: usize = 12;
+/// Briefs of each model that are in use at the same time.
+const BRIEFS: u64 = 6;
+
+/// How requests arrive, and what fails.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Shape {
+    /// Load of 0.3 with bursts: one long brief, then many short questions about it.
+    Morning,
+    /// Each model's demand changes tenfold, at a mean load of 0.5.
+    Swing,
+    /// Load of 0.5 while an endpoint crashes and a zone fails.
+    Faults,
+    /// Constant load relative to the capacity.
+    Steady(f64),
+}
+
+/// A request that arrives.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// When.
+    pub at: Time,
+    /// Zone whose entries take it.
+    pub zone: ZoneId,
+    /// Who sends it.
+    pub caller: CallerId,
+    /// Base model.
+    pub model: ModelId,
+    /// Adapter on the model.
+    pub adapter: Option<ModelId>,
+    /// Identity and length of the shared part of the prompt.
+    pub brief: Option<(u64, u64)>,
+    /// Length of the rest of the prompt.
+    pub question: u64,
+    /// Tokens that it generates.
+    pub tokens: u64,
+}
+
+impl Shape {
+    /// Draws the requests of a run, in order of time.
+    pub fn arrivals(self, deployment: &Deployment, seconds: u64, rng: &mut ChaCha8Rng) -> Vec<Arrival> {
+        let load = match self {
+            Self::Morning => 0.3,
+            Self::Swing | Self::Faults => 0.5,
+            Self::Steady(load) => load,
+        };
+        let rate = load * deployment.capacity(MEAN_TOKENS);
+        let mut arrivals = Vec::new();
+        for (rank, (model, share)) in deployment.popularity.iter().enumerate() {
+            for second in 0..seconds {
+                let factor = if self == Self::Swing { swing(rank, second) } else { 1.0 };
+                let mut at = exponential(rng, rate * share * factor);
+                while at < 1.0 {
+                    let brief = rng.random_bool(0.8).then(|| {
+                        // The square prefers the lower numbers, so that some briefs are hot.
+                        let brief = (rng.random::<f64>().powi(2) * BRIEFS as f64) as u64;
+                        brief_of(rank, brief)
+                    });
+                    arrivals.push(arrival(deployment, model, second as f64 + at, brief, rng));
+                    at += exponential(rng, rate * share * factor);
+                }
+            }
+        }
+        if self == Self::Morning {
+            bursts(deployment, rate, seconds, rng, &mut arrivals);
+        }
+        arrivals.sort_by_key(|arrival| arrival.at);
+        arrivals
+    }
+}
+
+impl fmt::Display for Shape {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Morning => f.write_str("morning burst"),
+            Self::Swing => f.write_str("tenfold swings"),
+            Self::Faults => f.write_str("faults"),
+            Self::Steady(load) => write!(f, "load {load}x"),
+        }
+    }
+}
+
+impl FromStr for Shape {
+    type Err = anyhow::Error;
+
+    fn from_str(text: &str) -> anyhow::Result<Self> {
+        Ok(match text {
+            "morning" => Self::Morning,
+            "swing" => Self::Swing,
+            "faults" => Self::Faults,
+            load => Self::Steady(load.parse()?),
+        })
+    }
+}
+
+/// Every 2 s a new brief arrives and is asked about 40 times within 4 s, by one caller.
+fn bursts(
+    deployment: &Deployment,
+    rate: f64,
+    seconds: u64,
+    rng: &mut ChaCha8Rng,
+    arrivals: &mut Vec<Arrival>,
+) {
+    let questions = (rate * 0.8) as usize;
+    for start in (0..seconds.saturating_sub(4)).step_by(2) {
+        let rank = rng.random_range(0..deployment.popularity.len() / 2);
+        let brief = Some((1_000_000 + start, rng.random_range(4_000..6_000)));
+        let model = &deployment.popularity[rank].0;
+        let first = arrival(deployment, model, start as f64, brief, rng);
+        for _ in 0..questions {
+            let at = start as f64 + rng.random::<f64>() * 4.0;
+            let mut question = arrival(deployment, model, at, brief, rng);
+            question.caller = first.caller.clone();
+            question.zone = first.zone.clone();
+            arrivals.push(question);
+        }
+        arrivals.push(first);
+    }
+}
+
+fn arrival(
+    deployment: &Deployment,
+    model: &ModelId,
+    at: f64,
+    brief: Option<(u64, u64)>,
+    rng: &mut ChaCha8Rng,
+) -> Arrival {
+    let zones = &deployment.manifest.zones;
+    let own =
+        |(id, spec): (&ModelId, &carobwick_core::AdapterSpec)| (spec.base == *model).then(|| id.clone());
+    let adapters: Vec<ModelId> = deployment.manifest.adapters.iter().filter_map(own).collect();
+    let adapter = (!adapters.is_empty() && rng.random_bool(0.4))
+        .then(|| adapters[rng.random_range(0..adapters.len())].clone());
+    let caller = (rng.random::<f64>().powi(2) * CALLERS as f64) as usize;
+    Arrival {
+        at: Time((at * 1e6) as u64),
+        zone: zones[rng.random_range(0..zones.len())].clone(),
+        caller: format!("caller-{caller}").parse().expect("the id has only allowed characters"),
+        model: model.clone(),
+        adapter,
+        brief,
+        question: rng.random_range(50..150),
+        tokens: (exponential(rng, 1.0 / (MEAN_TOKENS - 10.0)) + 10.0).min(600.0) as u64,
+    }
+}
+
+fn brief_of(rank: usize, brief: u64) -> (u64, u64) {
+    (rank as u64 * BRIEFS + brief, 2_000 + brief * 400)
+}
+
+/// Returns a factor that is 10 times higher in one third of the time, at another time for each model; its mean is 1.
+fn swing(rank: usize, second: u64) -> f64 {
+    if (second / 10 + rank as u64).is_multiple_of(3) { 2.5 } else { 0.25 }
+}
+
+fn exponential(rng: &mut ChaCha8Rng, rate: f64) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln() / rate
+}
