--- a/crates/planner/tests/common/mod.rs
+++ b/crates/planner/tests/common/mod.rs
@@ -34,7 +34,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// Longest wait for a condition; the runs reach theirs in a few seconds.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 pub struct Zone {
     pub kv: KvStandin,
