proof: random run of the planners; adapters follow the declared version of their base

Cause: the leader's decisions had not been run under faults. Two zones, 2 to 3 planners each, 8 engines of which half check fencing numbers, in virtual time; 15 kinds of faults alone, in pairs or twice; four checks and one at the end. Found by its trace: adapters were loaded again on a base of a superseded version, 6 times in one run; they now go beside the declared version.

--- a/crates/core/src/adapters.rs
+++ b/crates/core/src/adapters.rs
@@ -19,21 +19,28 @@
             if spec.retiring || scene.demand.last_used(id, scene.now).is_none() {
                 continue;
             }
-            if self.expected(id, Some(&spec.version)).next().is_some() {
+            let hosts = self.hosts_of(spec);
+            if self.expected(id, Some(&spec.version)).any(|endpoint| hosts.contains(&endpoint)) {
                 continue;
             }
             if left == 0 {
                 self.block(id, "waits for the limit on adapter loads");
                 continue;
             }
-            if self.place_adapter(id, spec) {
+            if self.place_adapter(id, spec, hosts) {
                 left -= 1;
             }
         }
     }
 
-    fn place_adapter(&mut self, id: &'a ModelId, spec: &'a AdapterSpec) -> bool {
-        let hosts: Vec<&EndpointId> = self.serving(&spec.base, None).collect();
+    /// Returns the engines that serve the base, with its declared version if any does: other copies are about to go.
+    fn hosts_of(&self, spec: &AdapterSpec) -> Vec<&'a EndpointId> {
+        let version = self.scene.manifest.models.get(&spec.base).map(|base| &base.version);
+        let current: Vec<&EndpointId> = self.serving(&spec.base, version).collect();
+        if current.is_empty() { self.serving(&spec.base, None).collect() } else { current }
+    }
+
+    fn place_adapter(&mut self, id: &'a ModelId, spec: &'a AdapterSpec, hosts: Vec<&'a EndpointId>) -> bool {
         if hosts.is_empty() {
             // Another zone holds the base, and requests are forwarded there.
             return false;
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -43,7 +43,7 @@
     pub(crate) lease: Lease,
     pub(crate) config: Option<Arc<ConfigRecord>>,
     pub(crate) drains: DrainSet,
-    pub(crate) fleet: ZoneListing,
+    pub(crate) listing: ZoneListing,
     pub(crate) demand: Demand,
     term: Option<Term>,
     /// The leader's first fencing number and the last one given out.
@@ -112,7 +112,7 @@
             zone,
             config: None,
             drains: DrainSet::default(),
-            fleet: ZoneListing::default(),
+            listing: ZoneListing::default(),
             demand: Demand::default(),
             term: None,
             fences: (Fence(0), Fence(0)),
@@ -154,8 +154,8 @@
     }
 
     /// Takes the instance list.
-    pub fn set_fleet(&mut self, fleet: ZoneListing) {
-        self.fleet = fleet;
+    pub fn set_listing(&mut self, listing: ZoneListing) {
+        self.listing = listing;
     }
 
     /// Adds the demand that an entry reports.
--- a/crates/core/src/term_decide.rs
+++ b/crates/core/src/term_decide.rs
@@ -60,10 +60,10 @@
 
     /// Follows the instance list and the manifest; an endpoint that is not listed any more goes once it is silent.
     pub(crate) fn update_accounts(&mut self, controller: &Controller, manifest: &Manifest, tick: &Tick) {
-        for (id, listed) in &controller.fleet.endpoints {
+        for (id, listed) in &controller.listing.endpoints {
             self.services.insert(id.clone(), listed.clone());
         }
-        let gone = |id: &EndpointId| !controller.fleet.endpoints.contains_key(id);
+        let gone = |id: &EndpointId| !controller.listing.endpoints.contains_key(id);
         let silent = |id: &EndpointId| {
             self.ledger.get(id).is_none_or(|account| {
                 self.availability(controller, id, tick.now) == Availability::Down
--- a/crates/core/src/term_view.rs
+++ b/crates/core/src/term_view.rs
@@ -30,7 +30,7 @@
             fence: self.first,
             version,
             leader: controller.instance.clone(),
-            instances: controller.fleet.instances.clone(),
+            instances: controller.listing.instances.clone(),
             endpoints: self.endpoint_views(controller, now),
             blocked: self.decision.blocked.clone(),
             reasons: self.decision.reasons.clone(),
--- a/crates/planner/src/leader.rs
+++ b/crates/planner/src/leader.rs
@@ -189,10 +189,10 @@
             Reply::Zone { zone, asked, plan, led } => {
                 self.controller.on_zone(&zone, asked, plan.as_ref(), led);
             }
-            Reply::Listing(fleet) => {
+            Reply::Listing(listing) => {
                 self.listing = false;
-                if let Some(fleet) = fleet {
-                    self.controller.set_fleet(fleet);
+                if let Some(listing) = listing {
+                    self.controller.set_listing(listing);
                 }
             }
             Reply::State { endpoint, asked, state } => {
--- /dev/null
+++ b/crates/proof/src/planner_run/engine.rs
@@ -0,0 +1,220 @@
+use std::collections::VecDeque;
+
+use carobwick_core::Action;
+use carobwick_core::Bytes;
+use carobwick_core::EndpointId;
+use carobwick_core::EngineState;
+use carobwick_core::Fence;
+use carobwick_core::Incarnation;
+use carobwick_core::ModelId;
+use carobwick_core::Order;
+use carobwick_core::OrderId;
+use carobwick_core::OrderOutcome;
+use carobwick_core::OrderResult;
+use carobwick_core::Resident;
+use carobwick_core::Role;
+use carobwick_core::ServiceId;
+use carobwick_core::ZoneId;
+
+/// Outcomes of orders that an engine remembers.
+const RESULTS: usize = 16;
+
+/// A model engine that knows at every moment what is in its memory.
+#[derive(Debug, Clone)]
+pub(super) struct FakeEngine {
+    pub id: EndpointId,
+    pub zone: ZoneId,
+    pub service: ServiceId,
+    /// Whether it refuses old fencing numbers and expired orders; otherwise it carries out whatever arrives.
+    pub checks: bool,
+    pub memory: Bytes,
+    pub incarnation: Incarnation,
+    /// Since when it runs, or until when it does not.
+    pub up: Result<u64, u64>,
+    pub drained: Option<u64>,
+    pub copies: Vec<Copy>,
+    fence: Fence,
+    /// Highest leader whose order took effect in this run.
+    effect: u64,
+    results: VecDeque<OrderResult>,
+}
+
+/// A model or adapter in an engine's memory.
+#[derive(Debug, Clone)]
+pub(super) struct Copy {
+    pub resident: Resident,
+    pub base: Option<ModelId>,
+    pub phase: Phase,
+    /// Order that started the phase.
+    pub order: OrderId,
+}
+
+/// Phase of a copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    Loading(u64),
+    Ready,
+    Unloading(u64),
+}
+
+/// What an order did.
+#[derive(Debug, Default)]
+pub(super) struct Effect {
+    pub outcome: Option<OrderOutcome>,
+    pub violations: Vec<String>,
+    pub loaded: Option<Resident>,
+    pub unloaded: Option<Resident>,
+}
+
+impl FakeEngine {
+    pub(super) fn new(id: &str, zone: &ZoneId, service: &str, checks: bool, incarnation: u64) -> Self {
+        Self {
+            id: id.parse().expect("the id is valid"),
+            zone: zone.clone(),
+            service: service.parse().expect("the name is valid"),
+            checks,
+            memory: Bytes(100),
+            incarnation: Incarnation(incarnation),
+            up: Ok(0),
+            drained: None,
+            copies: Vec::new(),
+            fence: Fence(0),
+            effect: 0,
+            results: VecDeque::new(),
+        }
+    }
+
+    /// Returns the state as the engine reports it.
+    pub(super) fn state(&self) -> EngineState {
+        let (ready, other): (Vec<&Copy>, Vec<&Copy>) =
+            self.copies.iter().partition(|copy| copy.phase == Phase::Ready);
+        let residents = |copies: Vec<&Copy>| copies.into_iter().map(|copy| copy.resident.clone()).collect();
+        EngineState {
+            incarnation: self.incarnation,
+            fence: if self.checks { self.fence } else { Fence(0) },
+            memory: self.memory,
+            resident: residents(ready),
+            loading: residents(other),
+            running: 0,
+            queued: 0,
+            role: Role::Mixed,
+            results: self.results.iter().map(|result| self.current(result)).collect(),
+        }
+    }
+
+    /// Lets time pass.
+    pub(super) fn advance(&mut self, now: u64) {
+        self.copies.retain(|copy| !matches!(copy.phase, Phase::Unloading(end) if end <= now));
+        for copy in &mut self.copies {
+            if matches!(copy.phase, Phase::Loading(end) if end <= now) {
+                copy.phase = Phase::Ready;
+            }
+        }
+    }
+
+    /// Ends this run and forgets everything.
+    pub(super) fn restart(&mut self, now: u64, incarnation: u64, down: u64) {
+        self.incarnation = Incarnation(incarnation);
+        self.copies.clear();
+        self.results.clear();
+        self.fence = Fence(0);
+        self.effect = 0;
+        self.up = if down == 0 { Ok(now) } else { Err(now + down) };
+    }
+
+    /// Carries out an order; a load takes until `loaded` and an unload until `unloaded`.
+    pub(super) fn take(&mut self, wall_ms: u64, order: &Order, loaded: u64, unloaded: u64) -> Effect {
+        let mut effect = Effect::default();
+        if self.checks && order.fence <= self.fence {
+            effect.outcome = Some(OrderOutcome::Fenced);
+            return effect;
+        }
+        if self.checks {
+            self.fence = order.fence;
+        }
+        if self.checks && wall_ms > order.expires_ms {
+            effect.outcome = Some(OrderOutcome::Expired);
+            return effect;
+        }
+        let outcome = self.carry_out(order, loaded, unloaded, &mut effect);
+        self.results.push_back(OrderResult { id: order.id, outcome });
+        if self.results.len() > RESULTS {
+            self.results.pop_front();
+        }
+        effect.outcome = Some(outcome);
+        if effect.loaded.is_some() || effect.unloaded.is_some() {
+            let leader = order.fence.revision();
+            if leader < self.effect {
+                let text = format!("{}: order of leader {leader} after one of {}", self.id, self.effect);
+                effect.violations.push(text);
+            }
+            self.effect = self.effect.max(leader);
+        }
+        effect
+    }
+
+    /// Returns whether a version of a model serves requests, any version if none is given.
+    pub(super) fn serves(&self, model: &ModelId) -> bool {
+        let ready = |copy: &Copy| copy.resident.model == *model && copy.phase == Phase::Ready;
+        self.up.is_ok() && self.copies.iter().any(ready)
+    }
+
+    fn current(&self, result: &OrderResult) -> OrderResult {
+        let mut copies = self.copies.iter();
+        let underway = copies.any(|copy| copy.order == result.id && copy.phase != Phase::Ready);
+        let outcome = match result.outcome {
+            OrderOutcome::Started if !underway => OrderOutcome::Done,
+            outcome => outcome,
+        };
+        OrderResult { id: result.id, outcome }
+    }
+
+    fn carry_out(&mut self, order: &Order, loaded: u64, unloaded: u64, effect: &mut Effect) -> OrderOutcome {
+        match &order.action {
+            Action::Load { model, version, size, base } => {
+                let resident = Resident { model: model.clone(), version: version.clone(), size: *size };
+                if let Some(copy) = self.copies.iter().find(|copy| copy.resident == resident) {
+                    return match copy.phase {
+                        Phase::Unloading(_) => OrderOutcome::Failed,
+                        Phase::Loading(_) | Phase::Ready => OrderOutcome::Done,
+                    };
+                }
+                let used: Bytes = self.copies.iter().map(|copy| copy.resident.size).sum();
+                if used + *size > self.memory {
+                    let text =
+                        format!("{}: load of {model} with {used} of {} bytes used", self.id, self.memory);
+                    effect.violations.push(text);
+                    return OrderOutcome::Failed;
+                }
+                if base.as_ref().is_some_and(|base| !self.serves(base)) {
+                    return OrderOutcome::Failed;
+                }
+                effect.loaded = Some(resident.clone());
+                self.copies.push(Copy {
+                    resident,
+                    base: base.clone(),
+                    phase: Phase::Loading(loaded),
+                    order: order.id,
+                });
+                OrderOutcome::Started
+            }
+            Action::Unload { model, version } => {
+                if self.copies.iter().any(|copy| copy.base.as_ref() == Some(model)) {
+                    return OrderOutcome::Failed;
+                }
+                let named =
+                    |copy: &&mut Copy| copy.resident.model == *model && copy.resident.version == *version;
+                let Some(copy) = self.copies.iter_mut().find(named) else {
+                    return OrderOutcome::Done;
+                };
+                if copy.phase == Phase::Ready {
+                    effect.unloaded = Some(copy.resident.clone());
+                }
+                copy.phase = Phase::Unloading(unloaded);
+                copy.order = order.id;
+                OrderOutcome::Started
+            }
+            Action::Role { .. } | Action::Noop => OrderOutcome::Done,
+        }
+    }
+}
--- /dev/null
+++ b/crates/proof/src/planner_run/fault.rs
@@ -0,0 +1,91 @@
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+
+/// Kinds of faults.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Fault {
+    KillPlanner,
+    ReplaceAll,
+    FreezeLeader,
+    LoseOrders,
+    DelayOrders,
+    RepeatOrders,
+    RestartEngine,
+    KvDown,
+    KvSlow,
+    KvLoseReplies,
+    ConfigLag,
+    ListLag,
+    CutZone,
+    ChangeManifest,
+    Drain,
+}
+
+/// A fault that holds or happens from `start` on, in microseconds.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Episode {
+    pub fault: Fault,
+    pub start: u64,
+    pub end: u64,
+}
+
+const ALL: [Fault; 15] = [
+    Fault::KillPlanner,
+    Fault::ReplaceAll,
+    Fault::FreezeLeader,
+    Fault::LoseOrders,
+    Fault::DelayOrders,
+    Fault::RepeatOrders,
+    Fault::RestartEngine,
+    Fault::KvDown,
+    Fault::KvSlow,
+    Fault::KvLoseReplies,
+    Fault::ConfigLag,
+    Fault::ListLag,
+    Fault::CutZone,
+    Fault::ChangeManifest,
+    Fault::Drain,
+];
+
+const SECOND: u64 = 1_000_000;
+
+/// Draws the faults of a run that end before `end`: one kind alone, two kinds at the same time, or one kind twice in a
+/// row, again and again. Orders are given all the time only if something changes, so changes are mixed in.
+pub(super) fn draw(rng: &mut ChaCha8Rng, end: u64) -> Vec<Episode> {
+    let mut episodes = Vec::new();
+    let mut at = 2 * SECOND;
+    let form = rng.random_range(0..4);
+    let kinds = [pick(rng), pick(rng)];
+    while at < end {
+        let second = match form {
+            0 => None,
+            1 => Some(kinds[1]),
+            2 => Some(kinds[0]),
+            _ => Some(pick(rng)),
+        };
+        let first = if form == 3 { pick(rng) } else { kinds[0] };
+        let length = rng.random_range(SECOND / 2..12 * SECOND);
+        push(&mut episodes, first, at, length, end);
+        if let Some(second) = second {
+            let later = rng.random_range(0..6 * SECOND);
+            push(&mut episodes, second, at + later, rng.random_range(SECOND / 2..12 * SECOND), end);
+        }
+        let change =
+            *[Fault::ChangeManifest, Fault::RestartEngine, Fault::Drain].choose(rng).unwrap_or(&first);
+        push(&mut episodes, change, at + rng.random_range(0..4 * SECOND), 8 * SECOND, end);
+        at += rng.random_range(4 * SECOND..20 * SECOND);
+    }
+    episodes.sort_by_key(|episode| episode.start);
+    episodes
+}
+
+fn push(episodes: &mut Vec<Episode>, fault: Fault, start: u64, length: u64, end: u64) {
+    if start < end {
+        episodes.push(Episode { fault, start, end: (start + length).min(end) });
+    }
+}
+
+fn pick(rng: &mut ChaCha8Rng) -> Fault {
+    *ALL.choose(rng).unwrap_or(&Fault::KillPlanner)
+}
