--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -457,6 +457,8 @@
             leader: "leader".parse().expect("the id has only allowed characters"),
             instances,
             endpoints: endpoints.collect(),
+            blocked: IndexMap::new(),
+            reasons: IndexMap::new(),
             zone,
         }
     }
