--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -43,7 +43,7 @@
     pub(crate) lease: Lease,
     pub(crate) config: Option<Arc<ConfigRecord>>,
     pub(crate) drains: DrainSet,
-    pub(crate) fleet: Fleet,
+    pub(crate) fleet: ZoneListing,
     pub(crate) demand: Demand,
     term: Option<Term>,
     /// The leader's first fencing number and the last one given out.
@@ -52,7 +52,7 @@
 
 /// The zone by the instance list.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct Fleet {
+pub struct ZoneListing {
     /// Instances of carobwick in the zone.
     pub instances: IndexMap<InstanceId, InstanceView>,
     /// Endpoints of the zone.
@@ -112,7 +112,7 @@
             zone,
             config: None,
             drains: DrainSet::default(),
-            fleet: Fleet::default(),
+            fleet: ZoneListing::default(),
             demand: Demand::default(),
             term: None,
             fences: (Fence(0), Fence(0)),
@@ -154,7 +154,7 @@
     }
 
     /// Takes the instance list.
-    pub fn set_fleet(&mut self, fleet: Fleet) {
+    pub fn set_fleet(&mut self, fleet: ZoneListing) {
         self.fleet = fleet;
     }
 
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -127,7 +127,9 @@
         self.memory = self.memory.min(state.memory);
         self.resident.clone_from(&state.resident);
         self.loading.clone_from(&state.loading);
-        self.orders.retain(|planned| !settle::is_gone(&planned.order, wall_ms));
+        self.orders.retain(|planned| {
+            !settle::is_gone(&planned.order, wall_ms) || settle::is_unloading(&planned.order, state)
+        });
         for planned in &mut self.orders {
             planned.settled |= self.checks && settle::is_overtaken(&planned.order, state);
         }
--- a/crates/core/src/patch.rs
+++ b/crates/core/src/patch.rs
@@ -48,6 +48,8 @@
     leader: InstanceId,
     instances: MapPatch<InstanceId, InstanceView>,
     endpoints: MapPatch<EndpointId, EndpointView>,
+    blocked: MapPatch<ModelId, String>,
+    reasons: MapPatch<ModelId, String>,
 }
 
 /// Difference between two maps.
@@ -108,6 +110,8 @@
             leader: view.leader.clone(),
             instances: MapPatch::between(&base.instances, &view.instances),
             endpoints: MapPatch::between(&base.endpoints, &view.endpoints),
+            blocked: MapPatch::between(&base.blocked, &view.blocked),
+            reasons: MapPatch::between(&base.reasons, &view.reasons),
         }
     }
 
@@ -128,6 +132,8 @@
             leader: self.leader,
             instances: self.instances.apply(&base.instances),
             endpoints: self.endpoints.apply(&base.endpoints),
+            blocked: self.blocked.apply(&base.blocked),
+            reasons: self.reasons.apply(&base.reasons),
         })
     }
 }
--- a/crates/core/src/settle.rs
+++ b/crates/core/src/settle.rs
@@ -1,3 +1,4 @@
+use crate::Action;
 use crate::EngineState;
 use crate::Order;
 use crate::OrderOutcome;
@@ -10,12 +11,15 @@
     wall_ms > order.expires_ms + ORDER_GRACE.as_millis() as u64
 }
 
+/// Returns whether the engine carries out an unload that still waits for requests in flight.
+pub(crate) fn is_unloading(order: &Order, state: &EngineState) -> bool {
+    let started =
+        state.results.iter().any(|result| result.id == order.id && result.outcome == OrderOutcome::Started);
+    started && matches!(order.action, Action::Unload { .. })
+}
+
 /// Returns whether the state of an engine that checks fencing numbers shows the effect of an order, or that the
 /// order comes too late for it.
 pub(crate) fn is_overtaken(order: &Order, state: &EngineState) -> bool {
-    // An unload that waits for requests in flight has not freed its memory yet.
-    let started = |outcome| outcome == OrderOutcome::Started;
-    let unloading = matches!(order.action, crate::Action::Unload { .. })
-        && state.results.iter().any(|result| result.id == order.id && started(result.outcome));
-    state.fence >= order.fence && !unloading
+    state.fence >= order.fence && !is_unloading(order, state)
 }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -31,8 +31,10 @@
     /// Endpoints of the zone.
     pub endpoints: IndexMap<EndpointId, EndpointView>,
     /// What holds a change back, by model.
+    #[serde(default)]
     pub blocked: IndexMap<ModelId, String>,
     /// Why each model is resident in the zone.
+    #[serde(default)]
     pub reasons: IndexMap<ModelId, String>,
 }
 
--- a/crates/core/tests/config_fixture/mod.rs
+++ b/crates/core/tests/config_fixture/mod.rs
@@ -52,5 +52,7 @@
         leader: "i0".parse().unwrap(),
         instances: instances.iter().map(instance).collect(),
         endpoints: endpoints.iter().map(endpoint).collect(),
+        blocked: [].into(),
+        reasons: [].into(),
     }
 }
--- a/crates/planner/src/leader.rs
+++ b/crates/planner/src/leader.rs
@@ -8,7 +8,6 @@
 use carobwick_core::EndpointId;
 use carobwick_core::EngineState;
 use carobwick_core::EventKind;
-use carobwick_core::Fleet;
 use carobwick_core::InstanceId;
 use carobwick_core::LeaseEvent;
 use carobwick_core::LeaseStep;
@@ -19,6 +18,7 @@
 use carobwick_core::Tick;
 use carobwick_core::Time;
 use carobwick_core::ZoneId;
+use carobwick_core::ZoneListing;
 use carobwick_core::ZonePlan;
 use carobwick_runtime::Engine;
 use carobwick_runtime::InstanceList;
@@ -85,7 +85,7 @@
     Lease(LeaseEvent),
     Plan(u64, PlanEvent),
     Zone { zone: ZoneId, asked: Time, plan: Option<ZonePlan>, led: bool },
-    Fleet(Option<Fleet>),
+    Listing(Option<ZoneListing>),
     State { endpoint: EndpointId, asked: (Time, u64), state: Option<Box<EngineState>> },
     Order { endpoint: EndpointId, id: OrderId, outcome: Option<OrderOutcome> },
 }
@@ -189,7 +189,7 @@
             Reply::Zone { zone, asked, plan, led } => {
                 self.controller.on_zone(&zone, asked, plan.as_ref(), led);
             }
-            Reply::Fleet(fleet) => {
+            Reply::Listing(fleet) => {
                 self.listing = false;
                 if let Some(fleet) = fleet {
                     self.controller.set_fleet(fleet);
--- a/crates/planner/src/leader_calls.rs
+++ b/crates/planner/src/leader_calls.rs
@@ -1,5 +1,4 @@
 use carobwick_core::EndpointId;
-use carobwick_core::Fleet;
 use carobwick_core::InstanceView;
 use carobwick_core::LEASE_TTL;
 use carobwick_core::LeaderRecord;
@@ -10,6 +9,7 @@
 use carobwick_core::PlanEvent;
 use carobwick_core::PlanStep;
 use carobwick_core::ZoneId;
+use carobwick_core::ZoneListing;
 use carobwick_core::ZonePlan;
 use carobwick_runtime::Engine;
 use carobwick_runtime::Error;
@@ -84,10 +84,10 @@
         let calls = self.clone();
         self.start(async move {
             match calls.instances.list().await {
-                Ok(list) => Reply::Fleet(Some(fleet(&calls.zone, &list))),
+                Ok(list) => Reply::Listing(Some(fleet(&calls.zone, &list))),
                 Err(err) => {
                     tracing::warn!("planner: instance list not read: {err}");
-                    Reply::Fleet(None)
+                    Reply::Listing(None)
                 }
             }
         });
@@ -186,8 +186,8 @@
     parse(entry)
 }
 
-fn fleet(zone: &ZoneId, list: &[ListedInstance]) -> Fleet {
-    let mut fleet = Fleet::default();
+fn fleet(zone: &ZoneId, list: &[ListedInstance]) -> ZoneListing {
+    let mut fleet = ZoneListing::default();
     for listed in list.iter().filter(|listed| listed.zone == *zone) {
         let leaving = listed.state == InstanceStatus::Leaving;
         match (listed.kind, &listed.service) {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -5,10 +5,13 @@
 //!
 //! [`Planner::start`] starts the process from its [`Settings`]; [`Context`] is what its tasks share. The exchange
 //! with peers, the watch of the key-value service, the operator API and the leader are tasks under one supervisor.
+//! [`Leader`] runs the decisions of `carobwick_core::Controller` with real calls.
 
 mod context;
 mod exchange;
 mod key_value;
+mod leader;
+mod leader_calls;
 mod operator;
 mod planner;
 mod publishing;
@@ -16,16 +19,7 @@
 mod status;
 
 pub use context::Context;
-pub use planner::Planner;
-pub use settings::Settings;
-//! The planner: it takes part in its zone's election and, while it leads, places models on the zone's engines.
-//!
-//! # Tour
-//!
-//! [`Leader`] runs the decisions of `carobwick_core::Controller` with real calls.
-
-mod leader;
-mod leader_calls;
-
 pub use leader::Leader;
 pub use leader::LeaderSetup;
+pub use planner::Planner;
+pub use settings::Settings;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -6,6 +6,8 @@
 use anyhow::Context as _;
 use carobwick_core::DemandReport;
 use carobwick_core::EventKind;
+use carobwick_runtime::Engine;
+use carobwick_runtime::InstanceList;
 use carobwick_runtime::Node;
 use carobwick_runtime::PeerServer;
 use carobwick_runtime::Supervisor;
@@ -15,6 +17,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Context;
+use crate::Leader;
+use crate::LeaderSetup;
 use crate::Settings;
 use crate::exchange;
 use crate::key_value;
@@ -49,7 +53,8 @@
             .with_context(|| format!("--operators: {}", settings.operators))?;
         let (peer, operators) = (peers.addr(), listener.local_addr()?);
         let stop = CancellationToken::new();
-        let supervisor = supervise(&context, peers, listener, demands, &stop);
+        let instances = InstanceList::open(&settings.instances);
+        let supervisor = supervise(&context, instances, peers, listener, demands, &stop);
         let task = tokio::spawn(supervisor.run());
         tracing::info!("planner: {} in {} serves peers on {peer}", context.instance, context.zone);
         context.timeline.add(EventKind::Process, "started");
@@ -94,14 +99,16 @@
 
 fn supervise(
     context: &Context,
+    instances: InstanceList,
     peers: PeerServer,
     listener: TcpListener,
-    _demands: mpsc::Receiver<DemandReport>,
+    demands: mpsc::Receiver<DemandReport>,
     stop: &CancellationToken,
 ) -> Supervisor {
     let supervisor = Supervisor::new("planner", stop.clone());
     let supervisor = with_peer_server(supervisor, context, peers);
     let supervisor = with_operators(supervisor, context, listener, stop);
+    let supervisor = with_leader(supervisor, context, instances, demands, stop);
     let (exchanging, watching) = (context.clone(), context.clone());
     supervisor
         .task("exchange", move || exchange::run(exchanging.clone()))
@@ -147,6 +154,52 @@
     })
 }
 
+/// Adds the part in leading the zone; a restart goes on with the demand that arrives after it.
+fn with_leader(
+    supervisor: Supervisor,
+    context: &Context,
+    instances: InstanceList,
+    demands: mpsc::Receiver<DemandReport>,
+    stop: &CancellationToken,
+) -> Supervisor {
+    let demands = Arc::new(tokio::sync::Mutex::new(demands));
+    let (context, stop) = (context.clone(), stop.clone());
+    supervisor.graceful_task("leader", move || {
+        let (sender, demand) = mpsc::channel(DEMAND_QUEUE);
+        let leader = Leader::spawn(LeaderSetup {
+            instance: context.instance.clone(),
+            zone: context.zone.clone(),
+            key_value: context.key_value.clone(),
+            instances: instances.clone(),
+            engine: Engine::open(),
+            node: context.node.clone(),
+            timeline: context.timeline.clone(),
+            stop: stop.child_token(),
+            demand,
+        });
+        let demands = demands.clone();
+        async move {
+            tokio::select! {
+                ended = leader.ended() => ended,
+                () = pass_on(demands, sender) => Ok(()),
+            }
+        }
+    })
+}
+
+/// Passes demand reports on to one run of the leader, for as long as that runs.
+async fn pass_on(
+    demands: Arc<tokio::sync::Mutex<mpsc::Receiver<DemandReport>>>,
+    sender: mpsc::Sender<DemandReport>,
+) {
+    let mut demands = demands.lock().await;
+    while let Some(report) = demands.recv().await {
+        // A full queue means that the leader is behind; the next report replaces this one.
+        drop(sender.try_send(report));
+    }
+    std::future::pending::<()>().await;
+}
+
 async fn bind_peers(context: &Context, addr: SocketAddr) -> anyhow::Result<PeerServer> {
     let context = context.clone();
     let bound = PeerServer::bind(addr, move |message| exchange::answer(context.clone(), message)).await;
--- a/crates/proof/src/config_run.rs
+++ b/crates/proof/src/config_run.rs
@@ -1,6 +1,29 @@
+//! Configuration and drains: processes of several zones, a fake key-value service and racing operators.
+
+mod checks;
+mod faults;
+mod operators;
+mod platform;
+mod process;
+mod world;
+
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
+
 use crate::Report;
 
-/// Runs a seed for a number of steps.
-pub(crate) fn run(_seed: u64, _steps: u64) -> Report {
-    Report::default()
+use self::world::World;
+
+/// Runs a seed for a number of steps of 20 ms of virtual time, then heals all faults and checks the end state.
+pub(crate) fn run(seed: u64, steps: u64) -> Report {
+    let mut world = World::new(seed);
+    // A failed assertion of the decision code is a violation of this seed, not the end of the whole series.
+    let ended = catch_unwind(AssertUnwindSafe(|| world.run(steps)));
+    let mut report = world.into_report(steps);
+    if let Err(panic) = ended {
+        let text = panic.downcast_ref::<String>().cloned();
+        let text = text.or_else(|| panic.downcast_ref::<&str>().map(|text| (*text).to_owned()));
+        report.violations.push(format!("panic: {}", text.unwrap_or_default()));
+    }
+    report
 }
--- /dev/null
+++ b/crates/proof/src/config_run/checks.rs
@@ -0,0 +1,243 @@
+use std::time::Duration;
+
+use carobwick_core::PublishOutcome;
+use carobwick_core::Time;
+use carobwick_core::Version;
+use carobwick_core::WriteId;
+
+use super::operators::Operation;
+use super::process::PER_ZONE;
+use super::process::ZONES;
+use super::world::Event;
+use super::world::World;
+
+/// Time after which an accepted manifest is in force on all reachable instances.
+const IN_FORCE: Duration = Duration::from_secs(6);
+/// Violations that are kept; a wrong rule would violate an invariant in every step.
+const MAX_VIOLATIONS: usize = 20;
+
+/// What was accepted, and what went wrong.
+#[derive(Debug, Default)]
+pub(crate) struct Checks {
+    accepted: Vec<Accepted>,
+    violations: Vec<String>,
+}
+
+/// A publish that was reported as accepted.
+#[derive(Debug, Clone, Copy)]
+struct Accepted {
+    version: Version,
+    write_id: WriteId,
+    process: usize,
+    life: u64,
+    at: Time,
+}
+
+impl Checks {
+    pub fn into_violations(self) -> Vec<String> {
+        self.violations
+    }
+}
+
+impl World {
+    /// Checks an accepted publish and schedules the check that it is in force.
+    pub fn accept(&mut self, process: usize, write_id: WriteId, version: Version) {
+        let same = self.checks.accepted.iter().find(|other| other.version == version);
+        if let Some(other) = same {
+            let text = format!(
+                "publishes {} and {write_id} were both accepted as version {version}",
+                other.write_id
+            );
+            self.violate(&text);
+        }
+        let stored = self.platform.log.iter().find(|record| record.version == version);
+        if stored.is_none_or(|record| record.write_id != write_id) {
+            self.violate(&format!(
+                "publish {write_id} was accepted as version {version}, which is not stored"
+            ));
+        }
+        let life = self.processes[process].life;
+        self.checks.accepted.push(Accepted { version, write_id, process, life, at: self.now });
+        self.schedule(IN_FORCE, Event::Check(self.checks.accepted.len() - 1));
+    }
+
+    /// Checks that a publish that was reported as not accepted is not stored.
+    pub fn check_not_accepted(&mut self, write_id: WriteId, outcome: &PublishOutcome) {
+        let stored = self.platform.log.iter().any(|record| record.write_id == write_id);
+        if stored && *outcome != PublishOutcome::Unknown {
+            self.violate(&format!("publish {write_id} is stored, but was answered with {outcome:?}"));
+        }
+        if *outcome != PublishOutcome::Unknown {
+            self.refused.push(write_id);
+        }
+    }
+
+    /// Checks that the version of a process did not go down and that its content is the stored one.
+    pub fn check_version(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        let version = process.version();
+        if version < process.highest {
+            let text = format!("process {index} went from version {:?} to {version:?}", process.highest);
+            process.highest = version;
+            self.violate(&text);
+            return;
+        }
+        process.highest = version;
+        let Some(record) = process.state.config.clone() else {
+            return;
+        };
+        let stored = self.platform.log.iter().find(|stored| stored.version == record.version);
+        if stored.is_none_or(|stored| **stored != *record) {
+            self.violate(&format!("process {index} has a version {} that was not published", record.version));
+        }
+    }
+
+    /// Checks that an accepted manifest is in force wherever it could be learned.
+    pub fn check_in_force(&mut self, accepted: usize) {
+        let accepted = self.checks.accepted[accepted];
+        for index in self.reachable(accepted.process, accepted.life, accepted.at, true) {
+            let version = self.processes[index].version();
+            if version < Some(accepted.version) {
+                let text = format!(
+                    "version {} accepted at {} ms is not in force at process {index}, which has {version:?}",
+                    accepted.version,
+                    accepted.at.millis()
+                );
+                self.violate(&text);
+            }
+        }
+    }
+
+    /// Checks that a drain that was accepted 5 s ago is obeyed wherever the order could reach.
+    pub fn check_drain(&mut self, operation: usize) {
+        let Operation::Drain(drain) = &self.operations[operation] else {
+            return;
+        };
+        let (target, mark, at) = (drain.target.clone(), drain.mark, drain.at);
+        for index in self.reachable(drain.process, drain.life, at, false) {
+            let known = self.known_mark(index, &target);
+            if known < Some(mark) {
+                let text = format!("{target}: mark of {} ms is unknown at process {index}", at.millis());
+                self.violate(&text);
+            }
+        }
+    }
+
+    /// Checks that all processes have come to the same state and that nothing accepted is lost.
+    pub fn check_end(&mut self) {
+        let stored = self.platform.config().map(|record| (record.version, record.digest));
+        for index in 0..self.processes.len() {
+            let digest = self.processes[index].state.digest();
+            if digest.config != stored {
+                let text =
+                    format!("process {index} ends with {:?}, the platform has {stored:?}", digest.config);
+                self.violate(&text);
+            }
+            if digest.summary() != self.processes[0].state.digest().summary() {
+                self.violate(&format!("processes 0 and {index} end with different states"));
+            }
+            if !self.platform.drains().covers(&self.processes[index].state.drains) {
+                self.violate(&format!("process {index} has drains that the platform lacks"));
+            }
+        }
+        for accepted in self.checks.accepted.clone() {
+            let latest = stored.map(|(version, _)| version);
+            if latest < Some(accepted.version) {
+                self.violate(&format!("accepted version {} is lost", accepted.version));
+            }
+        }
+        for write_id in std::mem::take(&mut self.refused) {
+            if self.platform.log.iter().any(|record| record.write_id == write_id) {
+                self.violate(&format!(
+                    "publish {write_id} was reported as not accepted and took effect later"
+                ));
+            }
+        }
+        self.check_history();
+        self.check_drains_kept();
+    }
+
+    /// Returns the processes that could learn something that a process accepted at `at` from then on.
+    ///
+    /// It spreads from the process, if that lives on, over zones that could exchange all the time; `stored` things
+    /// also spread from the platform.
+    fn reachable(&self, process: usize, life: u64, at: Time, stored: bool) -> Vec<usize> {
+        let platform_ok = stored && self.platform.down_until <= at && self.platform.slow_until <= at;
+        let mut zones = [false; ZONES];
+        zones[process / PER_ZONE] = self.processes[process].life == life;
+        for (zone, reached) in zones.iter_mut().enumerate() {
+            let members = &self.processes[zone * PER_ZONE..(zone + 1) * PER_ZONE];
+            let stable = members.iter().all(|member| member.up_since <= at);
+            *reached |= platform_ok && stable && self.network.was_connected(zone, at);
+        }
+        for _ in 0..ZONES {
+            for (one, other) in (0..ZONES).flat_map(|one| (0..ZONES).map(move |other| (one, other))) {
+                let stable = self.has_stable(one, at) && self.has_stable(other, at);
+                if zones[one] && stable && self.network.was_whole(one, other, at) {
+                    zones[other] = true;
+                }
+            }
+        }
+        let up = self.processes.iter().filter(|member| member.up_since <= at && zones[member.zone()]);
+        up.map(|member| member.index).collect()
+    }
+
+    /// Returns whether all processes of a zone have been up since `at`; a replaced one may have been the way in.
+    fn has_stable(&self, zone: usize, at: Time) -> bool {
+        self.processes[zone * PER_ZONE..(zone + 1) * PER_ZONE].iter().all(|member| member.up_since <= at)
+    }
+
+    fn known_mark(
+        &self,
+        index: usize,
+        target: &carobwick_core::DrainTarget,
+    ) -> Option<carobwick_core::DrainMark> {
+        let drains = &self.processes[index].state.drains;
+        drains.marks().find(|(known, _)| *known == target).map(|(_, mark)| *mark)
+    }
+
+    /// Checks that versions follow each other, each write took effect once, and models left only when `retiring`.
+    fn check_history(&mut self) {
+        let log = self.platform.log.clone();
+        for (index, record) in log.iter().enumerate() {
+            if log[..index].iter().any(|other| other.write_id == record.write_id) {
+                self.violate(&format!("write {} took effect twice", record.write_id));
+            }
+        }
+        for pair in log.windows(2) {
+            if pair[1].version != pair[0].version.next() {
+                self.violate(&format!("version {} follows {}", pair[1].version, pair[0].version));
+            }
+            for (id, spec) in &pair[0].manifest.models {
+                if !spec.retiring && !pair[1].manifest.models.contains_key(id) {
+                    self.violate(&format!("version {} removed {id}, which was in use", pair[1].version));
+                }
+            }
+        }
+    }
+
+    fn check_drains_kept(&mut self) {
+        for operation in 0..self.operations.len() {
+            let Operation::Drain(drain) = &self.operations[operation] else {
+                continue;
+            };
+            // Not durable and only in the memory of a process that is gone: the reply said so.
+            if !drain.durable && self.processes[drain.process].life != drain.life {
+                continue;
+            }
+            let (target, mark) = (drain.target.clone(), drain.mark);
+            for index in 0..self.processes.len() {
+                if self.known_mark(index, &target) < Some(mark) {
+                    self.violate(&format!("{target}: accepted mark is forgotten at process {index}"));
+                }
+            }
+        }
+    }
+
+    fn violate(&mut self, text: &str) {
+        if self.checks.violations.len() < MAX_VIOLATIONS {
+            self.note(format_args!("violation: {text}"));
+            self.checks.violations.push(format!("{} ms: {text}", self.now.millis()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/proof/src/config_run/platform.rs
@@ -0,0 +1,88 @@
+use std::sync::Arc;
+
+use carobwick_core::ConfigRecord;
+use carobwick_core::DrainSet;
+use carobwick_core::StoredConfig;
+use carobwick_core::Time;
+
+/// Fake key-value service with the two keys under `config/`.
+#[derive(Debug, Default)]
+pub(crate) struct Platform {
+    revision: u64,
+    config: Option<StoredConfig>,
+    drains: Option<(u64, DrainSet)>,
+    /// Accepted writes of the manifest, oldest first.
+    pub log: Vec<Arc<ConfigRecord>>,
+    /// Calls fail until then.
+    pub down_until: Time,
+    /// Calls take effect late, after their caller gave up, until then.
+    pub slow_until: Time,
+    /// Watches miss changes until then.
+    pub gap_until: Time,
+    /// Writes whose reply is lost.
+    pub lose_replies: u32,
+}
+
+/// A call of the key-value service.
+#[derive(Debug, Clone)]
+pub(crate) enum Call {
+    ReadConfig,
+    WriteConfig(Option<u64>, Arc<ConfigRecord>),
+    ReadDrains,
+    WriteDrains(Option<u64>, DrainSet),
+    ReadAll,
+}
+
+/// Reply to a [`Call`].
+#[derive(Debug, Clone)]
+pub(crate) enum Reply {
+    Config(Option<StoredConfig>),
+    Drains(Option<(u64, DrainSet)>),
+    All(Option<StoredConfig>, Option<(u64, DrainSet)>),
+    Written,
+    Refused,
+    /// The call had no effect.
+    Failed,
+    /// There was no reply in time.
+    Lost,
+}
+
+impl Platform {
+    /// Carries out a call; also says whether it wrote something.
+    pub fn carry_out(&mut self, call: Call) -> (Reply, bool) {
+        match call {
+            Call::ReadConfig => (Reply::Config(self.config.clone()), false),
+            Call::ReadDrains => (Reply::Drains(self.drains.clone()), false),
+            Call::ReadAll => (Reply::All(self.config.clone(), self.drains.clone()), false),
+            Call::WriteConfig(expect, record) => {
+                if expect != self.config.as_ref().map(|stored| stored.revision) {
+                    return (Reply::Refused, false);
+                }
+                self.revision += 1;
+                self.log.push(Arc::clone(&record));
+                self.config = Some(StoredConfig { revision: self.revision, record });
+                (Reply::Written, true)
+            }
+            Call::WriteDrains(expect, drains) => {
+                if expect != self.drains.as_ref().map(|(revision, _)| *revision) {
+                    return (Reply::Refused, false);
+                }
+                self.revision += 1;
+                self.drains = Some((self.revision, drains));
+                (Reply::Written, true)
+            }
+        }
+    }
+
+    pub fn config(&self) -> Option<&ConfigRecord> {
+        self.config.as_ref().map(|stored| stored.record.as_ref())
+    }
+
+    pub fn drains(&self) -> DrainSet {
+        self.drains.as_ref().map(|(_, drains)| drains.clone()).unwrap_or_default()
+    }
+
+    pub fn is_down(&self, now: Time) -> bool {
+        now < self.down_until
+    }
+}
--- /dev/null
+++ b/crates/proof/src/config_run/process.rs
@@ -0,0 +1,132 @@
+use carobwick_core::EndpointId;
+use carobwick_core::EndpointState;
+use carobwick_core::EndpointView;
+use carobwick_core::Fence;
+use carobwick_core::Incarnation;
+use carobwick_core::InstanceId;
+use carobwick_core::InstanceView;
+use carobwick_core::LoadReport;
+use carobwick_core::PeerChoices;
+use carobwick_core::SharedState;
+use carobwick_core::Time;
+use carobwick_core::Version;
+use carobwick_core::ZoneId;
+use carobwick_core::ZoneView;
+use carobwick_core::watches_config;
+use indexmap::IndexMap;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+
+pub(crate) const ZONES: usize = 3;
+pub(crate) const PER_ZONE: usize = 4;
+pub(crate) const ENDPOINTS: usize = 3;
+
+/// A planner with the state that it shares.
+#[derive(Debug)]
+pub(crate) struct Process {
+    pub index: usize,
+    pub instance: InstanceId,
+    pub state: SharedState,
+    /// Counts the replacements of the process; events of an earlier life are dropped.
+    pub life: u64,
+    pub up_since: Time,
+    /// Highest version in force in this life.
+    pub highest: Option<Version>,
+    /// State of some time ago, for a process that comes back with it.
+    pub old_copy: SharedState,
+}
+
+impl Process {
+    pub fn new(index: usize) -> Self {
+        Self {
+            index,
+            instance: instance(index),
+            state: SharedState::default(),
+            life: 0,
+            up_since: Time::ZERO,
+            highest: None,
+            old_copy: SharedState::default(),
+        }
+    }
+
+    pub fn zone(&self) -> usize {
+        self.index / PER_ZONE
+    }
+
+    /// Starts again with a state.
+    pub fn restart(&mut self, state: SharedState, now: Time) {
+        self.state = state;
+        self.life += 1;
+        self.up_since = now;
+        self.highest = self.version();
+    }
+
+    pub fn version(&self) -> Option<Version> {
+        self.state.config.as_ref().map(|record| record.version)
+    }
+
+    /// Chooses peers as the planner does: two of the own zone, one of another, and seeds while too few are known.
+    pub fn choose(&self, rng: &mut ChaCha8Rng) -> Vec<usize> {
+        let choices = PeerChoices::from_views(&self.state.views, &zone(self.zone()), &self.instance);
+        let index = |peer: &String| peer.parse::<usize>().unwrap_or(self.index);
+        let mut chosen: Vec<usize> = choices.local.choose_multiple(rng, 2).map(index).collect();
+        chosen.extend(choices.remote.choose(rng).map(index));
+        let next = |zone: usize, slot: usize| zone % ZONES * PER_ZONE + slot % PER_ZONE;
+        let slot = self.index % PER_ZONE;
+        let seeds = [next(self.zone(), slot + 1), next(self.zone(), slot + 2), next(self.zone() + 1, slot)];
+        let missing = 3_usize.saturating_sub(chosen.len());
+        chosen.extend(seeds.choose_multiple(rng, missing));
+        chosen
+    }
+
+    pub fn watches(&self) -> bool {
+        let view = self.state.views.get(&zone(self.zone()));
+        watches_config(view.map(AsRef::as_ref), &self.instance)
+    }
+}
+
+pub(crate) fn zone(index: usize) -> ZoneId {
+    parse(&format!("z{index}"))
+}
+
+pub(crate) fn instance(index: usize) -> InstanceId {
+    parse(&format!("i{index:02}"))
+}
+
+pub(crate) fn endpoint(index: usize) -> EndpointId {
+    parse(&format!("e{index}"))
+}
+
+/// The view that the leader of a zone, its first process, makes after each start.
+pub(crate) fn view(zone_index: usize, term: u64) -> ZoneView {
+    let first = zone_index * PER_ZONE;
+    let instances = (first..first + PER_ZONE).map(|index| {
+        (instance(index), InstanceView { entry: String::new(), peer: index.to_string(), live: true })
+    });
+    let endpoints = (zone_index * ENDPOINTS..(zone_index + 1) * ENDPOINTS).map(|index| {
+        let view = EndpointView {
+            service: parse("llm"),
+            addr: String::new(),
+            incarnation: Incarnation(term),
+            state: EndpointState::Live,
+            resident: Vec::new(),
+            load: LoadReport::default(),
+        };
+        (endpoint(index), view)
+    });
+    ZoneView {
+        zone: zone(zone_index),
+        fence: Fence::first(term),
+        version: Version(1),
+        leader: instance(first),
+        instances: instances.collect(),
+        endpoints: endpoints.collect(),
+        blocked: IndexMap::new(),
+        reasons: IndexMap::new(),
+    }
+}
+
+/// Parses an id that is known to be valid.
+pub(crate) fn parse<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().unwrap_or_else(|_| unreachable!("`{text}` is a valid id"))
+}
