--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -83,7 +83,6 @@
 pub use delivery::DeliveryStep;
 pub use delivery::DeliveryTerms;
 pub use delivery::GiveUp;
-pub use delivery::Run;
 pub use demand::Demand;
 pub use digest::Digest;
 pub use dispatch::Dispatcher;
