--- a/crates/core/src/delivery.rs
+++ b/crates/core/src/delivery.rs
@@ -339,7 +339,10 @@
         if declined && is_passing(status) {
             return self.not_run(attempt, now);
         }
-        if self.terms.repeatable && matches!(status, 429 | 502..=504) {
+        // A service's own 500 is its answer; an engine's says that it failed.
+        let failed =
+            matches!(status, 429 | 502..=504) || status == 500 && self.terms.form != AnswerForm::Plain;
+        if self.terms.repeatable && failed {
             return self.broken(attempt, now);
         }
         attempt.answer = Some(if success { self.terms.form } else { AnswerForm::Plain });
--- a/crates/core/src/once.rs
+++ b/crates/core/src/once.rs
@@ -191,17 +191,16 @@
                     answer.body.clear();
                 }
                 self.record.state = OnceState::Done(answer);
-                self.phase = Phase::Completing { revision };
-                self.tries = 0;
-                OnceStep::Complete(self.record.clone(), revision)
+                self.complete(revision)
             }
             OnceEvent::NotRun => {
                 self.phase = Phase::Deleting { revision };
                 OnceStep::Delete(revision)
             }
             OnceEvent::Abandoned => {
-                self.phase = Phase::Closed;
-                OnceStep::Close
+                // Duplicates need not wait to learn that the outcome is unknown.
+                self.record.until_ms = 0;
+                self.complete(revision)
             }
             _ => OnceStep::Wait,
         }
@@ -220,6 +219,12 @@
         }
     }
 
+    fn complete(&mut self, revision: u64) -> OnceStep {
+        self.phase = Phase::Completing { revision };
+        self.tries = 0;
+        OnceStep::Complete(self.record.clone(), revision)
+    }
+
     /// The only place that lets a request with a key run.
     fn run(&mut self, revision: u64) -> OnceStep {
         assert!(self.phase == Phase::Creating, "I5: a request with a key runs without its own create");
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,23 +1,27 @@
 use carobwick_core::AttemptId;
+use carobwick_core::Incarnation;
+use carobwick_core::LoadReport;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
 use serde::Deserialize;
 
-use crate::ask::Ask;
+use crate::inbound::Inbound;
 use crate::names::ATTEMPT;
 use crate::names::INCARNATION;
 use crate::names::LOAD;
 use crate::names::REQUEST;
 use crate::names::RUN;
-use crate::outgoing;
+use crate::outbound;
 
 /// What the head of an answer says to the entry.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Facts {
     pub attempt: Option<AttemptId>,
     pub declined: bool,
+    pub load: Option<LoadReport>,
+    pub incarnation: Option<Incarnation>,
 }
 
 #[derive(Deserialize)]
@@ -44,20 +48,22 @@
     Facts {
         attempt: parse(headers, &ATTEMPT),
         declined: headers.get(RUN).is_some_and(|value| value.as_bytes() == b"no"),
+        load: parse(headers, &LOAD),
+        incarnation: parse(headers, &INCARNATION),
     }
 }
 
 /// Returns the headers that the caller sees.
-pub(crate) fn headers(ask: &Ask, answer: &HeaderMap) -> HeaderMap {
-    let mut headers = outgoing::end_to_end(answer);
+pub(crate) fn headers(inbound: &Inbound, answer: &HeaderMap) -> HeaderMap {
+    let mut headers = outbound::end_to_end(answer);
     for name in [ATTEMPT, LOAD, INCARNATION, REQUEST] {
         headers.remove(name);
     }
     // An entry that forwarded the request accepts the answer only with its own attempt's id.
-    if let Some(attempt) = ask.headers.get(ATTEMPT) {
+    if let Some(attempt) = inbound.headers.get(ATTEMPT) {
         headers.insert(ATTEMPT, attempt.clone());
     }
-    if let Ok(request) = HeaderValue::from_str(&ask.request.to_string()) {
+    if let Ok(request) = HeaderValue::from_str(&inbound.request.to_string()) {
         headers.insert(REQUEST, request);
     }
     headers
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -21,10 +21,9 @@
 use http::header::CONTENT_TYPE;
 use serde_json::json;
 
-use crate::ask::Ask;
-use crate::ask::read_body;
-use crate::flight::Flight;
 use crate::health;
+use crate::inbound::Inbound;
+use crate::inbound::read_body;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::serving::Serving;
@@ -47,7 +46,7 @@
 async fn chat(State(serving): State<Arc<Serving>>, request: Request) -> Response {
     let (parts, body) = request.into_parts();
     serve(&serving, parts.headers, body, move |id, manifest, headers, body, deadline| {
-        Ask::chat(id, manifest, headers, &body, deadline)
+        Inbound::chat(id, manifest, headers, &body, deadline)
     })
     .await
 }
@@ -73,14 +72,14 @@
     let path = if rest.starts_with('/') { rest.to_owned() } else { format!("/{rest}") };
     let target = (parts.method, path);
     serve(serving, parts.headers, body, move |id, manifest, headers, body, deadline| {
-        Ask::service(id, manifest, &service, target, headers, body, deadline)
+        Inbound::service(id, manifest, &service, target, headers, body, deadline)
     })
     .await
 }
 
 async fn serve<F>(serving: &Arc<Serving>, headers: HeaderMap, body: Body, read: F) -> Response
 where
-    F: FnOnce(RequestId, &Manifest, HeaderMap, Bytes, Time) -> Result<Ask, Refusal>,
+    F: FnOnce(RequestId, &Manifest, HeaderMap, Bytes, Time) -> Result<Inbound, Refusal>,
 {
     serving.meters.request();
     let started = async {
@@ -89,14 +88,11 @@
         let limits = &serving.settings.limits;
         let body = read_body(&headers, body, limits.max_body, limits.read_timeout.duration()).await?;
         let deadline = now() + limits.deadline.duration();
-        let ask = read(Serving::new_request(), &config.manifest, headers, body, deadline)?;
-        Ok((ask, in_flight))
+        let inbound = read(Serving::new_request(), &config.manifest, headers, body, deadline)?;
+        Ok((inbound, in_flight))
     };
     match started.await {
-        Ok((ask, in_flight)) => {
-            let flight = Flight::start(Arc::clone(serving), ask, in_flight);
-            show::response(serving, flight).await
-        }
+        Ok((inbound, in_flight)) => show::answer(serving, inbound, in_flight).await,
         Err(refusal) => show::refused(serving, refusal),
     }
 }
--- /dev/null
+++ b/crates/entry/src/crash.rs
@@ -0,0 +1,108 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use carobwick_core::EndpointId;
+use carobwick_core::EventKind;
+use carobwick_core::Incarnation;
+use tokio::net::TcpStream;
+
+use crate::serving::Serving;
+
+/// Delays before each attempt to connect to an endpoint that lost a connection; a crashed one soon refuses.
+const PROBES: [Duration; 6] = [
+    Duration::from_millis(20),
+    Duration::from_millis(80),
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
+    Duration::from_millis(1_500),
+];
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after a loss in which another incarnation shows that the endpoint crashed.
+const WINDOW: Duration = Duration::from_secs(7);
+
+/// Tells crashes of endpoints from other losses of connections.
+///
+/// An endpoint crashed if it refuses connections after one was lost, or then shows another incarnation.
+#[derive(Debug, Default)]
+pub(crate) struct CrashWatch {
+    endpoints: Mutex<HashMap<EndpointId, Seen>>,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    /// Incarnation of the last answer.
+    last: Option<Incarnation>,
+    /// Incarnation that the zone's view gave to the requests that were lost, while a loss is looked into.
+    lost: Option<Incarnation>,
+}
+
+impl CrashWatch {
+    /// Notes that a connection to an endpoint was lost and looks into the cause.
+    pub fn lost(serving: &Arc<Serving>, id: &EndpointId, addr: &str, incarnation: Incarnation) {
+        let mut endpoints = serving.crashes.lock();
+        let seen = endpoints.entry(id.clone()).or_default();
+        if seen.lost.is_none() {
+            seen.lost = Some(incarnation);
+            tokio::spawn(look_into(Arc::clone(serving), id.clone(), addr.to_owned()));
+        }
+    }
+
+    /// Notes the incarnation that an answer shows.
+    pub fn answered(serving: &Serving, id: &EndpointId, incarnation: Incarnation) {
+        let mut endpoints = serving.crashes.lock();
+        let Some(seen) = endpoints.get_mut(id) else {
+            endpoints.insert(id.clone(), Seen { last: Some(incarnation), lost: None });
+            return;
+        };
+        let changed = seen.last.replace(incarnation).is_some_and(|last| last != incarnation);
+        let lost = if changed { seen.lost.take() } else { None };
+        drop(endpoints);
+        if let Some(lost) = lost {
+            report(serving, id, lost);
+        }
+    }
+
+    /// Forgets endpoints that left the zone.
+    pub fn retain(&self, in_use: impl Fn(&EndpointId) -> bool) {
+        self.lock().retain(|id, _| in_use(id));
+    }
+
+    fn take_lost(&self, id: &EndpointId) -> Option<Incarnation> {
+        self.lock().get_mut(id)?.lost.take()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<EndpointId, Seen>> {
+        self.endpoints.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn look_into(serving: Arc<Serving>, id: EndpointId, addr: String) {
+    for delay in PROBES {
+        tokio::time::sleep(delay).await;
+        if is_refused(&addr).await {
+            if let Some(lost) = serving.crashes.take_lost(&id) {
+                report(&serving, &id, lost);
+            }
+            return;
+        }
+    }
+    tokio::time::sleep(WINDOW.saturating_sub(PROBES.iter().sum())).await;
+    serving.crashes.take_lost(&id);
+}
+
+async fn is_refused(addr: &str) -> bool {
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    matches!(connected, Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+fn report(serving: &Serving, id: &EndpointId, incarnation: Incarnation) {
+    let suspects = serving.dispatch.crashed(id, incarnation);
+    tracing::warn!("entry: endpoint {id} crashed with {suspects} requests in flight");
+    let detail = format!("{id} crashed with {suspects} requests of this entry in flight");
+    serving.timeline.add(EventKind::Endpoint, detail);
+}
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,103 +1,226 @@
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use carobwick_core::DrainTarget;
+use carobwick_core::Ask;
+use carobwick_core::AttemptOutcome;
+use carobwick_core::Decision;
+use carobwick_core::Dispatcher;
 use carobwick_core::EndpointId;
-use carobwick_core::EndpointState;
-use carobwick_core::EndpointView;
+use carobwick_core::Incarnation;
+use carobwick_core::LoadReport;
+use carobwick_core::Policy;
+use carobwick_core::Priority;
+use carobwick_core::RefusalCode;
 use carobwick_core::RequestId;
-use carobwick_core::SharedState;
+use carobwick_core::RouteTarget;
 use carobwick_core::ZoneId;
-use carobwick_core::ZoneView;
 use carobwick_runtime::Node;
+use carobwick_runtime::now;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
 
-use crate::ask::Ask;
-use crate::ask::Subject;
+use crate::inbound::Inbound;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
-/// Chooses where each attempt runs: the endpoint with the fewest requests outstanding.
+/// Changed crash reports are passed on to the other entries this often.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The dispatcher of this entry, with the requests that wait for it.
 #[derive(Debug)]
 pub(crate) struct Dispatch {
     node: Node,
     zone: ZoneId,
-    ledger: Mutex<Ledger>,
+    inner: Mutex<Inner>,
+    /// Notified when a request starts to wait.
+    waits: Notify,
 }
 
 /// Where an attempt goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Target {
     /// To an endpoint of the own zone.
-    Endpoint { id: EndpointId, addr: String },
+    Endpoint { id: EndpointId, addr: String, incarnation: Incarnation },
     /// To an entry of another zone.
     Zone { addr: String },
 }
 
-#[derive(Debug, Default)]
-struct Ledger {
-    outstanding: HashMap<EndpointId, u32>,
-    requests: HashMap<RequestId, Vec<EndpointId>>,
+#[derive(Debug)]
+struct Inner {
+    dispatcher: Dispatcher,
+    waiting: HashMap<RequestId, oneshot::Sender<Decision>>,
 }
 
 impl Dispatch {
     pub fn new(node: Node, zone: ZoneId) -> Self {
-        Self { node, zone, ledger: Mutex::default() }
+        let inner = Inner { dispatcher: Dispatcher::new(Policy::default()), waiting: HashMap::new() };
+        Self { node, zone, inner: Mutex::new(inner), waits: Notify::new() }
+    }
+
+    /// Decides where a new request runs, as soon as it may.
+    pub async fn admit(&self, inbound: &Inbound) -> Result<Target, Refusal> {
+        let ask = Ask {
+            request: inbound.request,
+            target: inbound.target.clone(),
+            caller: inbound.caller.clone(),
+            priority: Priority::default(),
+            prefix: inbound.prefix,
+            prompt: inbound.prompt,
+            limit: inbound.max_tokens,
+            fingerprint: inbound.fingerprint,
+            repeatable: inbound.repeatable,
+            forwarded: inbound.forwarded,
+            deadline: inbound.deadline,
+        };
+        self.decide(inbound, |dispatcher| dispatcher.admit(ask, now())).await
+    }
+
+    /// Decides where a request runs again, after an attempt that ended with `Failed` or `NotRun`.
+    pub async fn retry(&self, inbound: &Inbound) -> Result<Target, Refusal> {
+        self.decide(inbound, |dispatcher| dispatcher.retry(inbound.request, now())).await
+    }
+
+    pub fn sent(&self, request: RequestId) {
+        self.lock().dispatcher.sent(request, now());
+    }
+
+    pub fn first_token(&self, request: RequestId) {
+        self.lock().dispatcher.first_token(request, now());
+    }
+
+    /// Notes the end of an attempt, which may let another request start.
+    pub fn finished(&self, request: RequestId, outcome: AttemptOutcome, load: Option<LoadReport>) {
+        let mut inner = self.lock();
+        inner.dispatcher.finished(request, outcome, load, now());
+        if outcome == AttemptOutcome::Cancelled {
+            inner.waiting.remove(&request);
+        }
+        inner.poll();
     }
 
-    /// Chooses where a request's next attempt runs; endpoints of its earlier attempts come last.
-    pub fn place(&self, ask: &Ask) -> Result<Target, Refusal> {
-        let mut ledger = self.lock();
-        let tried = ledger.requests.get(&ask.request).cloned().unwrap_or_default();
-        let own = self.node.read(|state| {
-            let view = state.views.get(&self.zone)?;
-            let usable = view.endpoints.iter().filter(|(id, one)| is_usable(state, id, one, &ask.subject));
-            let load = |id: &EndpointId| ledger.outstanding.get(id).copied().unwrap_or(0);
-            let best = usable.min_by_key(|(id, _)| (tried.contains(id), load(id)));
-            best.map(|(id, one)| (id.clone(), one.addr.clone()))
-        });
-        if let Some((id, addr)) = own {
-            *ledger.outstanding.entry(id.clone()).or_default() += 1;
-            ledger.requests.entry(ask.request).or_default().push(id.clone());
-            return Ok(Target::Endpoint { id, addr });
+    /// Notes a crash and passes the report on to the other entries.
+    pub fn crashed(&self, endpoint: &EndpointId, incarnation: Incarnation) -> usize {
+        let report = self.lock().dispatcher.crashed(endpoint, incarnation, now());
+        let suspects = report.fingerprints.len();
+        if suspects > 0 {
+            self.node.update(|state| state.suspects.add(report));
         }
-        let other = if ask.forwarded { None } else { self.node.read(|state| self.other_zone(state, ask)) };
-        other.map(|addr| Target::Zone { addr }).ok_or_else(|| {
-            let text = "no endpoint serves this at present";
-            Refusal::new(Code::NoEndpoint, text).after(Duration::from_secs(1))
-        })
+        suspects
     }
 
-    /// Counts an attempt as ended.
-    pub fn ended(&self, target: &Target) {
-        if let Target::Endpoint { id, .. } = target {
-            let mut ledger = self.lock();
-            if let Some(count) = ledger.outstanding.get_mut(id) {
-                *count = count.saturating_sub(1);
+    /// Takes over each change of the shared state.
+    pub async fn follow(self: Arc<Self>) -> anyhow::Result<()> {
+        let mut changes = self.node.subscribe();
+        loop {
+            let state = self.node.read(Clone::clone);
+            if let Some(config) = &state.config {
+                let mut inner = self.lock();
+                let dispatcher = &mut inner.dispatcher;
+                dispatcher.set_view(
+                    &config.manifest,
+                    &self.zone,
+                    &state.views,
+                    &state.drains,
+                    &state.suspects,
+                );
+                inner.poll();
             }
+            changes.changed().await?;
+        }
+    }
+
+    /// Polls for requests that wait, at the times at which the dispatcher wants it.
+    pub async fn run(self: Arc<Self>) -> anyhow::Result<()> {
+        loop {
+            let due = self.lock().dispatcher.due();
+            let Some(due) = due else {
+                self.waits.notified().await;
+                continue;
+            };
+            tokio::time::sleep((due - now()).max(Duration::from_millis(1))).await;
+            self.lock().poll();
         }
     }
 
-    /// Forgets a request.
-    pub fn finished(&self, request: RequestId) {
-        self.lock().requests.remove(&request);
+    /// Passes changed crash reports on.
+    pub async fn report(self: Arc<Self>) -> anyhow::Result<()> {
+        loop {
+            tokio::time::sleep(REPORT_INTERVAL).await;
+            let reports = self.lock().dispatcher.take_reports();
+            if !reports.is_empty() {
+                self.node.update(|state| {
+                    for report in reports {
+                        state.suspects.add(report);
+                    }
+                });
+            }
+        }
     }
 
-    fn other_zone(&self, state: &SharedState, ask: &Ask) -> Option<String> {
-        let serves = |view: &&std::sync::Arc<ZoneView>| {
-            view.zone != self.zone
-                && view.endpoints.iter().any(|(id, one)| is_usable(state, id, one, &ask.subject))
+    async fn decide(
+        &self,
+        inbound: &Inbound,
+        ask: impl FnOnce(&mut Dispatcher) -> Decision,
+    ) -> Result<Target, Refusal> {
+        let (decision, answer) = {
+            let mut inner = self.lock();
+            match ask(&mut inner.dispatcher) {
+                Decision::Wait => {
+                    let (sender, answer) = oneshot::channel();
+                    inner.waiting.insert(inbound.request, sender);
+                    (Decision::Wait, Some(answer))
+                }
+                decision => (decision, None),
+            }
         };
-        let views: Vec<_> = state.views.values().filter(serves).collect();
-        let view = views.get(ask.request.0 as usize % views.len().max(1))?;
-        let live: Vec<_> = view.instances.values().filter(|one| one.live).collect();
-        live.get((ask.request.0 >> 32) as usize % live.len().max(1)).map(|one| one.entry.clone())
+        let decision = match answer {
+            None => decision,
+            Some(answer) => {
+                self.waits.notify_one();
+                // The sender lives until the request is decided on or dropped.
+                answer.await.unwrap_or(Decision::Wait)
+            }
+        };
+        match decision {
+            Decision::Send { endpoint, addr, incarnation } => {
+                Ok(Target::Endpoint { id: endpoint, addr, incarnation })
+            }
+            Decision::Forward { addr, .. } => Ok(Target::Zone { addr }),
+            Decision::Wait => Err(Refusal::new(Code::Overloaded, "the request was not placed")),
+            Decision::Refuse { code, run, retry_after } => {
+                let text = match &inbound.target {
+                    RouteTarget::Model(model) => format!("model `{model}`: {}", reason(code)),
+                    RouteTarget::Service(service) => format!("service `{service}`: {}", reason(code)),
+                };
+                let refusal = Refusal::new(Code::Dispatch(code), text).with_run(run);
+                Err(match retry_after {
+                    Some(delay) => refusal.after(delay),
+                    None => refusal,
+                })
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
+}
 
-    fn lock(&self) -> MutexGuard<'_, Ledger> {
-        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+impl Inner {
+    fn poll(&mut self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        for (request, decision) in self.dispatcher.poll(now()) {
+            if let Some(sender) = self.waiting.remove(&request) {
+                // The receiver is gone if the caller left; its flight ends the request.
+                let _gone = sender.send(decision);
+            }
+        }
     }
 }
 
@@ -110,12 +233,14 @@
     }
 }
 
-fn is_usable(state: &SharedState, id: &EndpointId, endpoint: &EndpointView, subject: &Subject) -> bool {
-    let serves = match subject {
-        Subject::Model(model) => endpoint.holds(model),
-        Subject::Service(service) => endpoint.service == *service,
-    };
-    serves
-        && endpoint.state == EndpointState::Live
-        && !state.drains.is_drained(&DrainTarget::Endpoint(id.clone()))
+fn reason(code: RefusalCode) -> &'static str {
+    match code {
+        RefusalCode::NotFound => "is not declared",
+        RefusalCode::Retiring => "takes no new requests",
+        RefusalCode::Unavailable => "no endpoint serves it at present",
+        RefusalCode::Overloaded => "the request would miss its target",
+        RefusalCode::CrashesEndpoint => "this request has crashed endpoints",
+        RefusalCode::RetryBudget => "an attempt failed and the retry budget is used up",
+        RefusalCode::NotRepeatable => "an attempt failed and the request must not run twice",
+    }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -49,12 +49,16 @@
         let callers = Server::new(callers, router, limits.clone(), closing.clone(), serving.work.clone());
         let router = operators::router(Arc::clone(&serving));
         let operators = Server::new(operators, router, limits, closing.clone(), serving.work.clone());
+        let [followed, queued, reported] = [(); 3].map(|()| Arc::clone(&serving.dispatch));
         let (sync, demand, tidied) = (Arc::clone(&serving), Arc::clone(&serving), Arc::clone(&serving));
         let root = Supervisor::new("entry", stop.clone())
             .task("callers", move || callers.clone().accept())
             .task("operators", move || operators.clone().accept())
             .task("sync", move || exchange::sync(Arc::clone(&sync)))
             .task("demand", move || exchange::report_demand(Arc::clone(&demand)))
+            .task("view", move || Arc::clone(&followed).follow())
+            .task("queue", move || Arc::clone(&queued).run())
+            .task("crashes", move || Arc::clone(&reported).report())
             .task("tidy", move || tidy::tidy(Arc::clone(&tidied)));
         let root = tokio::spawn(root.run());
         serving.timeline.add(EventKind::Process, format!("serves callers at {callers_addr}"));
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -6,13 +6,18 @@
 use bytes::BytesMut;
 use carobwick_core::AnswerForm;
 use carobwick_core::AttemptId;
+use carobwick_core::AttemptOutcome;
 use carobwick_core::Delivery;
 use carobwick_core::DeliveryEvent;
 use carobwick_core::DeliveryStep;
 use carobwick_core::DeliveryTerms;
 use carobwick_core::GiveUp;
+use carobwick_core::LoadReport;
+use carobwick_core::RefusalCode;
+use carobwick_core::RouteTarget;
 use carobwick_core::RunStatus;
 use carobwick_core::Time;
+use carobwick_core::Tokens;
 use carobwick_runtime::now;
 use http::HeaderMap;
 use http::StatusCode;
@@ -20,12 +25,12 @@
 use tokio::time::Sleep;
 
 use crate::answer;
-use crate::ask::Ask;
-use crate::ask::Subject;
+use crate::crash::CrashWatch;
 use crate::dispatch::Target;
 use crate::events::EventSplitter;
 use crate::events::StreamEnd;
-use crate::outgoing;
+use crate::inbound::Inbound;
+use crate::outbound;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::serving::InFlight;
@@ -39,13 +44,16 @@
 #[derive(Debug)]
 pub(crate) struct Flight {
     serving: Arc<Serving>,
-    ask: Ask,
+    inbound: Inbound,
     delivery: Delivery,
     step: DeliveryStep,
     arrived: Time,
     timer: Pin<Box<Sleep>>,
     attempt: AttemptId,
     target: Option<Target>,
+    /// How the attempt ends if nothing else is known of it.
+    outcome: AttemptOutcome,
+    load: Option<LoadReport>,
     reply: Option<Reply>,
     head: Option<Head>,
     splitter: EventSplitter,
@@ -80,41 +88,41 @@
 }
 
 impl Flight {
-    pub fn start(serving: Arc<Serving>, ask: Ask, in_flight: InFlight) -> Self {
+    pub fn start(serving: Arc<Serving>, inbound: Inbound, in_flight: InFlight) -> Self {
         let arrived = now();
-        // A key marks a request whose effects matter, except that generating text again has none.
-        let repeatable = ask.repeatable && (ask.key.is_none() || ask.form != AnswerForm::Plain);
         let terms = DeliveryTerms {
-            request: ask.request,
-            form: ask.form,
-            repeatable,
-            deadline: ask.deadline,
+            request: inbound.request,
+            form: inbound.form,
+            repeatable: inbound.repeatable,
+            deadline: inbound.deadline,
             attempts: serving.settings.limits.attempts,
         };
-        if let Subject::Model(model) = &ask.subject {
+        if let RouteTarget::Model(model) = &inbound.target {
             serving.demand.arrived(model);
         }
         tracing::debug!(
             "entry: request {} of {} for {:?}: fingerprint {}, prefix {:016x}, {} prompt tokens, {} at most",
-            ask.request,
-            ask.caller,
-            ask.subject,
-            ask.fingerprint,
-            ask.prefix,
-            ask.prompt,
-            ask.max_tokens,
+            inbound.request,
+            inbound.caller,
+            inbound.target,
+            inbound.fingerprint,
+            inbound.prefix,
+            inbound.prompt,
+            inbound.max_tokens,
         );
         let mut delivery = Delivery::new(terms);
         let step = delivery.on(DeliveryEvent::Accepted, arrived);
         Self {
-            timer: Box::pin(tokio::time::sleep(ask.deadline - arrived)),
+            timer: Box::pin(tokio::time::sleep(inbound.deadline - arrived)),
             serving,
-            ask,
+            inbound,
             delivery,
             step,
             arrived,
             attempt: AttemptId::default(),
             target: None,
+            outcome: AttemptOutcome::NotRun,
+            load: None,
             reply: None,
             head: None,
             splitter: EventSplitter::default(),
@@ -131,7 +139,8 @@
         loop {
             let event = match self.step {
                 DeliveryStep::Wait => self.receive().await,
-                DeliveryStep::Send { attempt } | DeliveryStep::Retry { attempt } => self.place(attempt).await,
+                DeliveryStep::Send { attempt } => self.place(attempt, true).await,
+                DeliveryStep::Retry { attempt } => self.place(attempt, false).await,
                 DeliveryStep::Resume { attempt, of, received } => {
                     self.serving.meters.resume();
                     self.send(attempt, Some((of, received))).await
@@ -145,7 +154,6 @@
                 DeliveryStep::Finish => return self.finish(),
                 DeliveryStep::Refuse { reason, run } => return Output::Refused(self.refuse(reason, run)),
                 DeliveryStep::Fail { reason } => {
-                    self.end_attempt();
                     return Output::Broken(self.refuse(reason, RunStatus::Unknown));
                 }
             };
@@ -153,9 +161,22 @@
         }
     }
 
-    async fn place(&mut self, attempt: AttemptId) -> DeliveryEvent {
-        self.end_attempt();
-        match self.serving.dispatch.place(&self.ask) {
+    async fn place(&mut self, attempt: AttemptId, first: bool) -> DeliveryEvent {
+        let dispatch = Arc::clone(&self.serving.dispatch);
+        let placed = async {
+            if first {
+                return dispatch.admit(&self.inbound).await;
+            }
+            dispatch.finished(self.inbound.request, self.outcome, self.load.take());
+            self.reply = None;
+            dispatch.retry(&self.inbound).await
+        };
+        let placed = tokio::select! {
+            biased;
+            placed = placed => placed,
+            () = &mut self.timer => return DeliveryEvent::TimedOut,
+        };
+        match placed {
             Ok(target) => self.target = Some(target),
             Err(refusal) => {
                 self.refusal = Some(refusal);
@@ -168,6 +189,7 @@
     async fn send(&mut self, attempt: AttemptId, resume: Option<(AttemptId, u64)>) -> DeliveryEvent {
         self.attempt = attempt;
         self.reply = None;
+        self.outcome = AttemptOutcome::Failed;
         self.splitter = EventSplitter::default();
         let Some(target) = &self.target else {
             return DeliveryEvent::Unplaced { attempt };
@@ -176,8 +198,9 @@
         let sent = self.delivery.on(DeliveryEvent::Sent { attempt, resumes }, now());
         debug_assert_eq!(sent, DeliveryStep::Wait, "nothing follows from a send");
         self.serving.meters.attempt();
+        self.serving.dispatch.sent(self.inbound.request);
         let zone = &self.serving.settings.zone;
-        let request = outgoing::request(&self.ask, target, zone, attempt, resume);
+        let request = outbound::request(&self.inbound, target, zone, attempt, resume);
         let (addr, upstream) = (target.addr(), &self.serving.upstream);
         let result = tokio::select! {
             biased;
@@ -193,8 +216,16 @@
     fn on_head(&mut self, attempt: AttemptId, reply: Reply) -> DeliveryEvent {
         let facts = answer::facts(&reply.response);
         let status = reply.response.status();
-        tracing::trace!("entry: attempt {attempt}: {status}, {facts:?}");
-        self.head = Some(Head { status, headers: answer::headers(&self.ask, reply.response.headers()) });
+        self.load = facts.load;
+        if let (Some(Target::Endpoint { id, .. }), Some(seen)) = (&self.target, facts.incarnation) {
+            CrashWatch::answered(&self.serving, id, seen);
+        }
+        if facts.declined {
+            self.outcome = AttemptOutcome::NotRun;
+        } else if status.is_server_error() {
+            self.suspect_crash();
+        }
+        self.head = Some(Head { status, headers: answer::headers(&self.inbound, reply.response.headers()) });
         self.reply = Some(reply);
         // What an earlier attempt left must not become a part of this answer.
         self.pending.clear();
@@ -207,14 +238,25 @@
     }
 
     fn on_error(&mut self, attempt: AttemptId, err: &SendError) -> DeliveryEvent {
-        tracing::debug!("entry: request {} attempt {attempt} failed: {err}", self.ask.request);
+        tracing::debug!("entry: request {} attempt {attempt} failed: {err}", self.inbound.request);
         self.reply = None;
+        if err.is_written() {
+            self.suspect_crash();
+        } else {
+            self.outcome = AttemptOutcome::NotRun;
+        }
         match err {
             SendError::Silent => DeliveryEvent::Silent { attempt },
             err => DeliveryEvent::Failed { attempt, written: err.is_written() },
         }
     }
 
+    fn suspect_crash(&self) {
+        if let Some(Target::Endpoint { id, addr, incarnation }) = &self.target {
+            CrashWatch::lost(&self.serving, id, addr, *incarnation);
+        }
+    }
+
     /// Waits for the next part of the answer.
     async fn receive(&mut self) -> DeliveryEvent {
         let attempt = self.attempt;
@@ -255,11 +297,12 @@
     }
 
     fn is_stream(&self) -> bool {
-        self.ask.form == AnswerForm::Stream && self.head.as_ref().is_some_and(|head| head.status.is_success())
+        self.inbound.form == AnswerForm::Stream
+            && self.head.as_ref().is_some_and(|head| head.status.is_success())
     }
 
     fn is_complete(&mut self) -> bool {
-        match self.ask.form {
+        match self.inbound.form {
             _ if self.head.as_ref().is_some_and(|head| !head.status.is_success()) => true,
             AnswerForm::Plain => true,
             AnswerForm::Stream => false,
@@ -273,10 +316,11 @@
 
     fn finish(&mut self) -> Output {
         self.note_output();
-        if let Subject::Model(model) = &self.ask.subject {
+        if let RouteTarget::Model(model) = &self.inbound.target {
             self.serving.demand.answered(model, self.is_attained(), self.tokens);
         }
-        self.end_attempt();
+        let tokens = Tokens(self.tokens);
+        self.end(AttemptOutcome::Complete { tokens });
         let (head, bytes) = (self.head(), self.pending.split().freeze());
         if self.is_stream() { Output::Last(head, bytes) } else { Output::Whole(head, bytes) }
     }
@@ -288,6 +332,7 @@
         let delay = now() - self.arrived;
         self.first_output = Some(delay);
         self.serving.meters.first_output(delay);
+        self.serving.dispatch.first_token(self.inbound.request);
         if self.is_stream() {
             let limit = self.serving.settings.limits.stream_limit.duration();
             self.timer.as_mut().reset(tokio::time::Instant::now() + limit);
@@ -295,11 +340,11 @@
     }
 
     fn is_attained(&self) -> bool {
-        let gaps = match self.ask.form {
-            AnswerForm::Chat => self.ask.token_gap * u32::try_from(self.tokens).unwrap_or(u32::MAX),
+        let gaps = match self.inbound.form {
+            AnswerForm::Chat => self.inbound.token_gap * u32::try_from(self.tokens).unwrap_or(u32::MAX),
             AnswerForm::Stream | AnswerForm::Plain => Duration::ZERO,
         };
-        self.first_output.is_some_and(|delay| delay <= self.ask.target + gaps)
+        self.first_output.is_some_and(|delay| delay <= self.inbound.goal + gaps)
     }
 
     fn head(&self) -> Head {
@@ -308,15 +353,17 @@
     }
 
     fn refuse(&mut self, reason: GiveUp, run: RunStatus) -> Refusal {
-        self.end_attempt();
-        if let Subject::Model(model) = &self.ask.subject {
+        // The dispatcher learns how the last attempt ended before it forgets the request.
+        self.end(self.outcome);
+        if let RouteTarget::Model(model) = &self.inbound.target {
             self.serving.demand.refused(model);
         }
         let second = Duration::from_secs(1);
         match (reason, self.refusal.take()) {
             (GiveUp::Unplaced, Some(refusal)) => refusal.with_run(run),
             (GiveUp::Unplaced | GiveUp::Exhausted, _) => {
-                let code = if run == RunStatus::No { Code::NoEndpoint } else { Code::EndpointFailed };
+                let unavailable = Code::Dispatch(RefusalCode::Unavailable);
+                let code = if run == RunStatus::No { unavailable } else { Code::EndpointFailed };
                 Refusal::new(code, "no endpoint completed the request").with_run(run).after(second)
             }
             (GiveUp::AnswerLost, _) => {
@@ -328,10 +375,10 @@
         }
     }
 
-    fn end_attempt(&mut self) {
+    fn end(&mut self, outcome: AttemptOutcome) {
         self.reply = None;
-        if let Some(target) = self.target.take() {
-            self.serving.dispatch.ended(&target);
+        if self.target.take().is_some() {
+            self.serving.dispatch.finished(self.inbound.request, outcome, self.load.take());
         }
     }
 }
@@ -339,7 +386,6 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         self.delivery.on(DeliveryEvent::Cancelled, now());
-        self.end_attempt();
-        self.serving.dispatch.finished(self.ask.request);
+        self.serving.dispatch.finished(self.inbound.request, AttemptOutcome::Cancelled, None);
     }
 }
--- a/crates/entry/src/ask.rs
+++ b/crates/entry/src/inbound.rs
@@ -9,11 +9,14 @@
 use carobwick_core::Fingerprint;
 use carobwick_core::Manifest;
 use carobwick_core::ModelId;
+use carobwick_core::Priority;
 use carobwick_core::RequestId;
+use carobwick_core::RouteTarget;
 use carobwick_core::ServiceId;
 use carobwick_core::ServiceKind;
 use carobwick_core::Time;
 use carobwick_core::Tokens;
+use carobwick_core::prefix_hash;
 use http::HeaderMap;
 use http::Method;
 use http::header::CONTENT_LENGTH;
@@ -21,7 +24,6 @@
 use http_body_util::Limited;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
-use xxhash_rust::xxh3::Xxh3;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::names::CALLER;
@@ -31,7 +33,7 @@
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
-/// Part of the prompt that decides which endpoint has it in its prefix cache.
+/// Part of the prompt that [`prefix_hash`] reads.
 const PREFIX: usize = 4 << 10;
 /// Typical length of a token in bytes of text.
 const TOKEN_BYTES: u64 = 4;
@@ -39,11 +41,13 @@
 
 /// A request as read from its caller.
 #[derive(Debug, Clone)]
-pub(crate) struct Ask {
+pub(crate) struct Inbound {
     pub request: RequestId,
-    pub subject: Subject,
+    pub target: RouteTarget,
+    pub priority: Priority,
     pub caller: CallerId,
     pub form: AnswerForm,
+    /// Whether it may run more than once; one with a key may not.
     pub repeatable: bool,
     pub key: Option<String>,
     /// Whether another zone's entry sent it; it is not forwarded again.
@@ -54,7 +58,7 @@
     pub prompt: Tokens,
     pub max_tokens: Tokens,
     /// Target for the first event, or for the whole answer of a plain service.
-    pub target: Duration,
+    pub goal: Duration,
     /// Target for each token of a chat answer in one piece, beyond the first.
     pub token_gap: Duration,
     pub method: Method,
@@ -63,13 +67,6 @@
     pub body: Bytes,
 }
 
-/// What a request is for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Subject {
-    Model(ModelId),
-    Service(ServiceId),
-}
-
 #[derive(Deserialize)]
 struct ChatBody<'a> {
     #[serde(borrow)]
@@ -97,7 +94,7 @@
     Other(IgnoredAny),
 }
 
-impl Ask {
+impl Inbound {
     /// Reads a chat request and checks it against the manifest.
     pub fn chat(
         request: RequestId,
@@ -112,13 +109,10 @@
         })?;
         let unknown = || Refusal::new(Code::UnknownModel, format!("model `{}` is not declared", chat.model));
         let model: ModelId = chat.model.parse().map_err(|_invalid| unknown())?;
-        let (base, retiring) = match manifest.find(&model).ok_or_else(unknown)? {
-            Artifact::Model(spec) => (spec, spec.retiring),
-            Artifact::Adapter(adapter, base) => (base, adapter.retiring || base.retiring),
+        let (base, priority) = match manifest.find(&model).ok_or_else(unknown)? {
+            Artifact::Model(spec) => (spec, spec.priority),
+            Artifact::Adapter(adapter, base) => (base, adapter.priority),
         };
-        if retiring {
-            return Err(Refusal::new(Code::Retiring, format!("model `{model}` takes no new requests")));
-        }
         let (prefix, length) = prefix_of(&model, &chat.messages);
         let max_tokens = chat.max_tokens.or(chat.max_completion_tokens).unwrap_or(DEFAULT_MAX_TOKENS);
         let form = if chat.stream == Some(true) { AnswerForm::Stream } else { AnswerForm::Chat };
@@ -128,7 +122,7 @@
             request,
             caller,
             form,
-            repeatable: says_repeatable(&headers)?,
+            repeatable: says_repeatable(&headers)? && key.is_none(),
             key,
             forwarded: headers.contains_key(FORWARDED),
             deadline,
@@ -136,12 +130,13 @@
             prefix,
             prompt: Tokens(length / TOKEN_BYTES),
             max_tokens: Tokens(max_tokens),
-            target: base.first_token.duration(),
+            goal: base.first_token.duration(),
+            priority,
             token_gap: base.token_gap.duration(),
             method: Method::POST,
             path: "/v1/chat/completions".to_owned(),
             headers,
-            subject: Subject::Model(model),
+            target: RouteTarget::Model(model),
             body: body.clone(),
         })
     }
@@ -163,7 +158,9 @@
         let (method, path) = target;
         let route = spec.routes.iter().filter(|route| path.starts_with(&route.prefix));
         let route = route.max_by_key(|route| route.prefix.len());
-        let repeatable = route.is_none_or(|route| route.repeatable) && says_repeatable(&headers)?;
+        let repeatable = route.is_none_or(|route| route.repeatable)
+            && says_repeatable(&headers)?
+            && !headers.contains_key(KEY);
         let fingerprint = Fingerprint(xxh3_64_with_seed(&body, xxh3_64_with_seed(path.as_bytes(), 0)));
         let (caller, key) = (caller(&headers)?, key(&headers)?);
         Ok(Self {
@@ -178,12 +175,13 @@
             prefix: fingerprint.0,
             prompt: Tokens(0),
             max_tokens: Tokens(0),
-            target: spec.target.duration(),
+            goal: spec.target.duration(),
+            priority: Priority::default(),
             token_gap: Duration::ZERO,
             method,
             path,
             headers,
-            subject: Subject::Service(id),
+            target: RouteTarget::Service(id),
             body,
         })
     }
@@ -209,19 +207,25 @@
     }
 }
 
+/// Returns the hash of the part of the prompt that decides the prefix cache, and the length of the prompt.
 fn prefix_of(model: &ModelId, messages: &[Message<'_>]) -> (u64, u64) {
-    let mut hasher = Xxh3::new();
-    hasher.update(model.as_str().as_bytes());
-    let (mut left, mut length) = (PREFIX, 0);
-    for message in messages {
-        if let Some(Content::Text(text)) = &message.content {
-            let part = &text.as_bytes()[..text.len().min(left)];
-            hasher.update(part);
-            left -= part.len();
-            length += text.len() as u64;
-        }
+    let texts = || {
+        messages.iter().filter_map(|message| match &message.content {
+            Some(Content::Text(text)) => Some(text.as_ref()),
+            _ => None,
+        })
+    };
+    let length = texts().map(|text| text.len() as u64).sum();
+    // One message needs no copy.
+    if let [Message { content: Some(Content::Text(text)) }] = messages {
+        return (prefix_hash(model, text.as_bytes()), length);
+    }
+    let mut start = Vec::with_capacity(PREFIX);
+    for text in texts() {
+        let part = text.len().min(PREFIX - start.len());
+        start.extend_from_slice(&text.as_bytes()[..part]);
     }
-    (hasher.digest(), length)
+    (prefix_hash(model, &start), length)
 }
 
 fn caller(headers: &HeaderMap) -> Result<CallerId, Refusal> {
--- /dev/null
+++ b/crates/entry/src/keyed.rs
@@ -0,0 +1,163 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use carobwick_core::AnswerForm;
+use carobwick_core::Fingerprint;
+use carobwick_core::Once;
+use carobwick_core::OnceEvent;
+use carobwick_core::RunStatus;
+use carobwick_core::StoredAnswer;
+use carobwick_core::WriteId;
+use carobwick_runtime::wall_ms;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::flight::Flight;
+use crate::flight::Head;
+use crate::flight::Output;
+use crate::inbound::Inbound;
+use crate::records::Records;
+use crate::records::Start;
+use crate::records::record_key;
+use crate::refusal::Refusal;
+use crate::serving::InFlight;
+use crate::serving::Serving;
+
+/// Time beyond its limits after which a request that has no answer yet is not in progress any more.
+const MARGIN: Duration = Duration::from_secs(10);
+/// Longest wait of an answer for its record; the record is completed after that too.
+const SETTLE: Duration = Duration::from_secs(1);
+/// Bytes of a stream that are collected for its record; a longer one is not kept.
+const MAX_COLLECTED: usize = 1 << 20;
+const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
+
+/// Starts a request with a key; it runs to its end even if its caller leaves, so that its outcome is recorded.
+pub(crate) fn start(
+    serving: &Arc<Serving>,
+    inbound: Inbound,
+    key: &str,
+    in_flight: InFlight,
+) -> Result<mpsc::Receiver<Output>, Refusal> {
+    serving.records.admit()?;
+    let limits = &serving.settings.limits;
+    let longest = match inbound.form {
+        AnswerForm::Stream => limits.stream_limit.duration(),
+        AnswerForm::Chat | AnswerForm::Plain => limits.deadline.duration(),
+    };
+    let until = wall_ms() + (longest + MARGIN).as_millis() as u64;
+    let write = WriteId(rand::random());
+    let once = Once::new(write, serving.settings.instance.clone(), content(&inbound, key), until);
+    let (outputs, shown) = mpsc::channel(1);
+    let run = Keyed {
+        serving: Arc::clone(serving),
+        once,
+        key: record_key(&inbound.caller, key),
+        outputs,
+        limit: longest,
+    };
+    serving.work.spawn(run.run(inbound, in_flight));
+    Ok(shown)
+}
+
+struct Keyed {
+    serving: Arc<Serving>,
+    once: Once,
+    key: String,
+    outputs: mpsc::Sender<Output>,
+    limit: Duration,
+}
+
+impl Keyed {
+    async fn run(mut self, inbound: Inbound, in_flight: InFlight) {
+        let serving = Arc::clone(&self.serving);
+        match serving.records.start(&mut self.once, &self.key).await {
+            Start::Refuse(refusal) => self.show(Output::Refused(refusal.into())).await,
+            Start::Replay(answer) => self.show(replay(answer)).await,
+            Start::Run => self.fly(Flight::start(serving, inbound, in_flight)).await,
+        }
+    }
+
+    async fn fly(&mut self, mut flight: Flight) {
+        let mut collected = BytesMut::new();
+        loop {
+            let output = flight.next().await;
+            let ended = match &output {
+                Output::Events(_, bytes) => {
+                    collect(&mut collected, bytes);
+                    self.show(output).await;
+                    continue;
+                }
+                Output::Whole(head, body) => OnceEvent::Answered(stored(head, body)),
+                Output::Last(head, bytes) => {
+                    collect(&mut collected, bytes);
+                    OnceEvent::Answered(stored(head, &collected))
+                }
+                Output::Refused(refusal) if refusal.run == RunStatus::No => OnceEvent::NotRun,
+                Output::Refused(_) | Output::Broken(_) => OnceEvent::Abandoned,
+            };
+            return self.end(output, ended).await;
+        }
+    }
+
+    /// Settles the record, and shows the last output once that is done or takes too long.
+    async fn end(&mut self, output: Output, ended: OnceEvent) {
+        let records: &Records = &self.serving.records;
+        let settle = records.settle(&mut self.once, &self.key, ended);
+        let mut settle = std::pin::pin!(settle);
+        let settled = tokio::time::timeout(SETTLE, settle.as_mut()).await.is_ok();
+        // The caller is gone if the receiver is.
+        let _gone = tokio::time::timeout(self.limit, self.outputs.send(output)).await;
+        if !settled {
+            settle.await;
+        }
+    }
+
+    async fn show(&self, output: Output) {
+        // A caller that left does not end the request, and one that stopped reading ends only its own answer.
+        let _gone = tokio::time::timeout(self.limit, self.outputs.send(output)).await;
+    }
+}
+
+/// Hashes what must be the same for a repeated request.
+fn content(inbound: &Inbound, key: &str) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    for part in [inbound.caller.as_str(), key, inbound.method.as_str(), &inbound.path] {
+        hash.update(part.as_bytes());
+        hash.update(b"\n");
+    }
+    hash.update(&inbound.body);
+    Fingerprint(hash.digest())
+}
+
+fn collect(collected: &mut BytesMut, bytes: &Bytes) {
+    if collected.len() <= MAX_COLLECTED {
+        collected.extend_from_slice(bytes);
+    }
+}
+
+fn stored(head: &Head, body: &[u8]) -> StoredAnswer {
+    let content = head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    StoredAnswer {
+        status: head.status.as_u16(),
+        content: content.to_owned(),
+        body: body.to_vec(),
+        kept: true,
+    }
+}
+
+fn replay(answer: StoredAnswer) -> Output {
+    let mut headers = HeaderMap::new();
+    if let Ok(content) = HeaderValue::from_str(&answer.content) {
+        headers.insert(CONTENT_TYPE, content);
+    }
+    headers.insert(REPLAYED, HeaderValue::from_static("true"));
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    Output::Whole(Head { status, headers }, answer.body.into())
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,14 +2,14 @@
 //!
 //! # Tour
 //!
-//! [`Entry::bind`] starts an entry from its [`Settings`]. A request is read and checked by `ask`, placed by
+//! [`Entry::bind`] starts an entry from its [`Settings`]. A request is read and checked by `inbound`, placed by
 //! `dispatch`, and carried out by `flight`, which performs what the state machine [`carobwick_core::Delivery`] asks
 //! for. `upstream` holds the connections to endpoints, `show` passes answers on to callers, and `exchange` keeps the
 //! state that is shared with the planners up to date.
 
 mod answer;
-mod ask;
 mod callers;
+mod crash;
 mod demand;
 mod dispatch;
 mod entry;
@@ -18,10 +18,13 @@
 mod exchange;
 mod flight;
 mod health;
+mod inbound;
+mod keyed;
 mod meters;
 mod names;
 mod operators;
-mod outgoing;
+mod outbound;
+mod records;
 mod refusal;
 mod server;
 mod serving;
--- a/crates/entry/src/names.rs
+++ b/crates/entry/src/names.rs
@@ -9,6 +9,8 @@
 pub(crate) const INCARNATION: HeaderName = HeaderName::from_static("carobwick-incarnation");
 pub(crate) const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("carobwick-load");
+/// Priority of a request, for engines.
+pub(crate) const PRIORITY: HeaderName = HeaderName::from_static("carobwick-priority");
 pub(crate) const REPEATABLE: HeaderName = HeaderName::from_static("carobwick-repeatable");
 /// Request id, for callers to quote.
 pub(crate) const REQUEST: HeaderName = HeaderName::from_static("carobwick-request");
--- a/crates/entry/src/outgoing.rs
+++ b/crates/entry/src/outbound.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 use carobwick_core::AttemptId;
+use carobwick_core::RouteTarget;
 use carobwick_core::ZoneId;
 use http::HeaderMap;
 use http::HeaderName;
@@ -9,12 +10,13 @@
 use http::header;
 use http_body_util::Full;
 
-use crate::ask::Ask;
 use crate::dispatch::Target;
+use crate::inbound::Inbound;
 use crate::names::ATTEMPT;
 use crate::names::CALLER;
 use crate::names::FORWARDED;
 use crate::names::KEY;
+use crate::names::PRIORITY;
 use crate::names::REPEATABLE;
 use crate::names::RESUME;
 
@@ -34,30 +36,34 @@
 
 /// Builds the request of one attempt.
 pub(crate) fn request(
-    ask: &Ask,
+    inbound: &Inbound,
     target: &Target,
     zone: &ZoneId,
     attempt: AttemptId,
     resume: Option<(AttemptId, u64)>,
 ) -> Request<Full<Bytes>> {
-    let mut headers = end_to_end(&ask.headers);
+    let mut headers = end_to_end(&inbound.headers);
     headers.remove(FORWARDED);
     headers.remove(RESUME);
     headers.insert(ATTEMPT, text(&attempt.to_string()));
-    headers.insert(CALLER, text(ask.caller.as_str()));
+    headers.insert(CALLER, text(inbound.caller.as_str()));
     if let Some((of, received)) = resume {
         headers.insert(RESUME, text(&format!("{of},{received}")));
     }
+    if let (Target::Endpoint { .. }, RouteTarget::Model(_)) = (target, &inbound.target) {
+        headers.insert(PRIORITY, HeaderValue::from(u16::from(inbound.priority.0)));
+    }
     if let Target::Zone { .. } = target {
         headers.insert(FORWARDED, text(zone.as_str()));
         // The key's record is this entry's; the other zone must only know that the request runs once.
-        if headers.remove(KEY).is_some() || !ask.repeatable {
+        headers.remove(KEY);
+        if !inbound.repeatable {
             headers.insert(REPEATABLE, HeaderValue::from_static("no"));
         }
     }
-    let mut request = Request::new(Full::new(ask.body.clone()));
-    *request.method_mut() = ask.method.clone();
-    *request.uri_mut() = uri(target, ask);
+    let mut request = Request::new(Full::new(inbound.body.clone()));
+    *request.method_mut() = inbound.method.clone();
+    *request.uri_mut() = uri(target, inbound);
     *request.headers_mut() = headers;
     request
 }
@@ -73,12 +79,12 @@
     copy
 }
 
-fn uri(target: &Target, ask: &Ask) -> Uri {
-    let path = match (target, &ask.subject) {
-        (Target::Zone { .. }, crate::ask::Subject::Service(service)) => {
-            format!("/services/{service}{}", ask.path)
+fn uri(target: &Target, inbound: &Inbound) -> Uri {
+    let path = match (target, &inbound.target) {
+        (Target::Zone { .. }, RouteTarget::Service(service)) => {
+            format!("/services/{service}{}", inbound.path)
         }
-        _ => ask.path.clone(),
+        _ => inbound.path.clone(),
     };
     let uri = format!("http://{}{path}", target.addr());
     // The path came from a valid URI and the address from a zone view; an invalid address fails to connect.
--- /dev/null
+++ b/crates/entry/src/records.rs
@@ -0,0 +1,197 @@
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use carobwick_core::CallerId;
+use carobwick_core::Once;
+use carobwick_core::OnceEvent;
+use carobwick_core::OnceRecord;
+use carobwick_core::OnceRefusal;
+use carobwick_core::OnceStep;
+use carobwick_core::StoredAnswer;
+use carobwick_runtime::Error;
+use carobwick_runtime::Expect;
+use carobwick_runtime::KeyValue;
+use carobwick_runtime::KvEntry;
+use carobwick_runtime::LeaseId;
+use carobwick_runtime::Put;
+use carobwick_runtime::wall_ms;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// One lease serves the records of an hour, so that leases add next to nothing to the two writes of a record.
+const LEASE_SHARED: Duration = Duration::from_hours(1);
+/// The last record on a lease is still kept for 24 h.
+const LEASE_TTL: Duration = Duration::from_hours(25);
+/// Time without calls after the service did not answer, so that requests are refused at once.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Idempotency records in the key-value service.
+#[derive(Debug)]
+pub(crate) struct Records {
+    kv: KeyValue,
+    lease: tokio::sync::Mutex<Option<(LeaseId, Instant)>>,
+    gate: Mutex<Gate>,
+}
+
+/// What becomes of a request with a key.
+#[derive(Debug)]
+pub(crate) enum Start {
+    /// It runs; its record must be settled.
+    Run,
+    /// It ran before, with this answer.
+    Replay(StoredAnswer),
+    /// It does not run.
+    Refuse(OnceRefusal),
+}
+
+/// Bounds the rate of requests with a key, which cost two writes each.
+#[derive(Debug)]
+struct Gate {
+    rate: f64,
+    tokens: f64,
+    at: Instant,
+    paused: Option<Instant>,
+}
+
+impl Records {
+    pub fn open(url: &str, rate: u32) -> Self {
+        let rate = f64::from(rate);
+        let gate = Gate { rate, tokens: rate, at: Instant::now(), paused: None };
+        Self {
+            kv: KeyValue::open(url, CALL_TIMEOUT),
+            lease: tokio::sync::Mutex::default(),
+            gate: Mutex::new(gate),
+        }
+    }
+
+    /// Admits a request with a key, or refuses it above the rate or shortly after the service did not answer.
+    pub fn admit(&self) -> Result<(), Refusal> {
+        let mut gate = self.gate();
+        let now = Instant::now();
+        if gate.paused.is_some_and(|until| now < until) {
+            return Err(OnceRefusal::Unavailable.into());
+        }
+        gate.tokens = (gate.tokens + (now - gate.at).as_secs_f64() * gate.rate).min(gate.rate);
+        gate.at = now;
+        if gate.tokens < 1.0 {
+            let wait = Duration::from_secs_f64((1.0 - gate.tokens) / gate.rate);
+            return Err(Refusal::new(Code::OnceRate, "too many requests with a key").after(wait));
+        }
+        gate.tokens -= 1.0;
+        Ok(())
+    }
+
+    /// Creates the record of a request, unless there is one.
+    pub async fn start(&self, once: &mut Once, key: &str) -> Start {
+        let mut event = OnceEvent::Arrived;
+        loop {
+            match once.on(event, wall_ms()) {
+                OnceStep::Run => return Start::Run,
+                OnceStep::Replay(answer) => return Start::Replay(answer),
+                OnceStep::Refuse(refusal) => {
+                    if refusal == OnceRefusal::Unavailable {
+                        self.gate().paused = Some(Instant::now() + PAUSE);
+                    }
+                    return Start::Refuse(refusal);
+                }
+                OnceStep::Wait | OnceStep::Close => return Start::Refuse(OnceRefusal::Unavailable),
+                step => event = self.perform(key, step).await,
+            }
+        }
+    }
+
+    /// Brings the record of a request that ran, or was given up, to its end.
+    pub async fn settle(&self, once: &mut Once, key: &str, ended: OnceEvent) {
+        let mut event = ended;
+        loop {
+            match once.on(event, wall_ms()) {
+                OnceStep::Wait | OnceStep::Close => return,
+                step => event = self.perform(key, step).await,
+            }
+        }
+    }
+
+    async fn perform(&self, key: &str, step: OnceStep) -> OnceEvent {
+        match step {
+            OnceStep::Create(record) => self.write(key, Expect::Absent, &record).await,
+            OnceStep::Complete(record, revision) => {
+                self.write(key, Expect::Revision(revision), &record).await
+            }
+            OnceStep::Delete(revision) => {
+                self.written(self.kv.delete_if(key, Expect::Revision(revision)).await).await
+            }
+            OnceStep::ReadBack => match self.kv.get(key).await {
+                Ok(found) => decode(found, OnceEvent::Read),
+                Err(_) => OnceEvent::ReplyLost,
+            },
+            _ => OnceEvent::Unavailable,
+        }
+    }
+
+    async fn write(&self, key: &str, expect: Expect, record: &OnceRecord) -> OnceEvent {
+        let (Ok(lease), Ok(value)) = (self.lease().await, record.encode()) else {
+            return OnceEvent::Unavailable;
+        };
+        self.written(self.kv.put_if(key, expect, &value, Some(lease)).await).await
+    }
+
+    async fn written(&self, result: carobwick_runtime::Result<Put>) -> OnceEvent {
+        match result {
+            Ok(Put::Written(revision)) => OnceEvent::Written(revision),
+            Ok(Put::Conflict(found)) => decode(found, OnceEvent::Conflict),
+            Err(err) => {
+                tracing::warn!("entry: write of an idempotency record failed: {err}");
+                match err {
+                    Error::Status(status, _) if status < 500 => {
+                        // The lease may be gone.
+                        *self.lease.lock().await = None;
+                        OnceEvent::Unavailable
+                    }
+                    Error::Connect(_) | Error::Local(_) => OnceEvent::Unavailable,
+                    Error::Lost(_) | Error::Status(..) | Error::Codec(_) => OnceEvent::ReplyLost,
+                }
+            }
+        }
+    }
+
+    async fn lease(&self) -> carobwick_runtime::Result<LeaseId> {
+        let mut current = self.lease.lock().await;
+        if let Some((lease, since)) = *current
+            && since.elapsed() < LEASE_SHARED
+        {
+            return Ok(lease);
+        }
+        let since = Instant::now();
+        let lease = self.kv.grant(LEASE_TTL).await?;
+        *current = Some((lease, since));
+        Ok(lease)
+    }
+
+    fn gate(&self) -> MutexGuard<'_, Gate> {
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the name of the record of a caller's key.
+pub(crate) fn record_key(caller: &CallerId, key: &str) -> String {
+    format!("once/{:032x}", xxh3_128(format!("{caller}\n{key}").as_bytes()))
+}
+
+fn decode(found: Option<KvEntry>, event: impl Fn(Option<(OnceRecord, u64)>) -> OnceEvent) -> OnceEvent {
+    let Some(entry) = found else {
+        return event(None);
+    };
+    match OnceRecord::decode(&entry.value) {
+        Ok(record) => event(Some((record, entry.revision))),
+        Err(err) => {
+            tracing::warn!("entry: {} holds no idempotency record: {err}", entry.key);
+            OnceEvent::Unavailable
+        }
+    }
+}
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -3,6 +3,8 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use bytes::Bytes;
+use carobwick_core::OnceRefusal;
+use carobwick_core::RefusalCode;
 use carobwick_core::RunStatus;
 use http::HeaderValue;
 use http::StatusCode;
@@ -36,10 +38,15 @@
     Deadline,
     EndpointFailed,
     AnswerLost,
-    NoEndpoint,
+    InProgress,
+    KeyReused,
+    NotKept,
+    OnceRate,
+    OnceUnavailable,
+    OutcomeUnknown,
+    Dispatch(RefusalCode),
     NotReady,
     Overloaded,
-    Retiring,
 }
 
 impl Refusal {
@@ -91,6 +98,31 @@
     }
 }
 
+impl From<OnceRefusal> for Refusal {
+    fn from(refusal: OnceRefusal) -> Self {
+        let second = Duration::from_secs(1);
+        match refusal {
+            OnceRefusal::InProgress => Self::new(Code::InProgress, "a request with this key is running")
+                .with_run(RunStatus::Unknown)
+                .after(second),
+            OnceRefusal::OutcomeUnknown => Self::new(
+                Code::OutcomeUnknown,
+                "a request with this key may have run; its answer is not known",
+            )
+            .with_run(RunStatus::Unknown),
+            OnceRefusal::NotKept => Self::new(
+                Code::NotKept,
+                "the request with this key is done; its answer was too large to keep",
+            )
+            .with_run(RunStatus::Unknown),
+            OnceRefusal::KeyReused => Self::new(Code::KeyReused, "this key was used for another request"),
+            OnceRefusal::Unavailable => {
+                Self::new(Code::OnceUnavailable, "idempotency records are unavailable").after(second)
+            }
+        }
+    }
+}
+
 impl Code {
     pub fn as_str(self) -> &'static str {
         match self {
@@ -106,24 +138,34 @@
             Self::Deadline => "deadline",
             Self::EndpointFailed => "endpoint_failed",
             Self::AnswerLost => "answer_lost",
-            Self::NoEndpoint => "no_endpoint",
+            Self::InProgress => "in_progress",
+            Self::KeyReused => "key_reused",
+            Self::NotKept => "answer_not_kept",
+            Self::OnceRate => "once_rate",
+            Self::OnceUnavailable => "once_unavailable",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::Dispatch(code) => code.as_str(),
             Self::NotReady => "not_ready",
             Self::Overloaded => "overloaded",
-            Self::Retiring => "retiring",
         }
     }
 
     pub fn status(self) -> StatusCode {
         match self {
+            Self::Dispatch(code) => {
+                StatusCode::from_u16(code.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
+            }
             Self::BadHeader | Self::BadJson | Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnknownModel | Self::UnknownPath | Self::UnknownService => StatusCode::NOT_FOUND,
             Self::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
-            Self::Retiring => StatusCode::GONE,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
             Self::EndpointFailed | Self::AnswerLost => StatusCode::BAD_GATEWAY,
-            Self::NoEndpoint | Self::NotReady | Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::InProgress | Self::OutcomeUnknown | Self::NotKept => StatusCode::CONFLICT,
+            Self::OnceRate => StatusCode::TOO_MANY_REQUESTS,
+            Self::NotReady | Self::OnceUnavailable | Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -12,9 +12,11 @@
 use tokio_util::task::TaskTracker;
 
 use crate::Settings;
+use crate::crash::CrashWatch;
 use crate::demand::Demand;
 use crate::dispatch::Dispatch;
 use crate::meters::Meters;
+use crate::records::Records;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::upstream::Upstream;
@@ -24,8 +26,10 @@
 pub(crate) struct Serving {
     pub settings: Settings,
     pub node: Node,
-    pub dispatch: Dispatch,
+    pub dispatch: Arc<Dispatch>,
+    pub crashes: CrashWatch,
     pub upstream: Upstream,
+    pub records: Records,
     pub demand: Demand,
     pub metrics: Metrics,
     pub meters: Meters,
@@ -45,8 +49,10 @@
     pub fn new(settings: Settings, metrics: Metrics) -> Self {
         let node = Node::open();
         Self {
-            dispatch: Dispatch::new(node.clone(), settings.zone.clone()),
+            dispatch: Arc::new(Dispatch::new(node.clone(), settings.zone.clone())),
+            crashes: CrashWatch::default(),
             upstream: Upstream::default(),
+            records: Records::open(&settings.key_value, settings.limits.once_rate),
             demand: Demand::default(),
             meters: Meters::new(&metrics),
             metrics,
--- a/crates/entry/src/tidy.rs
+++ b/crates/entry/src/tidy.rs
@@ -6,7 +6,7 @@
 
 const INTERVAL: Duration = Duration::from_secs(10);
 
-/// Closes connections to addresses that left the zone views.
+/// Forgets endpoints that left the zone views and closes connections to them.
 pub(crate) async fn tidy(serving: Arc<Serving>) -> anyhow::Result<()> {
     loop {
         tokio::time::sleep(INTERVAL).await;
@@ -18,5 +18,7 @@
             endpoints.chain(entries).collect()
         });
         serving.upstream.retain(|addr| known.contains(addr));
+        let view = serving.node.read(|state| state.views.get(&serving.settings.zone).cloned());
+        serving.crashes.retain(|id| view.as_ref().is_some_and(|view| view.endpoints.contains_key(id)));
     }
 }
--- /dev/null
+++ b/crates/entry/tests/behaviour/failures.rs
@@ -0,0 +1,157 @@
+//! Failures of endpoints and connections while requests are in flight.
+
+use std::time::Duration;
+
+use carobwick_core::DrainTarget;
+use carobwick_core::WriteId;
+use carobwick_standins::EngineFaults;
+use http::Method;
+use http::StatusCode;
+use http_body_util::BodyExt;
+
+use crate::support::MODEL;
+use crate::support::Zone;
+use crate::support::call;
+use crate::support::chat;
+use crate::support::chat_body;
+use crate::support::entry_view;
+use crate::support::open;
+
+const CHAT: &str = "/v1/chat/completions";
+
+/// Guards against a stream that misses or repeats events after it was cut and resumed.
+#[tokio::test]
+async fn cut_stream_is_resumed() {
+    let zone = Zone::spawn(1, 0).await;
+    let entry = zone.entry("entry-1", "").await;
+    let whole = chat(entry.callers(), &chat_body("hello", 20, true)).await;
+    zone.engines[0].faults().set(EngineFaults { cut_streams: 2, cut_after: 5, ..EngineFaults::default() });
+    let resumed = chat(entry.callers(), &chat_body("hello", 20, true)).await;
+    assert_eq!(contents(resumed.text()), contents(whole.text()));
+    assert_eq!(zone.engines[0].stats().resumed, 2);
+}
+
+/// Guards against an answer that mixes two runs, and against a stream that ends as if it were complete.
+#[tokio::test]
+async fn stream_of_a_crashed_engine_ends_by_an_error() {
+    let zone = Zone::spawn(2, 0).await;
+    let entry = zone.entry("entry-1", "").await;
+    let mut response = open(entry.callers(), Method::POST, CHAT, &[], &chat_body("long", 2_000, true)).await;
+    response.body_mut().frame().await.unwrap().unwrap();
+    zone.engines.iter().for_each(carobwick_standins::EngineStandin::crash);
+    let rest = response.into_body().collect().await.unwrap().to_bytes();
+    let rest = std::str::from_utf8(&rest).unwrap();
+    assert!(!rest.contains("[DONE]"));
+    assert!(rest.contains("event: error\ndata: {\"error\":{\"code\":\"answer_lost\""), "{rest}");
+}
+
+/// Guards against a lost request that could have been run again, and against a crash that is not reported.
+#[tokio::test]
+async fn whole_answer_is_rerun_after_a_crash_which_is_reported() {
+    let zone = Zone::spawn(2, 0).await;
+    let entry = zone.entry("entry-1", "").await;
+    let mark = || EngineFaults { crash_marker: Some("boom".to_owned()), ..EngineFaults::default() };
+    zone.engines[0].faults().set(mark());
+    // Requests with different prefixes, so that some of them go to each engine.
+    for index in 0..8 {
+        let answer = chat(entry.callers(), &chat_body(&format!("{index} boom"), 4, false)).await;
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+        if zone.engines[0].stats().crashes > 0 {
+            break;
+        }
+    }
+    assert!(zone.engines[0].stats().crashes > 0, "no request reached the first engine");
+    let mut changes = zone.planner.subscribe();
+    while zone.planner.read(|state| state.suspects.reports().count()) == 0 {
+        changes.changed().await.unwrap();
+    }
+}
+
+/// Guards against requests that wait for a connection that went silent.
+#[tokio::test]
+async fn silent_connection_is_replaced() {
+    let zone = Zone::spawn(1, 0).await;
+    let entry = zone.entry("entry-1", "").await;
+    assert_eq!(chat(entry.callers(), &chat_body("one", 2, false)).await.status, StatusCode::OK);
+    zone.engines[0].server().control().freeze();
+    let answer = chat(entry.callers(), &chat_body("two", 2, false)).await;
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+}
+
+/// Guards against a part of another request's answer.
+#[tokio::test]
+async fn answer_with_a_wrong_attempt_id_is_not_shown() {
+    let zone = Zone::spawn(1, 0).await;
+    let entry = zone.entry("entry-1", "").await;
+    zone.engines[0].faults().set(EngineFaults { wrong_attempts: 1, ..EngineFaults::default() });
+    let answer = chat(entry.callers(), &chat_body("one", 2, false)).await;
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+    assert_eq!(zone.engines[0].stats().requests, 2);
+}
+
+/// Guards against new work for a drained endpoint, and against refusals that don't say when to come back.
+#[tokio::test]
+async fn drained_endpoint_gets_no_work() {
+    let zone = Zone::spawn(1, 0).await;
+    let entry = zone.entry("entry-1", "").await;
+    let target = DrainTarget::Endpoint("llm-0".parse().unwrap());
+    zone.planner.update(|state| state.drains.set(target.clone(), true, WriteId(9)));
+    let mut changes = entry.node().subscribe();
+    while !entry.node().read(|state| state.drains.is_drained(&target)) {
+        changes.changed().await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let refused = chat(entry.callers(), &chat_body("one", 2, false)).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE, "{}", refused.text());
+    assert_eq!(refused.json()["error"]["run"], "no");
+    assert_eq!(zone.engines[0].stats().requests, 0);
+}
+
+/// Guards against requests that are refused although another zone serves them, and against forwarding in a circle.
+#[tokio::test]
+async fn request_is_forwarded_to_another_zone_once() {
+    let zone = Zone::spawn(1, 1).await;
+    let far = zone.entry("entry-a", "").await;
+    // Zone b has no endpoints; its entry sees zone a's endpoints behind zone a's entry.
+    let mut view = entry_view("a", far.callers(), 2);
+    view.endpoints = zone.view("a").endpoints;
+    zone.planner.update(|state| state.merge_view(view));
+    let near = zone.entry_in("b", "entry-b", "").await;
+    zone.planner.update(|state| state.merge_view(entry_view("b", near.callers(), 1)));
+    let answer = chat(near.callers(), &chat_body("one", 2, true)).await;
+    assert!(answer.text().ends_with("data: [DONE]\n\n"), "{}", answer.text());
+    let plain = call(near.callers(), Method::POST, "/services/desk/notes/1", &[], "text").await;
+    assert_eq!(plain.json()["path"], "/notes/1");
+    let forwarded = [("carobwick-forwarded", "c")];
+    let refused = call(near.callers(), Method::POST, CHAT, &forwarded, &chat_body("one", 2, false)).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.headers["carobwick-run"], "no");
+}
+
+/// Guards against requests and streams that a planned stop cuts off, and against readiness during a stop.
+#[tokio::test]
+async fn shutdown_waits_for_requests_in_flight() {
+    let zone = Zone::spawn(1, 0).await;
+    let entry = zone.entry("entry-1", "").await;
+    let (callers, operators) = (entry.callers(), entry.operators());
+    let mut response = open(callers, Method::POST, CHAT, &[], &chat_body("long", 300, true)).await;
+    response.body_mut().frame().await.unwrap().unwrap();
+    let stop = tokio::spawn(entry.shutdown());
+    while call(operators, Method::GET, "/readyz", &[], "").await.status == StatusCode::OK {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let rest = response.into_body().collect().await.unwrap().to_bytes();
+    assert!(rest.ends_with(b"data: [DONE]\n\n"));
+    stop.await.unwrap();
+    assert!(tokio::net::TcpStream::connect(callers).await.is_err(), "{MODEL} is still served");
+}
+
+/// Returns the text of a stream.
+fn contents(stream: &str) -> String {
+    let events = stream.split("\n\n").filter_map(|event| event.strip_prefix("data: {"));
+    let values =
+        events.map(|event| serde_json::from_str::<serde_json::Value>(&format!("{{{event}")).unwrap());
+    values
+        .map(|value| value["choices"][0]["delta"]["content"].as_str().unwrap_or_default().to_owned())
+        .collect()
+}
