--- /dev/null
+++ b/crates/planner/src/key_value.rs
@@ -0,0 +1,157 @@
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use carobwick_core::Adoption;
+use carobwick_core::ConfigRecord;
+use carobwick_core::Delta;
+use carobwick_core::DrainEvent;
+use carobwick_core::DrainSet;
+use carobwick_core::DrainStep;
+use carobwick_core::DrainStore;
+use carobwick_core::StoredConfig;
+use carobwick_core::watches_config;
+use carobwick_runtime::Expect;
+use carobwick_runtime::KvEntry;
+use carobwick_runtime::Learned;
+use carobwick_runtime::Put;
+use carobwick_runtime::Result;
+use rand::Rng;
+
+use crate::Context;
+
+pub(crate) const MANIFEST: &str = "config/manifest";
+const DRAINS: &str = "config/drains";
+/// How the timeline names the service.
+const SERVICE: &str = "the key-value service";
+const PREFIX: &str = "config/";
+
+/// Time between checks of the revisions beside a watch, whose connection can go silent without an error.
+const CHECK: Duration = Duration::from_secs(2);
+
+/// Keeps the state up to date with the key-value service while this planner is one of its zone's watchers.
+pub(crate) async fn run(context: Context) -> anyhow::Result<()> {
+    loop {
+        if is_watcher(&context) {
+            let ended = watch(&context).await;
+            if let Err(err) = ended {
+                context.reachable.store(false, Ordering::Relaxed);
+                tracing::debug!("kv: watch of {PREFIX} ended: {err}");
+            }
+        }
+        let pause = CHECK.mul_f64(rand::rng().random_range(0.5..1.0));
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Reads the manifest with its revision.
+pub(crate) async fn read_config(context: &Context) -> Result<Option<StoredConfig>> {
+    let entry = observe(context, context.key_value.get(MANIFEST).await)?;
+    let Some(entry) = entry else {
+        return Ok(None);
+    };
+    let record: ConfigRecord = serde_json::from_slice(&entry.value)?;
+    Ok(Some(StoredConfig { revision: entry.revision, record: Arc::new(record) }))
+}
+
+/// Notes whether the service answered.
+pub(crate) fn observe<T>(context: &Context, result: Result<T>) -> Result<T> {
+    context.reachable.store(result.is_ok(), Ordering::Relaxed);
+    result
+}
+
+/// Stores the drains that the service lacks and returns whether it is known to have them all now.
+pub(crate) async fn store_drains(context: &Context) -> Result<bool> {
+    let mut store = DrainStore::default();
+    let mut step = DrainStep::Read;
+    loop {
+        let event = match step {
+            DrainStep::Read => DrainEvent::Read(read_drains(context).await?),
+            DrainStep::Write { expect, drains } => {
+                let expect = expect.map_or(Expect::Absent, Expect::Revision);
+                let put = context.key_value.put_if(DRAINS, expect, &serde_json::to_vec(&drains)?, None).await;
+                match observe(context, put)? {
+                    Put::Written(_) => DrainEvent::Written,
+                    Put::Conflict(_) => DrainEvent::Refused,
+                }
+            }
+            DrainStep::Done(durable) => return Ok(durable),
+        };
+        let own = context.node.read(|state| state.drains.clone());
+        step = store.next(event, &own);
+    }
+}
+
+async fn read_drains(context: &Context) -> Result<Option<(u64, DrainSet)>> {
+    let Some(entry) = observe(context, context.key_value.get(DRAINS).await)? else {
+        return Ok(None);
+    };
+    let drains: DrainSet = serde_json::from_slice(&entry.value)?;
+    take_drains(context, drains.clone());
+    Ok(Some((entry.revision, drains)))
+}
+
+fn is_watcher(context: &Context) -> bool {
+    context
+        .node
+        .read(|state| watches_config(state.views.get(&context.zone).map(AsRef::as_ref), &context.instance))
+}
+
+/// Reads all keys, then follows their changes until the watch breaks, goes silent or is another planner's task.
+async fn watch(context: &Context) -> Result<()> {
+    let entries = observe(context, context.key_value.list(PREFIX).await)?;
+    let mut seen = entries.iter().map(|entry| entry.revision).max().unwrap_or(0);
+    for entry in &entries {
+        take(context, entry);
+    }
+    store_drains(context).await?;
+    let mut watch = context.key_value.watch(PREFIX, seen + 1).await?;
+    while is_watcher(context) {
+        let next = tokio::time::timeout(CHECK, watch.next()).await;
+        if let Ok(entries) = next {
+            for entry in entries? {
+                seen = seen.max(entry.revision);
+                take(context, &entry);
+            }
+            continue;
+        }
+        let revisions = observe(context, context.key_value.revisions(PREFIX).await)?;
+        let newest = revisions.into_iter().map(|(_, revision)| revision).max().unwrap_or(0);
+        if newest > seen {
+            tracing::warn!("kv: watch of {PREFIX} missed revision {newest}");
+            return Ok(());
+        }
+        store_drains(context).await?;
+    }
+    Ok(())
+}
+
+fn take(context: &Context, entry: &KvEntry) {
+    match entry.key.as_str() {
+        _ if entry.value.is_empty() => {}
+        MANIFEST => match serde_json::from_slice::<ConfigRecord>(&entry.value) {
+            Ok(record) => {
+                let own = context.node.read(|state| state.config.clone());
+                if record.adoption(own.as_deref()) == Adoption::Contradiction {
+                    context.refuse(record.version, SERVICE);
+                }
+                merge(context, Delta { config: Some(record), ..Delta::default() });
+            }
+            Err(err) => tracing::error!("kv: {MANIFEST} is not a record: {err}"),
+        },
+        DRAINS => match serde_json::from_slice::<DrainSet>(&entry.value) {
+            Ok(drains) => take_drains(context, drains),
+            Err(err) => tracing::error!("kv: {DRAINS} is not a set of drains: {err}"),
+        },
+        _ => {}
+    }
+}
+
+fn take_drains(context: &Context, drains: DrainSet) {
+    merge(context, Delta { drains, ..Delta::default() });
+}
+
+fn merge(context: &Context, delta: Delta) {
+    let changes = context.node.merge(delta);
+    context.record(&Learned { changes, contradiction: None }, SERVICE);
+}
--- /dev/null
+++ b/crates/planner/src/lib.rs
@@ -0,0 +1,25 @@
+//! The planner process: placement of models in one availability zone, exchange of configuration between processes
+//! and the operator API.
+//!
+//! # Tour
+//!
+//! [`Planner::start`] starts the process from its [`Settings`]; [`Context`] is what its tasks share. The exchange
+//! with peers, the watch of the key-value service, the operator API and the leader are tasks under one supervisor.
+//! [`Leader`] runs the decisions of `carobwick_core::Controller` with real calls.
+
+mod context;
+mod exchange;
+mod key_value;
+mod leader;
+mod leader_calls;
+mod operator;
+mod planner;
+mod publishing;
+mod settings;
+mod status;
+
+pub use context::Context;
+pub use leader::Leader;
+pub use leader::LeaderSetup;
+pub use planner::Planner;
+pub use settings::Settings;
