--- a/crates/entry/tests/behaviour/support.rs
+++ b/crates/entry/tests/behaviour/support.rs
@@ -152,6 +152,8 @@
             leader: "planner".parse().unwrap(),
             instances: indexmap::IndexMap::new(),
             endpoints: engines.chain(services).collect(),
+            blocked: indexmap::IndexMap::new(),
+            reasons: indexmap::IndexMap::new(),
         }
     }
 }
@@ -168,6 +170,8 @@
         leader: "planner".parse().unwrap(),
         instances: [("entry".parse().unwrap(), instance)].into_iter().collect(),
         endpoints: indexmap::IndexMap::new(),
+        blocked: indexmap::IndexMap::new(),
+        reasons: indexmap::IndexMap::new(),
     }
 }
 
@@ -231,15 +235,8 @@
 
 fn reply(node: &Node, message: PeerMessage) -> PeerMessage {
     match message {
-        PeerMessage::Sync { digest, .. } => {
-            let (delta, digest) = node.read(|state| (state.delta_for(&digest), state.digest()));
-            PeerMessage::SyncReply { digest, delta }
-        }
-        PeerMessage::Push { delta } => {
-            node.merge(delta);
-            PeerMessage::Ack
-        }
-        _ => PeerMessage::Ack,
+        PeerMessage::Demand(_) => PeerMessage::Ack,
+        message => node.answer(message).0,
     }
 }
 
