planner: leader tested through kills, replacement and outages; metrics

Cause: the loop had only been run without faults. Against stand-ins: a leader killed after its plan was written while its first order is still under way, all planners replaced, a successor without the instance list, an engine that crashes while the key-value service is away; no load beyond memory, none that is not needed. A dropped leader ends at once.

--- a/crates/planner/src/leader.rs
+++ b/crates/planner/src/leader.rs
@@ -23,16 +23,18 @@
 use carobwick_runtime::Engine;
 use carobwick_runtime::InstanceList;
 use carobwick_runtime::KeyValue;
+use carobwick_runtime::Metrics;
 use carobwick_runtime::Node;
 use carobwick_runtime::Timeline;
 use carobwick_runtime::now;
 use carobwick_runtime::wall_ms;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::leader_calls::Calls;
+use crate::leader_metrics::LeaderMetrics;
 
 /// Time between steps; deadlines of the lease and of orders are much longer.
 const STEP: Duration = Duration::from_millis(100);
@@ -49,10 +51,10 @@
 /// Candidates that look for a missing leader often; the others look seldom, which spares the key-value service.
 const CANDIDATES: usize = 3;
 
-/// A running planner's part in leading its zone.
+/// A running planner's part in leading its zone; it ends at once when it is dropped.
 #[derive(Debug)]
 pub struct Leader {
-    task: JoinHandle<()>,
+    task: AbortOnDropHandle<()>,
     stop: CancellationToken,
 }
 
@@ -73,6 +75,8 @@
     pub node: Node,
     /// Timeline of the process.
     pub timeline: Timeline,
+    /// Metrics of the process.
+    pub metrics: Metrics,
     /// Ends the leader, which gives up its lease first.
     pub stop: CancellationToken,
     /// Demand that entries of the zone report.
@@ -93,6 +97,7 @@
 struct Loop {
     controller: Controller,
     calls: Calls,
+    counts: LeaderMetrics,
     node: Node,
     timeline: Timeline,
     standing: Standing,
@@ -106,7 +111,7 @@
     /// Starts to take part in leading the zone.
     pub fn spawn(setup: LeaderSetup) -> Self {
         let stop = setup.stop.clone();
-        Self { task: tokio::spawn(run(setup)), stop }
+        Self { task: AbortOnDropHandle::new(tokio::spawn(run(setup))), stop }
     }
 
     /// Stops and waits until the lease was given up, for a short time at most.
@@ -128,13 +133,25 @@
 }
 
 async fn run(setup: LeaderSetup) {
-    let LeaderSetup { instance, zone, key_value, instances, engine, node, timeline, stop, mut demand } =
-        setup;
+    let LeaderSetup {
+        instance,
+        zone,
+        key_value,
+        instances,
+        engine,
+        node,
+        timeline,
+        metrics,
+        stop,
+        mut demand,
+    } = setup;
     let (replies, mut inbox) = mpsc::unbounded_channel();
     let calls = Calls { key_value, instances, engine, zone: zone.clone(), replies };
+    let counts = LeaderMetrics::open(&metrics, &zone);
     let mut state = Loop {
         controller: Controller::new(instance, zone),
         calls,
+        counts,
         node,
         timeline,
         standing: Standing::Follower,
@@ -224,6 +241,7 @@
                         format!("write {} of zone {} with {orders} orders", plan.version, self.calls.zone),
                     );
                 }
+                self.counts.plan(&step);
                 self.calls.plan(tag, step);
             }
             Command::ReadZone(zone) => self.calls.read_zone(zone),
@@ -232,6 +250,7 @@
                     EventKind::Order,
                     format!("order {} with fence {} to {endpoint}", order.id, order.fence),
                 );
+                self.counts.order(&order.action);
                 self.calls.send(endpoint, addr, order);
             }
             Command::Note(text) => {
@@ -251,6 +270,7 @@
             Standing::Leader(fence) => format!("leads zone {} with fence {fence}", self.calls.zone),
             Standing::Expired(fence) => format!("lease of zone {} with fence {fence} ended", self.calls.zone),
         };
+        self.counts.leads(standing != Standing::Follower);
         tracing::info!("planner: {text}");
         self.timeline.add(EventKind::Lease, text);
         self.standing = standing;
--- /dev/null
+++ b/crates/planner/src/leader_metrics.rs
@@ -0,0 +1,49 @@
+use carobwick_core::Action;
+use carobwick_core::PlanStep;
+use carobwick_core::ZoneId;
+use carobwick_runtime::Metrics;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+
+/// Counts of what a leader does.
+#[derive(Debug)]
+pub(crate) struct LeaderMetrics {
+    zone: KeyValue,
+    leads: Gauge<u64>,
+    plans: Counter<u64>,
+    orders: Counter<u64>,
+}
+
+impl LeaderMetrics {
+    pub(crate) fn open(metrics: &Metrics, zone: &ZoneId) -> Self {
+        let meter = metrics.meter("leader");
+        Self {
+            zone: KeyValue::new("zone", zone.to_string()),
+            leads: meter.u64_gauge("carobwick_leader").with_description("Whether this planner leads").build(),
+            plans: meter.u64_counter("carobwick_plan_writes").with_description("Plans written").build(),
+            orders: meter.u64_counter("carobwick_orders").with_description("Orders sent, by action").build(),
+        }
+    }
+
+    pub(crate) fn leads(&self, leads: bool) {
+        self.leads.record(u64::from(leads), std::slice::from_ref(&self.zone));
+    }
+
+    pub(crate) fn plan(&self, step: &PlanStep) {
+        if matches!(step, PlanStep::Write { .. }) {
+            self.plans.add(1, std::slice::from_ref(&self.zone));
+        }
+    }
+
+    pub(crate) fn order(&self, action: &Action) {
+        let action = match action {
+            Action::Load { base: None, .. } => "load",
+            Action::Load { base: Some(_), .. } => "load_adapter",
+            Action::Unload { .. } => "unload",
+            Action::Role { .. } => "role",
+            Action::Noop => "noop",
+        };
+        self.orders.add(1, &[self.zone.clone(), KeyValue::new("action", action)]);
+    }
+}
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -12,6 +12,7 @@
 mod key_value;
 mod leader;
 mod leader_calls;
+mod leader_metrics;
 mod operator;
 mod planner;
 mod publishing;
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -174,6 +174,7 @@
             engine: Engine::open(),
             node: context.node.clone(),
             timeline: context.timeline.clone(),
+            metrics: context.metrics.clone(),
             stop: stop.child_token(),
             demand,
         });
--- a/crates/planner/tests/common/mod.rs
+++ b/crates/planner/tests/common/mod.rs
@@ -11,6 +11,7 @@
 use carobwick_core::ModelId;
 use carobwick_core::WriteId;
 use carobwick_core::ZoneId;
+use carobwick_core::ZonePlan;
 use carobwick_core::ZoneView;
 use carobwick_planner::Leader;
 use carobwick_planner::LeaderSetup;
@@ -20,6 +21,7 @@
 use carobwick_runtime::InstanceStatus;
 use carobwick_runtime::KeyValue;
 use carobwick_runtime::ListedInstance;
+use carobwick_runtime::Metrics;
 use carobwick_runtime::Node;
 use carobwick_runtime::Timeline;
 use carobwick_standins::EngineFaults;
@@ -103,12 +105,28 @@
             engine: Engine::open(),
             node: node.clone(),
             timeline: Timeline::open(instance.parse().unwrap(), "carobwick-planner"),
+            metrics: Metrics::open().unwrap(),
             stop: CancellationToken::new(),
             demand: reports,
         });
         (leader, node)
     }
 
+    /// Waits until the plan in the key-value service is as wanted.
+    pub async fn plan_where(&self, wanted: impl Fn(&ZonePlan) -> bool) {
+        let client = KeyValue::open(&self.kv.server().url(), Duration::from_secs(1));
+        let end = tokio::time::Instant::now() + PATIENCE;
+        loop {
+            let entry = client.get("zones/a/plan").await.unwrap();
+            let plan = entry.map(|entry| serde_json::from_slice(&entry.value).unwrap());
+            if plan.as_ref().is_some_and(&wanted) {
+                return;
+            }
+            assert!(tokio::time::Instant::now() < end, "the plan did not get there: {plan:#?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Returns the models of the manifest.
     pub fn models(&self) -> Vec<ModelId> {
         self.manifest.models.keys().cloned().collect()
--- a/crates/planner/tests/leader.rs
+++ b/crates/planner/tests/leader.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use carobwick_core::ZonePlan;
+use carobwick_standins::EngineFaults;
+use carobwick_standins::KvFaults;
 use common::Zone;
 use common::all_resident;
 use common::view_where;
@@ -19,3 +22,69 @@
     assert_eq!(zone.loads(), (4, 0));
     leader.stop().await;
 }
+
+/// Guards against a successor that forgets orders of a leader that was killed after it wrote its plan.
+#[test_case(false ; "engines check fencing numbers")]
+#[test_case(true ; "engines ignore fencing numbers")]
+#[tokio::test]
+async fn successor_settles_orders_of_a_killed_leader(ignore_fence: bool) {
+    let zone = Zone::start(1, &[60, 40], ignore_fence).await;
+    // The first order takes effect only after the leader was killed and its lease has ended.
+    let late = EngineFaults { delay_orders: 1, order_delay_ms: 5_500, ..EngineFaults::default() };
+    zone.engines[0].faults().set(late);
+    let (killed, _) = zone.planner("i1");
+    zone.plan_where(|plan| orders(plan) > 0).await;
+    drop(killed);
+    let (_leader, node) = zone.planner("i2");
+    let models = zone.models();
+    view_where(&node, |view| all_resident(view, &models)).await;
+    assert_eq!(zone.loads(), (2, 0), "each model is loaded once and none beyond the memory");
+}
+
+/// Guards against loads after all planners were replaced at once, when everything is still resident.
+#[tokio::test]
+async fn replaced_planners_load_nothing_again() {
+    let zone = Zone::start(2, &[60, 50, 30, 30], false).await;
+    let models = zone.models();
+    let (first, node) = zone.planner("i1");
+    view_where(&node, |view| all_resident(view, &models)).await;
+    drop(first);
+    let (_second, node) = zone.planner("i2");
+    let (_third, _) = zone.planner("i3");
+    view_where(&node, |view| all_resident(view, &models)).await;
+    assert_eq!(zone.loads(), (4, 0));
+}
+
+/// Guards against a successor that starts from nothing because the instance list is down with the old leader.
+#[tokio::test]
+async fn view_is_rebuilt_without_the_instance_list() {
+    let zone = Zone::start(2, &[60, 50, 30, 30], false).await;
+    let models = zone.models();
+    let (first, node) = zone.planner("i1");
+    view_where(&node, |view| all_resident(view, &models)).await;
+    first.stop().await;
+    let faults = carobwick_standins::InstanceFaults { down: true, ..Default::default() };
+    zone.instances.faults().set(faults);
+    let (_second, node) = zone.planner("i2");
+    view_where(&node, |view| all_resident(view, &models)).await;
+    assert_eq!(zone.loads(), (4, 0));
+}
+
+/// Guards against a crash during an outage of the key-value service that is never repaired after it.
+#[tokio::test]
+async fn crash_during_an_outage_is_repaired_after_it() {
+    let zone = Zone::start(2, &[60, 50], false).await;
+    let models = zone.models();
+    let (_leader, node) = zone.planner("i1");
+    view_where(&node, |view| all_resident(view, &models)).await;
+    zone.kv.faults().set(KvFaults { down: true, ..KvFaults::default() });
+    zone.engines[0].crash();
+    view_where(&node, |view| !all_resident(view, &models)).await;
+    zone.kv.faults().set(KvFaults::default());
+    view_where(&node, |view| all_resident(view, &models)).await;
+    assert_eq!(zone.loads().1, 0);
+}
+
+fn orders(plan: &ZonePlan) -> usize {
+    plan.endpoints.iter().map(|endpoint| endpoint.orders.len()).sum()
+}
