core: decisions look copies and loads up once; unloads wait for the entries

Cause: each decision summed the demand of all adapters for every model on every engine, every 100 ms. Copies, loads and reserves are now computed once per decision, and decisions are 200 ms apart. An unload is listed 1.5 s before it is sent, since entries learn from the view with a delay that the model leaves. Ruled out: deciding only after an event, since the clock is one.

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -70,10 +70,14 @@
         self.update(now, report);
     }
 
-    /// Returns how many slots a model's requests keep busy if they just meet their targets, adapters included.
-    pub fn busy_slots(&self, manifest: &Manifest, model: &ModelId, now: Time) -> f64 {
-        let adapters = manifest.adapters.iter().filter(|(_, spec)| spec.base == *model).map(|(id, _)| id);
-        std::iter::once(model).chain(adapters).map(|id| self.slots_of(manifest, id, now)).sum()
+    /// Returns how many slots the requests for a model or adapter keep busy if they just meet their targets.
+    pub fn busy_slots(&self, manifest: &Manifest, id: &ModelId, now: Time) -> f64 {
+        let Some(Artifact::Model(spec) | Artifact::Adapter(_, spec)) = manifest.find(id) else {
+            return 0.0;
+        };
+        let rates = self.rates(id, now);
+        let gap = spec.token_gap.duration().as_secs_f64();
+        rates.arrivals * spec.first_token.duration().as_secs_f64() + rates.tokens * gap
     }
 
     /// Returns the arrivals per second of a model, adapters included.
@@ -108,15 +112,6 @@
         self.models.retain(|_, estimate| now - estimate.at < HALF_LIFE * 10);
     }
 
-    fn slots_of(&self, manifest: &Manifest, id: &ModelId, now: Time) -> f64 {
-        let Some(Artifact::Model(spec) | Artifact::Adapter(_, spec)) = manifest.find(id) else {
-            return 0.0;
-        };
-        let rates = self.rates(id, now);
-        let gap = spec.token_gap.duration().as_secs_f64();
-        rates.arrivals * spec.first_token.duration().as_secs_f64() + rates.tokens * gap
-    }
-
     fn rates(&self, model: &ModelId, now: Time) -> Rates {
         let Some(estimate) = self.models.get(model) else {
             return Rates::default();
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -212,7 +212,7 @@
 
     /// Returns whether a version of a model or adapter is in memory or may get there by an open order.
     pub fn has(&self, model: &ModelId, version: &ModelVersion) -> bool {
-        self.versions(model).any(|known| known == version)
+        self.copies().any(|copy| copy == (model, version))
     }
 
     /// Returns the models and adapters that are being loaded or may be.
@@ -228,11 +228,10 @@
         self.held().map(|resident| &resident.model).chain(loads)
     }
 
-    /// Returns the versions of a model or adapter in memory or on their way there, with repetitions.
-    pub fn versions(&self, id: &ModelId) -> impl Iterator<Item = &ModelVersion> {
-        let loads = self.open_orders().filter_map(load_of).filter(move |(model, ..)| *model == id);
-        let held = self.held().filter(move |resident| resident.model == *id);
-        held.map(|resident| &resident.version).chain(loads.map(|(_, version, _)| version))
+    /// Returns the models and adapters in memory or on their way there with their versions, with repetitions.
+    pub fn copies(&self) -> impl Iterator<Item = (&ModelId, &ModelVersion)> {
+        let loads = self.open_orders().filter_map(load_of).map(|(model, version, _)| (model, version));
+        self.held().map(|resident| (&resident.model, &resident.version)).chain(loads)
     }
 
     /// Returns whether an open order unloads a version of a model or adapter.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -130,9 +130,22 @@
     pub decision: Placement,
     pub busy: IndexSet<EndpointId>,
     pub dropped: Vec<(EndpointId, ModelId, ModelVersion)>,
+    copies: IndexMap<&'a ModelId, Vec<Copy<'a>>>,
+    loads_by_model: IndexMap<&'a ModelId, f64>,
+    loads_by_engine: IndexMap<&'a EndpointId, f64>,
+    reserves: IndexMap<&'a ModelId, Bytes>,
     loads: u32,
 }
 
+/// A copy of a model or adapter that counts and stays.
+#[derive(Debug)]
+struct Copy<'a> {
+    endpoint: &'a EndpointId,
+    version: &'a ModelVersion,
+    /// Whether it serves requests, by a recent state.
+    serves: bool,
+}
+
 /// Decides what to load and unload now.
 pub fn place(scene: &Scene<'_>) -> Placement {
     let busy = scene
@@ -141,8 +154,18 @@
         .filter(|(id, engine)| !engine.takes_orders || !scene.ledger.get(id).is_some_and(Account::is_settled))
         .map(|(id, _)| id.clone())
         .collect();
-    let mut placer =
-        Placer { scene: *scene, decision: Placement::default(), busy, dropped: Vec::new(), loads: 0 };
+    let mut placer = Placer {
+        scene: *scene,
+        decision: Placement::default(),
+        busy,
+        dropped: Vec::new(),
+        copies: copies(scene),
+        loads_by_model: loads_by_model(scene),
+        loads_by_engine: IndexMap::new(),
+        reserves: reserves(scene.manifest),
+        loads: 0,
+    };
+    placer.loads_by_engine = placer.measure_engines();
     placer.run();
     placer.decision
 }
@@ -195,7 +218,7 @@
         if copies == 0 || load <= 1.0 || self.is_loading(id) {
             return 0.0;
         }
-        let share = self.model_load(id, spec) / (copies + 1) as f64;
+        let share = self.model_load(id) / (copies + 1) as f64;
         let relief = self.engines_of(spec).any(|(endpoint, account)| {
             !account.has(id, &spec.version) && self.engine_load(endpoint) + share < load
         });
@@ -275,7 +298,8 @@
                 bases.push(&resident.model);
             }
         }
-        let reserve = bases.iter().map(|base| self.largest_adapter(base)).max().unwrap_or_default();
+        let reserve =
+            bases.iter().filter_map(|base| self.reserves.get(base).copied()).max().unwrap_or_default();
         // Resident adapters stand in the reserved room; idle ones are unloaded when another one needs it.
         let missing = reserve.0.saturating_sub(adapters.0);
         Some(Bytes(account.free().0.saturating_sub(missing)))
@@ -299,18 +323,7 @@
         id: &'b ModelId,
         version: Option<&'b ModelVersion>,
     ) -> impl Iterator<Item = &'a EndpointId> + 'b {
-        let counted = self.scene.engines.iter().filter(|(_, engine)| {
-            matches!(engine.availability, Availability::Ready | Availability::Unconfirmed)
-        });
-        counted.map(|(endpoint, _)| endpoint).filter(move |endpoint| {
-            let Some(account) = self.scene.ledger.get(endpoint) else {
-                return false;
-            };
-            let stays = |v: &ModelVersion| {
-                version.is_none_or(|wanted| wanted == v) && !self.leaves(endpoint, account, id, v)
-            };
-            account.versions(id).any(stays)
-        })
+        self.copies_of(id, version).map(|copy| copy.endpoint)
     }
 
     /// Returns the engines on which a model serves requests and stays.
@@ -319,17 +332,18 @@
         id: &'b ModelId,
         version: Option<&'b ModelVersion>,
     ) -> impl Iterator<Item = &'a EndpointId> + 'b {
-        let ready = self.scene.engines.iter();
-        let ready = ready.filter(|(_, engine)| engine.availability == Availability::Ready && engine.fresh);
-        ready.map(|(endpoint, _)| endpoint).filter(move |endpoint| {
-            let Some(account) = self.scene.ledger.get(endpoint) else {
-                return false;
-            };
-            account.resident().iter().any(|resident| {
-                resident.model == *id
-                    && version.is_none_or(|wanted| *wanted == resident.version)
-                    && !self.leaves(endpoint, account, id, &resident.version)
-            })
+        self.copies_of(id, version).filter(|copy| copy.serves).map(|copy| copy.endpoint)
+    }
+
+    fn copies_of<'b>(
+        &'b self,
+        id: &'b ModelId,
+        version: Option<&'b ModelVersion>,
+    ) -> impl Iterator<Item = &'b Copy<'a>> + 'b {
+        let copies = self.copies.get(id).into_iter().flatten();
+        copies.filter(move |copy| {
+            version.is_none_or(|wanted| wanted == copy.version)
+                && !self.dropped.iter().any(|(e, m, v)| e == copy.endpoint && m == id && v == copy.version)
         })
     }
 
@@ -344,28 +358,25 @@
     }
 
     /// Returns how much of one replica's capacity a model needs.
-    pub(crate) fn model_load(&self, id: &ModelId, spec: &ModelSpec) -> f64 {
-        let slots = self.scene.manifest.services.get(&spec.service).map_or(1, |service| service.slots);
-        let busy = self.scene.demand.busy_slots(self.scene.manifest, id, self.scene.now);
-        busy / (f64::from(slots) * UTILIZATION)
+    pub(crate) fn model_load(&self, id: &ModelId) -> f64 {
+        self.loads_by_model.get(id).copied().unwrap_or(0.0)
     }
 
-    /// Returns the expected load of an engine, where 1 is a full one.
+    /// Returns the expected load of an engine when the decision began, where 1 is a full one.
     pub(crate) fn engine_load(&self, endpoint: &EndpointId) -> f64 {
-        let Some(account) = self.scene.ledger.get(endpoint) else {
-            return 0.0;
-        };
-        let models: IndexSet<&ModelId> = account.models().collect();
-        let shares = models.into_iter().filter_map(|id| {
-            let spec = self.scene.manifest.models.get(id)?;
-            Some(self.model_load(id, spec) / self.expected(id, None).count().max(1) as f64)
-        });
-        shares.sum()
+        self.loads_by_engine.get(endpoint).copied().unwrap_or(0.0)
     }
 
-    fn largest_adapter(&self, base: &ModelId) -> Bytes {
-        let adapters = self.scene.manifest.adapters.values().filter(|spec| spec.base == *base);
-        adapters.map(|spec| spec.size).max().unwrap_or_default()
+    fn measure_engines(&self) -> IndexMap<&'a EndpointId, f64> {
+        let mut loads: IndexMap<&EndpointId, f64> = IndexMap::new();
+        for (id, copies) in &self.copies {
+            let load = self.model_load(id);
+            let engines: IndexSet<&EndpointId> = copies.iter().map(|copy| copy.endpoint).collect();
+            for endpoint in &engines {
+                *loads.entry(endpoint).or_default() += load / engines.len() as f64;
+            }
+        }
+        loads
     }
 
     fn is_loading(&self, id: &ModelId) -> bool {
@@ -375,11 +386,6 @@
         })
     }
 
-    fn leaves(&self, endpoint: &EndpointId, account: &Account, id: &ModelId, version: &ModelVersion) -> bool {
-        account.unloads(id, version)
-            || self.dropped.iter().any(|(e, m, v)| e == endpoint && m == id && v == version)
-    }
-
     fn explain(&mut self, id: &ModelId, spec: &ModelSpec) {
         let copies = self.expected(id, None).count();
         if copies == 0 {
@@ -395,3 +401,52 @@
         self.decision.reasons.insert(id.clone(), reason.to_owned());
     }
 }
+
+fn copies<'a>(scene: &Scene<'a>) -> IndexMap<&'a ModelId, Vec<Copy<'a>>> {
+    let mut copies: IndexMap<&ModelId, Vec<Copy<'a>>> = IndexMap::new();
+    for (endpoint, engine) in scene.engines {
+        let Some(account) = scene.ledger.get(endpoint) else {
+            continue;
+        };
+        if matches!(engine.availability, Availability::Drained | Availability::Down) {
+            continue;
+        }
+        for (model, version) in account.copies().filter(|(model, version)| !account.unloads(model, version)) {
+            let resident = account.resident().iter().any(|r| r.model == *model && r.version == *version);
+            let serves = resident && engine.availability == Availability::Ready && engine.fresh;
+            let known = copies.entry(model).or_default();
+            if !known.iter().any(|copy| copy.endpoint == endpoint && copy.version == version) {
+                known.push(Copy { endpoint, version, serves });
+            }
+        }
+    }
+    copies
+}
+
+fn loads_by_model<'a>(scene: &Scene<'a>) -> IndexMap<&'a ModelId, f64> {
+    let mut loads = IndexMap::new();
+    let manifest = scene.manifest;
+    for (id, spec) in &manifest.models {
+        let slots = manifest.services.get(&spec.service).map_or(1, |service| service.slots);
+        let busy = scene.demand.busy_slots(manifest, id, scene.now);
+        loads.insert(id, busy / (f64::from(slots) * UTILIZATION));
+    }
+    for (id, spec) in &manifest.adapters {
+        let Some((base, model)) = manifest.models.get_key_value(&spec.base) else {
+            continue;
+        };
+        let slots = manifest.services.get(&model.service).map_or(1, |service| service.slots);
+        let busy = scene.demand.busy_slots(manifest, id, scene.now);
+        *loads.entry(base).or_default() += busy / (f64::from(slots) * UTILIZATION);
+    }
+    loads
+}
+
+fn reserves(manifest: &Manifest) -> IndexMap<&ModelId, Bytes> {
+    let mut reserves: IndexMap<&ModelId, Bytes> = IndexMap::new();
+    for spec in manifest.adapters.values() {
+        let reserve = reserves.entry(&spec.base).or_default();
+        *reserve = spec.size.max(*reserve);
+    }
+    reserves
+}
--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -1,3 +1,5 @@
+use indexmap::IndexSet;
+
 use crate::Account;
 use crate::Action;
 use crate::Bytes;
@@ -143,18 +145,19 @@
     /// Returns whether a copy of a declared model can go: others serve, or the home zone's plan holds it.
     fn is_droppable(&mut self, need: Need, endpoint: &EndpointId, resident: &Resident) -> bool {
         let model = &resident.model;
-        let Some(spec) = self.scene.manifest.models.get(model) else {
+        if !self.scene.manifest.models.contains_key(model) {
             return true;
-        };
-        let others = self.serving(model, None).filter(|other| *other != endpoint).count();
+        }
+        let others: IndexSet<&EndpointId> =
+            self.serving(model, None).filter(|other| *other != endpoint).collect();
         let kept = self.scene.kept.get(model).copied().unwrap_or(0);
-        let load = self.model_load(model, spec);
+        let load = self.model_load(model);
         let wanted = match need {
             // Reaching a model is worth more than another one's extra copies.
             Need::Reach | Need::Version => 1,
             Need::Growth | Need::Backup => kept.max(load.ceil() as usize).max(1),
         };
-        if others >= wanted {
+        if others.len() >= wanted {
             return true;
         }
         let home = crate::homes::home_zone(self.scene.manifest, model);
--- a/crates/core/src/term.rs
+++ b/crates/core/src/term.rs
@@ -26,10 +26,14 @@
 use crate::ZoneId;
 use crate::ZonePlan;
 use crate::ZoneView;
+use crate::term_decide::time_to_live;
 
 /// Time after which an order is repeated if there was no reply.
 const RESEND: Duration = Duration::from_secs(1);
 
+/// Time between listing an unload and sending it, in which entries learn to send requests elsewhere.
+const UNLOAD_NOTICE_MS: u64 = 1_500;
+
 /// Pause of an engine that could not carry out an order.
 const BACKOFF: Duration = Duration::from_secs(5);
 
@@ -58,6 +62,7 @@
     pub decision: Placement,
     pub shown: Option<ZoneView>,
     pub residency_at: Time,
+    pub decided: Option<Time>,
     restored: bool,
     stepped: Time,
     retry_at: Time,
@@ -106,6 +111,7 @@
             decision: Placement::default(),
             shown: None,
             residency_at: Time::ZERO,
+            decided: None,
             restored: false,
             stepped: tick.now,
             retry_at: Time::ZERO,
@@ -255,7 +261,8 @@
                 if own && live && self.sendable.contains(&order.id) {
                     let again =
                         sent.is_some_and(|s| account.checks() && !s.replied && tick.now - s.at >= RESEND);
-                    if (sent.is_none() || again) && (leads || account.checks()) {
+                    let due = is_due(order, account.checks(), tick.wall_ms);
+                    if due && (sent.is_none() || again) && (leads || account.checks()) {
                         self.sent.insert(order.id, Sent { at: tick.now, replied: false });
                         commands.push(send(endpoint, listed, order.clone()));
                     }
@@ -295,3 +302,8 @@
 fn send(endpoint: &EndpointId, listed: &ListedEndpoint, order: Order) -> Command {
     Command::Send { endpoint: endpoint.clone(), addr: listed.addr.clone(), order }
 }
+
+fn is_due(order: &Order, checks: bool, wall_ms: u64) -> bool {
+    let unload = matches!(order.action, crate::Action::Unload { .. });
+    !unload || wall_ms + time_to_live(checks) >= order.expires_ms + UNLOAD_NOTICE_MS
+}
--- a/crates/core/src/term_decide.rs
+++ b/crates/core/src/term_decide.rs
@@ -31,11 +31,8 @@
 use crate::place;
 use crate::term::Term;
 
-/// Time in which an order must reach an engine that checks its fencing number.
-const ORDER_TTL_MS: u64 = 5_000;
-
-/// The same for engines that ignore the number, whose next order waits for this one's expiry.
-const SHORT_TTL_MS: u64 = 3_000;
+/// Time between two decisions, which bounds their cost for a zone of a hundred engines.
+const DECISIONS: Duration = Duration::from_millis(200);
 
 /// Time without an answer after which an engine's copies are replaced.
 pub(crate) const DOWN_AFTER: Duration = Duration::from_secs(10);
@@ -98,6 +95,10 @@
         let written = self.store.written().map(|plan| (plan.manifest_version, plan.fence));
         let claimed = written.is_some_and(|(_, fence)| fence == self.first);
         let older = written.is_some_and(|(version, _)| version > config.version);
+        if self.decided.is_some_and(|at| tick.now - at < DECISIONS) {
+            return;
+        }
+        self.decided = Some(tick.now);
         if claimed && !older {
             // Other zones rely on what the plan says under its manifest, so an older manifest must not change it.
             self.decide(controller, &config.manifest, config.version, tick, commands);
@@ -112,7 +113,7 @@
 
     pub(crate) fn new_order(&mut self, tick: &Tick, action: Action) -> Order {
         let fence = self.next_fence();
-        let expires_ms = tick.wall_ms + ORDER_TTL_MS;
+        let expires_ms = tick.wall_ms + time_to_live(true);
         Order { id: OrderId(mix(tick.seed, fence.0)), fence, expires_ms, action }
     }
 
@@ -190,7 +191,7 @@
         let mut order = self.new_order(tick, action);
         if let Some(account) = self.ledger.get_mut(endpoint) {
             if !account.checks() {
-                order.expires_ms = tick.wall_ms + SHORT_TTL_MS;
+                order.expires_ms = tick.wall_ms + time_to_live(false);
             }
             account.grant(order);
         }
@@ -300,6 +301,13 @@
     }
 }
 
+/// Returns the milliseconds in which an order must reach an engine.
+///
+/// The next order to an engine that ignores fencing numbers waits for the expiry of this one, so theirs is shorter.
+pub(crate) fn time_to_live(checks: bool) -> u64 {
+    if checks { 5_000 } else { 3_000 }
+}
+
 fn open_ids(plan: &ZonePlan) -> std::collections::BTreeSet<OrderId> {
     let orders = plan.endpoints.iter().flat_map(|endpoint| &endpoint.orders);
     orders.map(|planned| planned.order.id).collect()
