proof: kills, pauses and restarts strike right after a write or an order

A kill or pause now strikes a leader that has just issued one, and a restart the engine that an order is under way to; the engines that ignore numbers have as many models as fit.

--- a/crates/proof/src/planner_run/inject.rs
+++ b/crates/proof/src/planner_run/inject.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
+use carobwick_core::Command;
 use carobwick_core::DrainTarget;
-use carobwick_core::Standing;
-use carobwick_core::Time;
+use carobwick_core::PlanStep;
 use carobwick_core::WriteId;
 use rand::Rng;
 
@@ -11,6 +11,7 @@
 use super::setup;
 use super::world::SECOND;
 use super::world::STEP;
+use super::world::Trigger;
 use super::world::World;
 
 impl World {
@@ -32,12 +33,35 @@
         }
     }
 
+    /// Lets a fault strike that waits for a plan to be written or an order to be sent; a killed leader's command still
+    /// goes out.
+    pub(super) fn strike(&mut self, index: usize, command: &Command) {
+        let write = matches!(command, Command::Plan(_, PlanStep::Write { .. }));
+        let send = matches!(command, Command::Send { .. });
+        let Some(trigger) = self.trigger.filter(|_| (write || send) && self.rng.random_bool(0.5)) else {
+            return;
+        };
+        match (trigger, command) {
+            (Trigger::Kill(until), _) => self.planners[index].controller = Err(until),
+            (Trigger::Freeze(until), _) => self.planners[index].frozen_until = until,
+            (Trigger::Restart(down), Command::Send { endpoint, .. }) => {
+                let Some(engine) = self.engines.iter().position(|engine| engine.id == *endpoint) else {
+                    return;
+                };
+                let incarnation = self.rng.random();
+                self.crash(engine, incarnation, down);
+            }
+            (Trigger::Restart(_), _) => return,
+        }
+        self.note(format!("strikes {} {trigger:?}", self.planners[index].id));
+        self.trigger = None;
+    }
+
     fn begin(&mut self, episode: Episode) {
         let (now, length) = (self.now, episode.end - episode.start);
         match episode.fault {
             Fault::KillPlanner => {
-                let index = self.rng.random_range(0..self.planners.len());
-                self.planners[index].controller = Err(now + length);
+                self.trigger = Some(Trigger::Kill(now + length));
             }
             Fault::ReplaceAll => {
                 for index in 0..self.planners.len() {
@@ -46,17 +70,15 @@
                 }
             }
             Fault::FreezeLeader => {
-                let leads = |planner: &super::planner::FakePlanner| {
-                    let time = Time((now as f64 * planner.rate) as u64);
-                    planner.controller.as_ref().is_ok_and(|c| c.standing(time) != Standing::Follower)
-                };
-                if let Some(planner) = self.planners.iter_mut().find(|planner| leads(planner)) {
-                    planner.frozen_until = now + length;
-                }
+                self.trigger = Some(Trigger::Freeze(now + length));
             }
             Fault::RestartEngine => {
                 let index = self.rng.random_range(0..self.engines.len());
                 let down = if self.rng.random_bool(0.5) { 0 } else { length };
+                if self.rng.random_bool(0.5) {
+                    self.trigger = Some(Trigger::Restart(down));
+                    return;
+                }
                 let incarnation = self.rng.random();
                 self.crash(index, incarnation, down);
             }
--- a/crates/proof/src/planner_run/setup.rs
+++ b/crates/proof/src/planner_run/setup.rs
@@ -13,7 +13,7 @@
 pub(super) fn first_manifest(rng: &mut ChaCha8Rng, fast: bool) -> ConfigRecord {
     let (rate, concurrent) = if fast { (60.0, 12) } else { (5.0, 3) };
     let mut models = serde_json::Map::new();
-    for (service, count) in [("sure", 4), ("blind", 3)] {
+    for (service, count) in [("sure", 4), ("blind", 4)] {
         for index in 0..count {
             let size = rng.random_range(30..=47);
             models.insert(
--- a/crates/proof/src/planner_run/world.rs
+++ b/crates/proof/src/planner_run/world.rs
@@ -59,12 +59,24 @@
     pub report: Report,
     pub episodes: Vec<Episode>,
     pub cut: Option<ZoneId>,
+    pub trigger: Option<Trigger>,
     pub listed: BTreeMap<ZoneId, ZoneListing>,
     fast: bool,
     events: BTreeMap<(u64, u64), Event>,
     count: u64,
 }
 
+/// A fault that strikes as soon as a leader writes its plan or sends an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Trigger {
+    /// Ends the leader's process until then.
+    Kill(u64),
+    /// Pauses the leader until then.
+    Freeze(u64),
+    /// Restarts the engine to which the order is sent, which is down for that long.
+    Restart(u64),
+}
+
 /// A process run that waits for a reply.
 #[derive(Debug, Clone, Copy)]
 struct Caller {
@@ -131,6 +143,7 @@
             report: Report::default(),
             episodes,
             cut: None,
+            trigger: None,
             listed: BTreeMap::new(),
             fast,
             events: BTreeMap::new(),
@@ -240,7 +253,11 @@
             }
         }
         for command in commands {
+            self.strike(index, &command);
             self.run(index, command);
+            if self.planners[index].controller.is_err() {
+                return;
+            }
         }
     }
 
