core: a second zone replaces a superseded version without displacing others

Cause: a second zone without room for both versions unloaded other models' copies, or kept the old version for good. It now gives its old copy up where the home zone's plan holds the model, and loads the new one like any second copy. Copies that are being unloaded no longer count as loads in flight, which a long answer could have blocked.

--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -219,7 +219,9 @@
     pub fn loads_in_flight(&self) -> impl Iterator<Item = &ModelId> {
         let orders = self.open_orders().filter_map(load_of);
         let orders = orders.filter(|(model, version, _)| !self.holds(model, version));
-        self.loading.iter().map(|loading| &loading.model).chain(orders.map(|(model, ..)| model))
+        // Engines report a copy that is being unloaded as under way too.
+        let loading = self.loading.iter().filter(|r| !self.unloads(&r.model, &r.version));
+        loading.map(|loading| &loading.model).chain(orders.map(|(model, ..)| model))
     }
 
     /// Returns the models and adapters in memory or on their way there, with repetitions.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -201,8 +201,8 @@
         let current = self.expected(id, Some(&spec.version)).count();
         match part {
             Part::Home if any == 0 => Some(Need::Reach),
-            Part::Backup if any == 0 => Some(Need::Backup),
-            Part::Home | Part::Backup if current == 0 => Some(Need::Version),
+            Part::Home if current == 0 => Some(Need::Version),
+            Part::Backup if current == 0 => Some(Need::Backup),
             Part::Home | Part::Backup if self.gain(id, spec) > self.scene.manifest.objective.moves => {
                 Some(Need::Growth)
             }
--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -65,9 +65,14 @@
         if self.part_of(&resident.model) == Part::Outside {
             return self.is_droppable(Need::Reach, endpoint, resident);
         }
-        // The new version must serve wherever the zone needs it before the old one goes.
-        spec.version != resident.version
-            && self.serving(&resident.model, Some(&spec.version)).next().is_some()
+        // In its home zone, the new version must serve before the old one goes.
+        let replaced = self.serving(&resident.model, Some(&spec.version)).next().is_some();
+        spec.version != resident.version && (replaced || self.is_dispensable(endpoint, resident))
+    }
+
+    /// Returns whether a copy outside of its home zone can make way for a newer version.
+    fn is_dispensable(&mut self, endpoint: &EndpointId, resident: &Resident) -> bool {
+        self.part_of(&resident.model) != Part::Home && self.is_droppable(Need::Reach, endpoint, resident)
     }
 
     /// Returns an adapter of the resident model, which must leave before its base, or the model itself.
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -167,3 +167,24 @@
         reloaded.iter().any(|action| matches!(action, Action::Load { model: m, .. } if *m == model("m1")))
     );
 }
+
+/// Guards against a second zone that keeps a superseded version because it has no room for both.
+#[test]
+fn second_zone_replaces_an_old_version_that_the_home_zone_holds() {
+    let mut manifest = Manifest::from_json(BE_FL).unwrap();
+    let id = manifest.models.keys().next().unwrap().clone();
+    let order: Vec<_> = carobwick_core::zone_order(&manifest, &id).into_iter().cloned().collect();
+    manifest.models.retain(|other, _| *other == id);
+    manifest.adapters.clear();
+    manifest.models[&id].size = carobwick_core::Bytes(70_000_000_000);
+    let mut zone = Zone::new(&manifest, &order[1], 1);
+    zone.settle();
+    assert_eq!(zone.copies(&id), 1);
+    manifest.models[&id].version = "2".parse().unwrap();
+    zone.manifest = manifest;
+    zone.settle();
+    assert_eq!(zone.versions(&id), vec!["1".parse().unwrap()], "the home zone is not known to hold it");
+    zone.held.insert(order[0].clone(), [id.clone()].into());
+    zone.settle();
+    assert_eq!(zone.versions(&id), vec!["2".parse().unwrap()]);
+}
