proof: leaders that resign, late and repeated orders all the time in some runs

Cause: a killed leader's lease lasts longer than its orders, so a successor never met one that was under way; one that resigns is followed within a second.

--- a/crates/proof/src/planner_run/fault.rs
+++ b/crates/proof/src/planner_run/fault.rs
@@ -8,6 +8,7 @@
     KillPlanner,
     ReplaceAll,
     FreezeLeader,
+    Resign,
     LoseOrders,
     DelayOrders,
     RepeatOrders,
@@ -31,10 +32,11 @@
     pub end: u64,
 }
 
-const ALL: [Fault; 16] = [
+const ALL: [Fault; 17] = [
     Fault::KillPlanner,
     Fault::ReplaceAll,
     Fault::FreezeLeader,
+    Fault::Resign,
     Fault::LoseOrders,
     Fault::DelayOrders,
     Fault::RepeatOrders,
@@ -67,6 +69,12 @@
     };
     let longest = if rng.random_bool(0.5) { 4 * SECOND } else { 20 * SECOND };
     let mut episodes = Vec::new();
+    // Late and repeated orders are what most rules guard against, so some runs have them all the time.
+    for fault in [Fault::DelayOrders, Fault::RepeatOrders] {
+        if rng.random_bool(0.4) {
+            push(&mut episodes, fault, 0, end, end);
+        }
+    }
     let mut at = 2 * SECOND;
     while at < end {
         let first = if form == 3 { pick(rng) } else { kinds[0] };
--- a/crates/proof/src/planner_run/inject.rs
+++ b/crates/proof/src/planner_run/inject.rs
@@ -44,6 +44,7 @@
         match (trigger, command) {
             (Trigger::Kill(until), _) => self.planners[index].controller = Err(until),
             (Trigger::Freeze(until), _) => self.planners[index].frozen_until = until,
+            (Trigger::Resign(until), _) => self.planners[index].resigned_until = until,
             (Trigger::Restart(down), Command::Send { endpoint, .. }) => {
                 let Some(engine) = self.engines.iter().position(|engine| engine.id == *endpoint) else {
                     return;
@@ -72,6 +73,7 @@
             Fault::FreezeLeader => {
                 self.trigger = Some(Trigger::Freeze(now + length));
             }
+            Fault::Resign => self.trigger = Some(Trigger::Resign(now + length)),
             Fault::RestartEngine => {
                 let index = self.rng.random_range(0..self.engines.len());
                 let down = if self.rng.random_bool(0.5) { 0 } else { length };
--- a/crates/proof/src/planner_run/planner.rs
+++ b/crates/proof/src/planner_run/planner.rs
@@ -21,6 +21,7 @@
     /// Counts the runs of the process; replies to an earlier one are lost.
     pub run: u64,
     pub frozen_until: u64,
+    pub resigned_until: u64,
     /// Speed of the monotonic clock.
     pub rate: f64,
     /// Error of the wall clock in milliseconds.
--- a/crates/proof/src/planner_run/world.rs
+++ b/crates/proof/src/planner_run/world.rs
@@ -73,6 +73,8 @@
     Kill(u64),
     /// Pauses the leader until then.
     Freeze(u64),
+    /// Makes the leader give up its lease, and follow until then.
+    Resign(u64),
     /// Restarts the engine to which the order is sent, which is down for that long.
     Restart(u64),
 }
@@ -117,6 +119,7 @@
                     controller: Err(0),
                     run: 0,
                     frozen_until: 0,
+                    resigned_until: 0,
                     rate: rng.random_range(0.9..1.1),
                     offset: rng.random_range(-450..450),
                     config: Arc::clone(&record),
@@ -236,7 +239,7 @@
         let wall_ms = (now / MS).saturating_add_signed(planner.offset);
         let tick = carobwick_core::Tick { now: Time((now as f64 * planner.rate) as u64), wall_ms, seed };
         controller.set_config(Arc::clone(&planner.config));
-        controller.set_drains(planner.drains.clone(), false);
+        controller.set_drains(planner.drains.clone(), planner.resigned_until > now);
         let stepped = catch_unwind(AssertUnwindSafe(|| controller.step(&tick)));
         let Ok(commands) = stepped else {
             planner.controller = Err(now + SECOND);
