Tests for the stand-ins, and faults found by them

Switching the key-value service to down closed its listener for a moment, so that the call which switched it back could be refused. `ServerControl::disconnect` now breaks the connections and keeps the listener. A stream that was cut over HTTP/2 lost the events still in the send buffer, since a reset discards them; the cut now waits 20 ms, so that exactly the asked number of events arrives.

--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -67,6 +67,8 @@
 pub(super) struct Step {
     /// When the next step is due, if any request runs.
     pub next: Option<Instant>,
+    /// Most requests that ran at once during the step.
+    pub peak: usize,
     /// Whether a request crashed the engine.
     pub crash: bool,
     /// Blocks that were stored and dropped in the prefix cache.
@@ -136,6 +138,7 @@
         loop {
             self.admit(now, cache, &mut step);
             let before = self.running.len();
+            step.peak = step.peak.max(before);
             self.decode(now, &mut step);
             // A finished request frees its slot at once for one from the queue.
             if self.running.len() == before || self.queue.is_empty() || step.crash {
--- a/crates/standins/src/engine/chat.rs
+++ b/crates/standins/src/engine/chat.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use axum::body::Body;
 use axum::extract::State;
@@ -32,6 +33,9 @@
 use crate::answer::block_hashes;
 use crate::answer::count_tokens;
 
+/// Time in which the events before a cut are written to the connection.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+
 /// Answers `POST /v1/chat/completions`.
 pub(super) async fn chat(State(core): State<Arc<Core>>, headers: HeaderMap, body: Bytes) -> Response {
     let attempt = header(&headers, "carobwick-attempt").and_then(|text| text.parse().ok());
@@ -146,6 +150,8 @@
         let id = id.clone();
         async move {
             if cut == Some(index - first) {
+                // An HTTP/2 reset discards what is still in the send buffer, so that has to be written first.
+                tokio::time::sleep(FLUSH_TIME).await;
                 return Err(io::Error::other("stream cut"));
             }
             if index >= reader.job.end() {
--- a/crates/standins/src/engine/reply.rs
+++ b/crates/standins/src/engine/reply.rs
@@ -5,7 +5,6 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
-use serde_json::Value;
 use serde_json::json;
 
 use super::batch::Job;
@@ -84,18 +83,20 @@
 }
 
 /// Renders one event of a stream: a token, then the finish reason, then the end mark.
+///
+/// Ids, model names and tokens need no escapes in JSON, so the text is put together without a JSON tree, which took
+/// most of the time of a stream.
 pub(super) fn event(job: &Job, id: &str, index: u32) -> String {
-    let choice = match index.checked_sub(job.max_tokens) {
-        None => json!({
-            "index": 0, "delta": {"content": answer_token(job.hash, index)}, "finish_reason": Value::Null,
-        }),
-        Some(0) => json!({"index": 0, "delta": {}, "finish_reason": "stop"}),
+    let (delta, finish) = match index.checked_sub(job.max_tokens) {
+        None => (format!(r#"{{"content":"{}"}}"#, answer_token(job.hash, index)), "null"),
+        Some(0) => ("{}".to_owned(), r#""stop""#),
         Some(_) => return "data: [DONE]\n\n".to_owned(),
     };
-    let chunk = json!({
-        "id": id, "object": "chat.completion.chunk", "model": job.model, "choices": [choice],
-    });
-    format!("data: {chunk}\n\n")
+    format!(
+        "data: {{\"id\":\"{id}\",\"object\":\"chat.completion.chunk\",\"model\":\"{}\",\"choices\":\
+         [{{\"index\":0,\"delta\":{delta},\"finish_reason\":{finish}}}]}}\n\n",
+        job.model
+    )
 }
 
 fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -187,7 +187,7 @@
             let mut state = self.lock();
             let state = &mut *state;
             let step = state.batch.step(now, &mut state.cache);
-            state.stats.peak_running = state.stats.peak_running.max(state.batch.running() as u64);
+            state.stats.peak_running = state.stats.peak_running.max(step.peak as u64);
             for (stored, removed) in &step.cached {
                 let sequence = state.next_event;
                 state.next_event += 1;
--- a/crates/standins/src/kv.rs
+++ b/crates/standins/src/kv.rs
@@ -104,8 +104,10 @@
         let server = Server::spawn_with(addr, |control| {
             store.faults.on_change(move |faults| {
                 // An outage also ends the open watches.
-                if faults.down || faults.refuse_ms > 0 {
+                if faults.refuse_ms > 0 {
                     control.interrupt(Duration::from_millis(faults.refuse_ms));
+                } else if faults.down {
+                    control.disconnect();
                 }
             });
             let switches = store.faults.router();
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -39,6 +39,7 @@
     outages: mpsc::UnboundedSender<Duration>,
     /// Closes the connections that are open.
     open: Arc<Mutex<CancellationToken>>,
+    stop: CancellationToken,
     freezes: Arc<AtomicU64>,
 }
 
@@ -74,9 +75,9 @@
         let (outages, requests) = mpsc::unbounded_channel();
         let stop = CancellationToken::new();
         let open = Arc::new(Mutex::new(stop.child_token()));
-        let control = ServerControl { outages, open, freezes: Arc::default() };
+        let control = ServerControl { outages, open, stop: stop.clone(), freezes: Arc::default() };
         let run = Run { addr, router: router(control.clone()), control: control.clone() };
-        tokio::spawn(run.run(listener, requests, stop.clone()));
+        tokio::spawn(run.run(listener, requests));
         Ok(Self { addr, control, _stop: stop.drop_guard() })
     }
 
@@ -97,6 +98,12 @@
 }
 
 impl ServerControl {
+    /// Closes all connections; new ones work.
+    pub fn disconnect(&self) {
+        let old = std::mem::replace(&mut *self.token(), self.stop.child_token());
+        old.cancel();
+    }
+
     /// Closes all connections and refuses new ones for `duration`.
     pub fn interrupt(&self, duration: Duration) {
         // The connections are closed here already, so that nothing is sent after the call.
@@ -135,12 +142,8 @@
 }
 
 impl Run {
-    async fn run(
-        self,
-        mut listener: TcpListener,
-        mut outages: mpsc::UnboundedReceiver<Duration>,
-        stop: CancellationToken,
-    ) {
+    async fn run(self, mut listener: TcpListener, mut outages: mpsc::UnboundedReceiver<Duration>) {
+        let stop = self.control.stop.clone();
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
@@ -152,7 +155,7 @@
                     *self.control.token() = stop.child_token();
                 }
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.connect(stream, &stop),
+                    Ok((stream, _)) => self.connect(stream),
                     Err(err) => {
                         tracing::warn!("standin: accept failed: {err}");
                         tokio::time::sleep(Duration::from_millis(50)).await;
@@ -174,12 +177,12 @@
         }
     }
 
-    fn connect(&self, stream: TcpStream, stop: &CancellationToken) {
+    fn connect(&self, stream: TcpStream) {
         if let Err(err) = stream.set_nodelay(true) {
             tracing::debug!("standin: connection ended early: {err}");
             return;
         }
-        let (open, close) = (self.control.token().clone(), stop.child_token());
+        let (open, close) = (self.control.token().clone(), self.control.stop.child_token());
         let connection = Connection { close: close.clone(), exempt: Arc::default() };
         let exempt = Arc::clone(&connection.exempt);
         let gate = Gate::new(stream, Arc::clone(&self.control.freezes), Arc::clone(&exempt));
--- /dev/null
+++ b/crates/standins/tests/standins/kv.rs
@@ -0,0 +1,203 @@
+//! Behaviour of the key-value service as its client sees it.
+
+use std::time::Duration;
+
+use carobwick_runtime::Error;
+use carobwick_runtime::Expect;
+use carobwick_runtime::HttpClient;
+use carobwick_runtime::KeyValue;
+use carobwick_runtime::Put;
+use carobwick_standins::KvFaults;
+use carobwick_standins::KvStandin;
+use serde_json::Value;
+use serde_json::json;
+use test_case::test_case;
+
+async fn open() -> (KvStandin, KeyValue) {
+    let addr = "127.0.0.1:0".parse().unwrap();
+    let kv = KvStandin::spawn(addr, KvFaults::default()).await.unwrap();
+    let client = KeyValue::open(&kv.server().url(), Duration::from_millis(500));
+    (kv, client)
+}
+
+fn written(put: &Put) -> u64 {
+    match put {
+        Put::Written(revision) => *revision,
+        Put::Conflict(found) => panic!("not written: {found:?}"),
+    }
+}
+
+/// Guards against two writers that both believe that they created a key.
+#[tokio::test]
+async fn only_one_of_two_creates_succeeds() {
+    let (_kv, client) = open().await;
+    let first = client.put_if("leader", Expect::Absent, b"a", None).await.unwrap();
+    let second = client.put_if("leader", Expect::Absent, b"b", None).await.unwrap();
+    let Put::Conflict(Some(found)) = second else {
+        panic!("the second create succeeded: {second:?}");
+    };
+    assert_eq!((found.value.as_slice(), found.revision), (b"a".as_slice(), written(&first)));
+}
+
+/// Guards against a lost update: a write that expects an old revision.
+#[tokio::test]
+async fn stale_revision_is_refused() {
+    let (_kv, client) = open().await;
+    let first = written(&client.put_if("plan", Expect::Absent, b"1", None).await.unwrap());
+    let second = written(&client.put_if("plan", Expect::Revision(first), b"2", None).await.unwrap());
+    assert!(second > first);
+    let stale = client.put_if("plan", Expect::Revision(first), b"3", None).await.unwrap();
+    assert!(matches!(stale, Put::Conflict(Some(found)) if found.value == b"2"));
+    let deleted = client.delete_if("plan", Expect::Revision(second)).await.unwrap();
+    assert!(written(&deleted) > second);
+    assert_eq!(client.get("plan").await.unwrap(), None);
+}
+
+/// Guards against comparisons that look at the wrong number of a key.
+#[test_case("VERSION", "version", "2", true; "version counts the writes of the key")]
+#[test_case("VERSION", "version", "3", false; "version is not a revision")]
+#[test_case("CREATE", "create_revision", "2", true; "create revision stays")]
+#[test_case("MOD", "mod_revision", "2", false; "mod revision moves")]
+#[test_case("MOD", "mod_revision", "3", true; "mod revision is that of the last write")]
+#[tokio::test]
+async fn compares(target: &str, field: &str, value: &str, succeeds: bool) {
+    let (kv, client) = open().await;
+    let first = written(&client.put_if("k", Expect::Absent, b"1", None).await.unwrap());
+    client.put_if("k", Expect::Revision(first), b"2", None).await.unwrap();
+    let mut compare = json!({"target": target, "key": "aw=="});
+    compare[field] = Value::String(value.to_owned());
+    let http = HttpClient::open(Duration::from_secs(1));
+    let url = format!("{}/v3/kv/txn", kv.server().url());
+    let answer: Value = http.post(&url, &json!({"compare": [compare]})).await.unwrap();
+    assert_eq!(answer["succeeded"] == true, succeeds);
+}
+
+/// Guards against a leader's key that outlives its lease, and one that is lost while the lease is renewed.
+#[tokio::test]
+async fn key_ends_with_its_lease() {
+    let (_kv, client) = open().await;
+    let lease = client.grant(Duration::from_secs(1)).await.unwrap();
+    client.put_if("leader", Expect::Absent, b"a", Some(lease)).await.unwrap();
+    for _ in 0..3 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert!(client.keep_alive(lease).await.unwrap());
+    }
+    assert!(client.get("leader").await.unwrap().is_some());
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert!(!client.keep_alive(lease).await.unwrap());
+    assert_eq!(client.get("leader").await.unwrap(), None);
+}
+
+/// Guards against a write that is bound to a lease which has already ended.
+#[tokio::test]
+async fn revoked_lease_takes_its_keys() {
+    let (_kv, client) = open().await;
+    let lease = client.grant(Duration::from_mins(1)).await.unwrap();
+    client.put_if("leader", Expect::Absent, b"a", Some(lease)).await.unwrap();
+    client.revoke(lease).await.unwrap();
+    assert_eq!(client.get("leader").await.unwrap(), None);
+    let late = client.put_if("leader", Expect::Absent, b"a", Some(lease)).await;
+    assert!(matches!(late, Err(Error::Status(400, _))));
+}
+
+/// Guards against a watch that misses changes from before it was opened, or shows those of other keys.
+#[tokio::test]
+async fn watch_starts_at_its_revision() {
+    let (_kv, client) = open().await;
+    let first = written(&client.put_if("zones/a", Expect::Absent, b"1", None).await.unwrap());
+    client.put_if("other", Expect::Absent, b"x", None).await.unwrap();
+    let mut watch = client.watch("zones/", first).await.unwrap();
+    assert_eq!(watch.next().await.unwrap()[0].value, b"1");
+    client.put_if("zones/b", Expect::Absent, b"2", None).await.unwrap();
+    assert_eq!(watch.next().await.unwrap()[0].key, "zones/b");
+    let deleted = written(&client.delete_if("zones/a", Expect::Revision(first)).await.unwrap());
+    let event = watch.next().await.unwrap().remove(0);
+    assert_eq!((event.key.as_str(), event.value.len(), event.revision), ("zones/a", 0, deleted));
+}
+
+/// Guards against tests that pass with values the platform would refuse.
+#[tokio::test]
+async fn values_above_one_megabyte_are_refused() {
+    let (_kv, client) = open().await;
+    let fits = client.put_if("big", Expect::Absent, &vec![b'x'; 1_000_000], None).await.unwrap();
+    written(&fits);
+    let larger = client.put_if("bigger", Expect::Absent, &vec![b'x'; 1_000_001], None).await;
+    assert!(matches!(larger, Err(Error::Status(400, _))));
+}
+
+/// Guards against a watch that counts per event, and calls that are not counted.
+#[tokio::test]
+async fn calls_are_counted_by_kind() {
+    let (kv, client) = open().await;
+    let mut watch = client.watch("k/", 1).await.unwrap();
+    client.put_if("k/a", Expect::Absent, b"1", None).await.unwrap();
+    client.get("k/a").await.unwrap();
+    client.get("k/a").await.unwrap();
+    watch.next().await.unwrap();
+    let counts = kv.counts();
+    assert_eq!((counts["watch"], counts["txn"], counts["range"]), (1, 1, 2));
+}
+
+/// Guards against a lost reply that also loses the write, which would hide double writes.
+#[tokio::test]
+async fn lost_reply_leaves_the_write() {
+    let (kv, client) = open().await;
+    kv.faults().set(KvFaults { lose_replies: 1, ..KvFaults::default() });
+    let lost = client.put_if("k/a", Expect::Absent, b"1", None).await;
+    assert!(lost.unwrap_err().is_ambiguous());
+    assert_eq!(client.get("k/a").await.unwrap().unwrap().value, b"1");
+}
+
+/// Guards against an outage that some calls survive, or that outlasts its switch.
+#[test_case(KvFaults { down: true, ..KvFaults::default() }; "down")]
+#[test_case(KvFaults { frozen: true, ..KvFaults::default() }; "frozen")]
+#[test_case(KvFaults { delay_ms: 2_000, ..KvFaults::default() }; "slow")]
+#[tokio::test]
+async fn outage_ends_with_its_switch(faults: KvFaults) {
+    let (kv, client) = open().await;
+    client.put_if("k/a", Expect::Absent, b"1", None).await.unwrap();
+    kv.faults().set(faults);
+    client.get("k/a").await.unwrap_err();
+    client.put_if("k/b", Expect::Absent, b"1", None).await.unwrap_err();
+    kv.faults().set(KvFaults::default());
+    assert!(client.get("k/a").await.unwrap().is_some());
+    assert_eq!(client.get("k/b").await.unwrap(), None);
+}
+
+/// Guards against a watch that stays open through an outage and hides it.
+#[tokio::test]
+async fn outage_breaks_watches_and_refuses_connections() {
+    let (kv, client) = open().await;
+    let mut watch = client.watch("k/", 1).await.unwrap();
+    kv.faults().set(KvFaults { refuse_ms: 300, ..KvFaults::default() });
+    watch.next().await.unwrap_err();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(matches!(client.get("k/a").await, Err(Error::Connect(_))));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(client.get("k/a").await.unwrap(), None);
+}
+
+/// Guards against a gap fault that breaks the watch instead of silently skipping a change.
+#[tokio::test]
+async fn watch_gap_skips_changes() {
+    let (kv, client) = open().await;
+    let mut watch = client.watch("k/", 1).await.unwrap();
+    kv.faults().set(KvFaults { drop_events: 1, ..KvFaults::default() });
+    client.put_if("k/a", Expect::Absent, b"1", None).await.unwrap();
+    client.put_if("k/b", Expect::Absent, b"1", None).await.unwrap();
+    assert_eq!(watch.next().await.unwrap()[0].key, "k/b");
+}
+
+/// Guards against fault switches that work only in process.
+#[tokio::test]
+async fn faults_can_be_posted_while_down() {
+    let (kv, client) = open().await;
+    let http = HttpClient::open(Duration::from_secs(1));
+    let url = format!("{}/faults", kv.server().url());
+    let _: Value = http.post(&url, &json!({"down": true})).await.unwrap();
+    client.get("k/a").await.unwrap_err();
+    let _: Value = http.post(&url, &json!({})).await.unwrap();
+    assert_eq!(client.get("k/a").await.unwrap(), None);
+    let unknown: Result<Value, Error> = http.post(&url, &json!({"dwon": true})).await;
+    assert!(matches!(unknown, Err(Error::Status(422, _))));
+}
--- /dev/null
+++ b/crates/standins/tests/standins/main.rs
@@ -0,0 +1,9 @@
+//! Behaviour of the stand-ins, each started in process on a free port.
+
+mod engine_chat;
+mod engine_orders;
+mod kv;
+mod load;
+mod platform;
+mod service;
+mod support;
