--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -190,7 +190,7 @@
                 Ok(Target::Endpoint { id: endpoint, addr, incarnation })
             }
             Decision::Forward { addr, .. } => Ok(Target::Zone { addr }),
-            Decision::Wait => Err(Refusal::new(Code::Overloaded, "the request was not placed")),
+            Decision::Wait => Err(Refusal::new(Code::TooManyRequests, "the request was not placed")),
             Decision::Refuse { code, run, retry_after } => {
                 let text = match &inbound.target {
                     RouteTarget::Model(model) => format!("model `{model}`: {}", reason(code)),
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -46,7 +46,7 @@
     OutcomeUnknown,
     Dispatch(RefusalCode),
     NotReady,
-    Overloaded,
+    TooManyRequests,
 }
 
 impl Refusal {
@@ -146,7 +146,7 @@
             Self::OutcomeUnknown => "outcome_unknown",
             Self::Dispatch(code) => code.as_str(),
             Self::NotReady => "not_ready",
-            Self::Overloaded => "overloaded",
+            Self::TooManyRequests => "too_many_requests",
         }
     }
 
@@ -165,7 +165,7 @@
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::InProgress | Self::OutcomeUnknown | Self::NotKept => StatusCode::CONFLICT,
             Self::OnceRate => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotReady | Self::OnceUnavailable | Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::OnceUnavailable | Self::TooManyRequests => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -93,7 +93,7 @@
         if before < self.settings.limits.max_requests {
             return Ok(guard);
         }
-        Err(Refusal::new(Code::Overloaded, "too many requests in flight").after(Duration::from_secs(1)))
+        Err(Refusal::new(Code::TooManyRequests, "too many requests in flight").after(Duration::from_secs(1)))
     }
 
     pub fn in_flight(&self) -> usize {
--- a/crates/entry/tests/behaviour/main.rs
+++ b/crates/entry/tests/behaviour/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod failures;
+mod golden;
 mod once;
 mod session;
 mod support;
