core: admission by prefill backlog, shared slots and a learned margin

Causes, each seen in a trace of waits: sends ignored the prefill backlog; targets were extended by estimates taken under overload; models that share endpoints counted their waits apart; shares were counted when served, not when admitted. Ruled out: waits at engines. Estimates now cover each endpoint's own backlog, and a margin follows the misses.

--- a/crates/core/src/active.rs
+++ b/crates/core/src/active.rs
@@ -4,6 +4,7 @@
 use crate::Time;
 use crate::ZoneId;
 use crate::load::LoadMark;
+use crate::prefill::PrefillStart;
 
 /// A request between `admit` and its end.
 #[derive(Debug)]
@@ -11,8 +12,14 @@
     pub ask: Ask,
     /// Group of its target, see `TargetSpec`.
     pub group: usize,
+    /// Service of its target.
+    pub pool: usize,
     /// Time by which its answer must begin.
     pub due: Time,
+    /// Seconds that the manifest gives it until then.
+    pub goal: f64,
+    /// Seconds assumed for its service time until one was measured.
+    pub assumed: f64,
     pub phase: Phase,
     pub attempts: u32,
     /// Endpoints on which an attempt ended without an answer.
@@ -41,8 +48,9 @@
     pub incarnation: Incarnation,
     pub start: Time,
     pub sent: bool,
-    /// Own requests in prefill on the endpoint at the start.
-    pub pending: u32,
+    pub prefill: PrefillStart,
+    /// Whether the endpoint had many requests at the start.
+    pub busy: bool,
     /// Load at the first token, when the endpoint made its report.
     pub mark: Option<LoadMark>,
 }
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -4,59 +4,71 @@
 use crate::Priority;
 use crate::RefusalCode;
 use crate::RequestId;
-use crate::RouteTarget;
 use crate::RunStatus;
 use crate::Time;
 use crate::active::Active;
 use crate::active::Phase;
 use crate::dispatch::Dispatcher;
-use crate::estimate::Estimate;
-use crate::fair_share::Waiting;
+use crate::fair_share::Standing as Share;
+use crate::queue::Waiting;
 use crate::route::Route;
 use crate::verdict::Standing;
 
 const MIN_RETRY_AFTER: f64 = 0.1;
 const MAX_RETRY_AFTER: f64 = 30.0;
+/// Seconds added to the wait of a caller above its share; more than any target for the first token.
+const SHARE_PAUSE: f64 = 2.0;
+/// Steps of the margin; their ratio lets it settle where a tenth of the admitted requests miss their target.
+const MARGIN_UP: f64 = 0.002;
+const MARGIN_DOWN: f64 = 0.018;
+const MIN_MARGIN: f64 = 0.25;
+/// Part of the target that any request can wait.
+const LEAST_PATIENCE: f64 = 0.1;
 /// Group of the suspects in the queue; other requests don't wait behind them.
 const SUSPECTS: usize = usize::MAX;
 
 impl Dispatcher {
     /// Decides on a request that is not in flight: send, forward, wait or refuse.
     pub(crate) fn decide(&mut self, request: RequestId, standing: Standing, now: Time) -> Decision {
-        let group = self.requests[&request].group;
-        let in_line = self.policy.admission && self.queue.waiting(group) > 0 && standing == Standing::Clear;
-        let route = if in_line { Route::Full } else { self.route(request, standing, now) };
-        match route {
-            Route::Endpoint(index) => {
-                let active = &self.requests[&request];
-                self.queue.served(&active.ask.caller, active.cost());
-                return self.start(request, index, now);
+        let route = match self.route(request, standing, now) {
+            Route::Endpoint { index, own, .. }
+                if self.policy.admission && standing == Standing::Clear && self.is_awaited(index) =>
+            {
+                Route::Full { own }
             }
+            other => other,
+        };
+        let active = &self.requests[&request];
+        // A suspect or a rerun was admitted before, so it runs or waits without regard to its target.
+        let is_new = standing == Standing::Clear && active.tried.is_empty() && self.policy.admission;
+        let (wait, own) = match route {
             Route::Nowhere => {
                 return self
                     .forward(request, None, now)
                     .unwrap_or_else(|| self.refuse_unavailable(request, None));
             }
-            Route::Full | Route::Blocked(_) => {}
-        }
-        if !self.policy.admission {
-            return self.refuse_unavailable(request, None);
-        }
-        // A suspect or a retry was admitted before, so it waits without regard to its target.
-        if standing != Standing::Clear || self.requests[&request].attempts > 0 {
-            return self.enqueue(request, standing);
-        }
-        let wait = match route {
-            Route::Blocked(until) => (until - now).as_secs_f64(),
-            _ => self.wait(request),
+            Route::Endpoint { index, first, own }
+                if !is_new || first - own <= self.patience(active, own, now) =>
+            {
+                let (caller, cost) = (&active.ask.caller, active.cost());
+                self.queue.served(caller, cost);
+                self.shares.entry(active.pool).or_default().served(caller, cost as f64, now);
+                return self.start(request, index, now);
+            }
+            _ if !self.policy.admission => return self.refuse_unavailable(request, None),
+            _ if !is_new => return self.enqueue(request, standing),
+            Route::Endpoint { first, own, .. } => (first - own, own),
+            Route::Blocked(until) => ((until - now).as_secs_f64(), 0.0),
+            Route::Full { own } => (self.wait(request, now), own),
         };
-        let active = &self.requests[&request];
-        let expected = wait + self.first(active, 0);
-        if let Some(decision) = self.forward(request, Some(expected), now) {
+        if let Some(decision) = self.forward(request, Some(wait + own), now) {
             return decision;
         }
-        let over = expected - self.requests[&request].left(now);
+        let active = &self.requests[&request];
+        let over = wait - self.patience(active, own, now);
         if over <= 0.0 && self.has_room(request) {
+            let share = self.shares.entry(active.pool).or_default();
+            share.served(&active.ask.caller, active.cost() as f64, now);
             return self.enqueue(request, standing);
         }
         match route {
@@ -65,25 +77,6 @@
         }
     }
 
-    /// Returns the time by which an answer must begin.
-    ///
-    /// The target of a prompt that would miss it on an idle endpoint is extended, because such a request would
-    /// otherwise be refused whenever it comes back.
-    pub(crate) fn due_time(&self, active: &Active, goal: f64, now: Time) -> Time {
-        let idle = self.estimates.get(&active.group).map_or(0.0, |known| known.idle_first(active.ask.prompt));
-        let goal = goal.max(idle * 1.5);
-        (now + Duration::from_secs_f64(goal)).min(active.ask.deadline)
-    }
-
-    /// Returns the seconds to the first token after dispatch, with own requests in prefill before it.
-    pub(crate) fn first(&self, active: &Active, pending: u32) -> f64 {
-        let Some(estimate) = self.estimates.get(&active.group) else { return 0.0 };
-        match active.ask.target {
-            RouteTarget::Model(_) => estimate.first(active.ask.prompt, pending),
-            RouteTarget::Service(_) => estimate.service().unwrap_or(0.0),
-        }
-    }
-
     fn enqueue(&mut self, request: RequestId, standing: Standing) -> Decision {
         let priority = self.priority(request);
         let Some(active) = self.requests.get_mut(&request) else { return Decision::Wait };
@@ -119,13 +112,51 @@
         self.refuse(request, RefusalCode::Overloaded, Some(Duration::from_secs_f64(after)))
     }
 
-    /// Returns the seconds until a new request would be sent, by the rate at which own requests of the group end.
-    fn wait(&self, request: RequestId) -> f64 {
+    /// Returns the seconds until a new request would be sent, by the rate at which own requests end on its endpoints.
+    ///
+    /// A caller with little use goes before the others, who wait up to twice as long for it. Everyone else counts all
+    /// requests that wait, since later ones of other callers can go first. Above its share a caller is refused.
+    fn wait(&mut self, request: RequestId, now: Time) -> f64 {
+        let priority = self.priority(request);
         let active = &self.requests[&request];
-        let ahead = self.queue.ahead(active.group, &active.ask.caller, self.priority(request));
-        let service = self.estimates.get(&active.group).and_then(Estimate::service).unwrap_or(0.0);
-        let running = self.running.get(&active.group).copied().unwrap_or(0).max(1);
-        (ahead + 1) as f64 * service / f64::from(running)
+        let (group, caller) = (active.group, &active.ask.caller);
+        let holders = self.fleet.holders(group);
+        let rate = |index: &usize| {
+            let endpoint = &self.fleet.endpoints[*index];
+            let service = endpoint.service_time.unwrap_or(active.assumed);
+            (f64::from(endpoint.load.own()) / service, 1.0 / service)
+        };
+        let rates: Vec<(f64, f64)> = holders.iter().map(rate).collect();
+        let least = rates.iter().map(|(_, one)| *one).fold(0.0, f64::max);
+        let rate = rates.iter().map(|(own, _)| own).sum::<f64>().max(least);
+        let all: f64 = self.queue.at_least(priority).map(|other| self.overlap(other, holders)).sum();
+        let before: f64 = self.queue.ahead(caller, priority).map(|other| self.overlap(other, holders)).sum();
+        let (all, before) = ((all + 1.0) / rate, (before + 1.0) / rate);
+        match self.shares.entry(active.pool).or_default().standing(caller, now) {
+            Share::Low => (all / 2.0).max(before),
+            Share::Within => all,
+            Share::Above => all + SHARE_PAUSE,
+        }
+    }
+
+    /// Takes account of an admitted request that met its target, or did not.
+    ///
+    /// Estimates are too low while other entries send to the same endpoints, so the margin follows the misses.
+    pub(crate) fn adjust_margin(&mut self, met: bool) {
+        let step = if met { MARGIN_UP } else { -MARGIN_DOWN };
+        self.margin = (self.margin + step).clamp(MIN_MARGIN, 1.0);
+    }
+
+    /// Returns the part of a waiting request of a group that can be expected to use the given endpoints.
+    fn overlap(&self, group: usize, endpoints: &[usize]) -> f64 {
+        let own = self.fleet.holders(group);
+        let shared = own.iter().filter(|index| endpoints.contains(index)).count();
+        shared as f64 / own.len().max(1) as f64
+    }
+
+    /// Returns whether a request that waits can run on an endpoint.
+    fn is_awaited(&self, index: usize) -> bool {
+        self.queue.groups().any(|group| self.fleet.holders(group).contains(&index))
     }
 
     fn has_room(&self, request: RequestId) -> bool {
@@ -138,4 +169,12 @@
         let declared = self.fleet.targets.get(&ask.target).map_or(0, |spec| spec.priority.0);
         Priority(declared.saturating_add(ask.priority.0))
     }
+
+    /// Returns the seconds that a request can wait if it takes `own` seconds itself.
+    ///
+    /// A request that takes almost its whole target or more can still wait for a part of it: it would otherwise be refused
+    /// whenever it comes back.
+    fn patience(&self, active: &Active, own: f64, now: Time) -> f64 {
+        (active.left(now) * self.margin - own).max(active.goal * LEAST_PATIENCE * self.margin)
+    }
 }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -27,8 +27,10 @@
 use crate::active::Phase;
 use crate::budget::RetryBudget;
 use crate::estimate::Estimate;
-use crate::fair_share::FairQueue;
+use crate::estimate::blend;
+use crate::fair_share::FairShare;
 use crate::fleet::Fleet;
+use crate::queue::FairQueue;
 use crate::route::Route;
 use crate::verdict::Quarantine;
 use crate::verdict::Standing;
@@ -56,10 +58,12 @@
     pub(crate) quarantine: Quarantine,
     /// Service times per group.
     pub(crate) estimates: IndexMap<usize, Estimate>,
-    /// Own requests on endpoints per group.
-    pub(crate) running: IndexMap<usize, u32>,
+    /// Work of the callers per service.
+    pub(crate) shares: IndexMap<usize, FairShare>,
     /// Counts routing choices.
     pub(crate) turn: u64,
+    /// Part of the time to its target that a request may be expected to need.
+    pub(crate) margin: f64,
     budget: RetryBudget,
     next_poll: Time,
 }
@@ -73,8 +77,9 @@
             queue: FairQueue::default(),
             quarantine: Quarantine::new(policy.settle),
             estimates: IndexMap::new(),
-            running: IndexMap::new(),
+            shares: IndexMap::new(),
             turn: 0,
+            margin: 1.0,
             budget: RetryBudget::new(policy.retries),
             next_poll: Time::ZERO,
             policy,
@@ -108,17 +113,21 @@
             return refuse(RefusalCode::CrashesEndpoint);
         }
         self.budget.request(now);
-        let (group, goal, request) = (spec.group, spec.goal, ask.request);
-        let mut active = Active {
-            ask,
+        let (group, pool, goal, request) = (spec.group, spec.pool, spec.goal, ask.request);
+        let assumed = if spec.gap > 0.0 { spec.gap * ask.limit.0 as f64 } else { goal };
+        let active = Active {
             group,
-            due: now,
+            pool,
+            due: (now + Duration::from_secs_f64(goal)).min(ask.deadline),
+            goal,
+            assumed,
             phase: Phase::Waiting,
             attempts: 0,
             tried: Vec::new(),
             ran: false,
+            ask,
         };
-        active.due = self.due_time(&active, goal, now);
+        self.shares.entry(pool).or_default().asked(&active.ask.caller, active.cost() as f64, now);
         self.requests.insert(request, active);
         self.decide(request, standing, now)
     }
@@ -140,12 +149,12 @@
                 Standing::Convicted => self.refuse(waiting.request, RefusalCode::CrashesEndpoint, None),
                 Standing::Held(_) => continue,
                 Standing::Clear | Standing::Suspect(_) => match self.route(waiting.request, standing, now) {
-                    Route::Endpoint(index) => self.start(waiting.request, index, now),
+                    Route::Endpoint { index, .. } => self.start(waiting.request, index, now),
                     Route::Nowhere => {
                         let forward = self.forward(waiting.request, None, now);
                         forward.unwrap_or_else(|| self.refuse_unavailable(waiting.request, None))
                     }
-                    Route::Full | Route::Blocked(_) => {
+                    Route::Full { .. } | Route::Blocked(_) => {
                         if standing == Standing::Clear {
                             full.push(group);
                         }
@@ -178,12 +187,18 @@
             return;
         }
         if let Some(endpoint) = self.fleet.endpoints.get_mut(&attempt.endpoint) {
-            endpoint.pending = endpoint.pending.saturating_sub(1);
+            endpoint.prefill.end(attempt.prefill);
+            endpoint.prefill.observe(attempt.prefill, now - attempt.start);
             attempt.mark = Some(endpoint.load.mark(now));
         }
-        if matches!(active.ask.target, RouteTarget::Model(_)) {
+        if matches!(active.ask.target, RouteTarget::Model(_)) && attempt.prefill.backlog == 0.0 {
             let estimate = self.estimates.entry(active.group).or_default();
-            estimate.first_token(now - attempt.start, active.ask.prompt, attempt.pending);
+            estimate.prefill_time(now - attempt.start, active.ask.prompt, attempt.prefill.warm, attempt.busy);
+        }
+        // A rerun was late before it was sent.
+        if active.tried.is_empty() {
+            let met = now <= active.due;
+            self.adjust_margin(met);
         }
     }
 
@@ -197,7 +212,7 @@
     ) {
         let Some(active) = self.requests.get_mut(&request) else { return };
         let phase = std::mem::replace(&mut active.phase, Phase::Ended);
-        let (group, fingerprint) = (active.group, active.ask.fingerprint);
+        let (group, fingerprint, assumed) = (active.group, active.ask.fingerprint, active.assumed);
         match phase {
             Phase::Waiting => self.queue.remove(request),
             Phase::Ended => {}
@@ -209,7 +224,15 @@
             Phase::Running(attempt) => {
                 active.ran |= attempt.sent && outcome == AttemptOutcome::Failed;
                 active.tried.push(attempt.endpoint.clone());
-                self.attempt_ended(&attempt, group, fingerprint, outcome, load, now);
+                self.attempt_ended(&attempt, fingerprint, outcome, load, now);
+                if matches!(outcome, AttemptOutcome::Complete { .. }) {
+                    if let Some(endpoint) = self.fleet.endpoints.get_mut(&attempt.endpoint) {
+                        blend(&mut endpoint.service_time, (now - attempt.start).as_secs_f64());
+                    }
+                    let estimate = self.estimates.entry(group).or_default();
+                    estimate.service_time(now - attempt.start, assumed);
+                    self.quarantine.finish(fingerprint, now);
+                }
             }
         }
         if matches!(outcome, AttemptOutcome::Complete { .. } | AttemptOutcome::Cancelled) {
@@ -235,7 +258,9 @@
         if standing == Standing::Convicted {
             return self.refuse(request, RefusalCode::CrashesEndpoint, None);
         }
-        if active.attempts >= MAX_ATTEMPTS || !self.budget.retry(now) {
+        // A request that another zone's entry refused has not used an endpoint, so it costs no budget.
+        let free = active.tried.is_empty() && !active.ran;
+        if active.attempts >= MAX_ATTEMPTS || !(free || self.budget.retry(now)) {
             return self.refuse(request, RefusalCode::RetryBudget, Some(Duration::from_secs(1)));
         }
         self.decide(request, standing, now)
@@ -284,21 +309,17 @@
     fn attempt_ended(
         &mut self,
         attempt: &Attempt,
-        group: usize,
         fingerprint: Fingerprint,
         outcome: AttemptOutcome,
         load: Option<LoadReport>,
         now: Time,
     ) {
-        if let Some(running) = self.running.get_mut(&group) {
-            *running = running.saturating_sub(1);
-        }
         if let Some(endpoint) = self.fleet.endpoints.get_mut(&attempt.endpoint) {
             if let Some(report) = load {
                 endpoint.load.report(report, attempt.mark.unwrap_or_else(|| endpoint.load.mark(now)));
             }
             if attempt.mark.is_none() {
-                endpoint.pending = endpoint.pending.saturating_sub(1);
+                endpoint.prefill.end(attempt.prefill);
             }
             endpoint.load.ended();
             if let Some(place) = endpoint.suspects.iter().position(|suspect| *suspect == fingerprint) {
@@ -322,13 +343,8 @@
                 AttemptOutcome::NotRun | AttemptOutcome::Cancelled => {}
             }
         }
-        match outcome {
-            AttemptOutcome::Complete { .. } => {
-                self.estimates.entry(group).or_default().service_time(now - attempt.start);
-                self.quarantine.finish(fingerprint, now);
-            }
-            AttemptOutcome::Failed if attempt.sent => self.quarantine.lose(fingerprint, now),
-            AttemptOutcome::Failed | AttemptOutcome::NotRun | AttemptOutcome::Cancelled => {}
+        if outcome == AttemptOutcome::Failed && attempt.sent {
+            self.quarantine.lose(fingerprint, now);
         }
     }
 }
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -11,33 +11,41 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Estimate {
     service: Option<f64>,
-    prefill: Option<f64>,
-    floor: Option<f64>,
+    /// Seconds of prefill per token of a prompt that no cache holds.
+    cold: Option<f64>,
+    /// Seconds of prefill of a prompt whose prefix is cached.
+    warm: Option<f64>,
 }
 
 impl Estimate {
-    /// Notes the time from dispatch to the end of an answer.
-    pub fn service_time(&mut self, took: Duration) {
+    /// Notes the time from dispatch to the end of an answer, with the value that was assumed before the first one.
+    pub fn service_time(&mut self, took: Duration, assumed: f64) {
+        // The first answers to end are the shortest, so the assumption counts like earlier values.
+        self.service.get_or_insert(assumed);
         blend(&mut self.service, took.as_secs_f64());
     }
 
-    /// Notes the time from dispatch to the first token, with the own requests that were in prefill before it.
-    pub fn first_token(&mut self, took: Duration, prompt: Tokens, pending: u32) {
-        let value = took.as_secs_f64() / (work(prompt) * f64::from(pending + 1));
-        blend(&mut self.prefill, value);
-        // The lowest value rises slowly, so that it follows an engine that became slower.
-        let floor = self.floor.map_or(value, |floor| (floor * 1.001).min(value));
-        self.floor = Some(floor);
+    /// Notes the time to the first token of a request that found no other own request in prefill.
+    ///
+    /// On a `busy` endpoint it is only an upper bound, since requests of other entries may have gone first.
+    pub fn prefill_time(&mut self, took: Duration, prompt: Tokens, warm: bool, busy: bool) {
+        let (known, value) = if warm {
+            (&mut self.warm, took.as_secs_f64())
+        } else {
+            (&mut self.cold, took.as_secs_f64() / work(prompt))
+        };
+        if busy {
+            *known = Some(known.map_or(value, |known| known.min(value)));
+        } else {
+            blend(known, value);
+        }
     }
 
-    /// Returns the seconds from dispatch to the first token on an endpoint with own requests in prefill.
-    pub fn first(&self, prompt: Tokens, pending: u32) -> f64 {
-        self.prefill.unwrap_or(0.0) * work(prompt) * f64::from(pending + 1)
-    }
-
-    /// Returns the seconds to the first token on an idle endpoint.
-    pub fn idle_first(&self, prompt: Tokens) -> f64 {
-        self.floor.unwrap_or(0.0) * work(prompt)
+    /// Returns the seconds of prefill on an idle endpoint.
+    pub fn prefill(&self, prompt: Tokens, warm: bool) -> f64 {
+        let cold = self.cold.map(|cold| cold * work(prompt));
+        let warm = self.warm.filter(|_| warm);
+        warm.into_iter().chain(cold).min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
     /// Returns the seconds that a request takes, if any has finished.
@@ -50,6 +58,7 @@
     prompt.0 as f64 + FIXED
 }
 
-fn blend(average: &mut Option<f64>, value: f64) {
+/// Moves a moving average towards a new value.
+pub(crate) fn blend(average: &mut Option<f64>, value: f64) {
     *average = Some(average.map_or(value, |old| old + WEIGHT * (value - old)));
 }
--- a/crates/core/src/fair_share.rs
+++ b/crates/core/src/fair_share.rs
@@ -1,114 +1,119 @@
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
 use crate::CallerId;
-use crate::Priority;
-use crate::RequestId;
+use crate::Time;
 
-/// Requests that wait, in the order of priority and then of start-time fair queueing over the callers.
-///
-/// Each request gets the tag at which its caller's previous one ends, or the current virtual time if that is later.
-/// Serving by tag gives each caller with waiting requests the same rate of work, which is the max-min fair share.
+/// Time constant of the decay of demand and use.
+const DECAY: Duration = Duration::from_secs(5);
+/// Time for which a computed share is used.
+const REFRESH: Duration = Duration::from_millis(100);
+/// Work below which a caller is forgotten, far below one request.
+const NEGLIGIBLE: f64 = 0.01;
+
+/// Work that each caller asked for and got in the last seconds, for one model or service.
 #[derive(Debug, Default)]
-pub(crate) struct FairQueue {
-    waiting: BTreeMap<Place, Waiting>,
-    places: IndexMap<RequestId, Place>,
-    ends: IndexMap<CallerId, u64>,
-    groups: IndexMap<usize, usize>,
-    virtual_time: u64,
-    sequence: u64,
-    tokens: u64,
+pub(crate) struct FairShare {
+    callers: IndexMap<CallerId, Usage>,
+    total: Usage,
+    /// Share as a part of the total, and when it was computed.
+    share: Option<(Time, f64)>,
 }
 
-/// Position in a [`FairQueue`]; a lower one is served first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Place {
-    priority: Reverse<Priority>,
-    tag: u64,
-    sequence: u64,
+/// Use of a caller relative to its max-min fair share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// At most half of the share.
+    Low,
+    /// At most the share.
+    Within,
+    /// More than the share.
+    Above,
 }
 
-/// A request that waits.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Waiting {
-    pub request: RequestId,
-    pub group: usize,
-    pub tokens: u64,
+#[derive(Debug, Clone, Copy, Default)]
+struct Usage {
+    demand: f64,
+    served: f64,
+    at: Time,
 }
 
-impl FairQueue {
-    pub fn len(&self) -> usize {
-        self.waiting.len()
-    }
-
-    /// Returns the tokens of prompts that wait.
-    pub fn tokens(&self) -> u64 {
-        self.tokens
+impl FairShare {
+    /// Notes work that a caller asks for.
+    pub fn asked(&mut self, caller: &CallerId, work: f64, now: Time) {
+        self.usage(caller, now).demand += work;
     }
 
-    /// Returns the requests of a group that wait.
-    pub fn waiting(&self, group: usize) -> usize {
-        self.groups.get(&group).copied().unwrap_or(0)
+    /// Notes work that a caller gets.
+    pub fn served(&mut self, caller: &CallerId, work: f64, now: Time) {
+        self.usage(caller, now).served += work;
+        self.total.decay(now);
+        self.total.served += work;
     }
 
-    /// Returns the requests of a group that would be served before a new one of a caller.
-    pub fn ahead(&self, group: usize, caller: &CallerId, priority: Priority) -> usize {
-        let place = self.place(caller, priority);
-        self.waiting.range(..place).filter(|(_, waiting)| waiting.group == group).count()
-    }
-
-    /// Counts a request that is served without having waited.
-    pub fn served(&mut self, caller: &CallerId, cost: u64) {
-        let tag = self.tag(caller);
-        self.ends.insert(caller.clone(), tag + cost);
-        if self.waiting.is_empty() {
-            // Nobody waits, so no caller is owed anything for having used an idle system.
-            self.virtual_time = self.virtual_time.max(tag);
-            self.forget_idle();
+    /// Compares the use of a caller with its share.
+    pub fn standing(&mut self, caller: &CallerId, now: Time) -> Standing {
+        let share = match self.share {
+            Some((at, share)) if now < at + REFRESH => share,
+            _ => {
+                let share = self.compute(now);
+                self.share = Some((now, share));
+                share
+            }
+        };
+        self.total.decay(now);
+        let share = share * self.total.served;
+        let served = self.usage(caller, now).served;
+        // The tolerance covers rounding, so that a lone caller is never above its share.
+        let share = share * 1.001;
+        if served <= share * 0.5 {
+            Standing::Low
+        } else if served <= share {
+            Standing::Within
+        } else {
+            Standing::Above
         }
     }
 
-    pub fn push(&mut self, waiting: Waiting, caller: &CallerId, priority: Priority, cost: u64) {
-        let place = self.place(caller, priority);
-        self.sequence += 1;
-        self.ends.insert(caller.clone(), place.tag + cost);
-        self.tokens += waiting.tokens;
-        *self.groups.entry(waiting.group).or_default() += 1;
-        self.places.insert(waiting.request, place);
-        self.waiting.insert(place, waiting);
-    }
-
-    /// Removes a request, since it is served or given up.
-    pub fn remove(&mut self, request: RequestId) {
-        let Some(place) = self.places.swap_remove(&request) else { return };
-        let Some(waiting) = self.waiting.remove(&place) else { return };
-        self.tokens -= waiting.tokens;
-        if let Some(count) = self.groups.get_mut(&waiting.group) {
-            *count -= 1;
+    fn compute(&mut self, now: Time) -> f64 {
+        for usage in self.callers.values_mut() {
+            usage.decay(now);
         }
-        self.virtual_time = self.virtual_time.max(place.tag);
-        if self.waiting.is_empty() {
-            self.forget_idle();
+        self.callers.retain(|_, usage| usage.demand > NEGLIGIBLE);
+        let served: f64 = self.callers.values().map(|usage| usage.served).sum();
+        if served <= 0.0 {
+            return 1.0;
         }
+        share(self.callers.values().map(|usage| usage.demand).collect(), served) / served
     }
 
-    /// Returns the waiting requests in the order in which they are to be served.
-    pub fn in_order(&self) -> Vec<Waiting> {
-        self.waiting.values().copied().collect()
-    }
-
-    fn place(&self, caller: &CallerId, priority: Priority) -> Place {
-        Place { priority: Reverse(priority), tag: self.tag(caller), sequence: self.sequence }
+    fn usage(&mut self, caller: &CallerId, now: Time) -> &mut Usage {
+        let usage = self.callers.entry(caller.clone()).or_default();
+        usage.decay(now);
+        usage
     }
+}
 
-    fn tag(&self, caller: &CallerId) -> u64 {
-        self.ends.get(caller).map_or(self.virtual_time, |end| self.virtual_time.max(*end))
+impl Usage {
+    fn decay(&mut self, now: Time) {
+        let factor = (-(now - self.at).as_secs_f64() / DECAY.as_secs_f64()).exp();
+        self.demand *= factor;
+        self.served *= factor;
+        self.at = now;
     }
+}
 
-    fn forget_idle(&mut self) {
-        let now = self.virtual_time;
-        self.ends.retain(|_, end| *end > now);
+/// Returns the max-min fair share: the level at which the demands, cut off there, add up to the total.
+fn share(mut demands: Vec<f64>, total: f64) -> f64 {
+    demands.sort_by(f64::total_cmp);
+    let mut left = total;
+    for (index, demand) in demands.iter().enumerate() {
+        let equal = left / (demands.len() - index) as f64;
+        if *demand > equal {
+            return equal;
+        }
+        left -= demand;
     }
+    f64::INFINITY
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -22,6 +22,7 @@
 use crate::ZoneView;
 use crate::breaker::Breaker;
 use crate::load::EndpointLoad;
+use crate::prefill::Prefill;
 
 /// What an entry can send requests to: endpoints of its zone, entries of other zones.
 #[derive(Debug, Default)]
@@ -29,7 +30,8 @@
     pub targets: IndexMap<RouteTarget, TargetSpec>,
     pub endpoints: IndexMap<EndpointId, Endpoint>,
     pub zones: IndexMap<ZoneId, RemoteZone>,
-    groups: IndexMap<RouteTarget, ()>,
+    groups: IndexMap<RouteTarget, Vec<usize>>,
+    pools: IndexMap<ServiceId, ()>,
 }
 
 /// What the manifest and the views say of a model, adapter or plain service.
@@ -37,9 +39,13 @@
 pub(crate) struct TargetSpec {
     /// Number of the base model or service, which the requests of its adapters share.
     pub group: usize,
+    /// Number of the service, whose endpoints the groups share.
+    pub pool: usize,
     pub slots: f64,
     /// Seconds to the first token, or to the whole answer of a plain service.
     pub goal: f64,
+    /// Seconds between tokens; zero for a plain service.
+    pub gap: f64,
     pub priority: Priority,
     pub retiring: bool,
     /// Positions of the endpoints that hold it.
@@ -67,8 +73,9 @@
     pub usable: bool,
     pub load: EndpointLoad,
     pub breaker: Breaker,
-    /// Own requests without a first token.
-    pub pending: u32,
+    pub prefill: Prefill,
+    /// Seconds that own requests took on it.
+    pub service_time: Option<f64>,
     /// Suspects of this entry that run on it.
     pub suspects: Vec<Fingerprint>,
     /// Requests whose connection to it broke.
@@ -109,6 +116,7 @@
         self.set_zones(own_zone, views, drains);
         let residency = self.residency(own_zone, views, drains);
         self.targets.clear();
+        self.groups.values_mut().for_each(Vec::clear);
         for id in manifest.models.keys().chain(manifest.adapters.keys()) {
             let Some(artifact) = manifest.find(id) else { continue };
             let (model, base, priority, retiring) = match artifact {
@@ -124,9 +132,11 @@
                 Artifact::Adapter(..) => residency.models.get(id).cloned().unwrap_or_default(),
             };
             let spec = TargetSpec {
-                group: self.group(&RouteTarget::Model(base.clone())),
+                group: self.group(&RouteTarget::Model(base.clone()), &bases),
+                pool: self.pool(&model.service),
                 slots,
                 goal: model.first_token.duration().as_secs_f64(),
+                gap: model.token_gap.duration().as_secs_f64(),
                 priority,
                 retiring,
                 holders,
@@ -137,13 +147,16 @@
         }
         for (id, service) in manifest.services.iter().filter(|(_, spec)| spec.kind == ServiceKind::Plain) {
             let slots = f64::from(service.slots);
+            let holders = residency.services.get(id).cloned().unwrap_or_default();
             let spec = TargetSpec {
-                group: self.group(&RouteTarget::Service(id.clone())),
+                group: self.group(&RouteTarget::Service(id.clone()), &holders),
+                pool: self.pool(id),
                 slots,
                 goal: service.target.duration().as_secs_f64(),
+                gap: 0.0,
                 priority: Priority::default(),
                 retiring: false,
-                holders: residency.services.get(id).cloned().unwrap_or_default(),
+                holders,
                 bases: Vec::new(),
                 remote: in_slots(residency.remote_services.get(id), slots),
             };
@@ -160,6 +173,7 @@
             if endpoint.incarnation != view.incarnation {
                 endpoint.breaker = Breaker::default();
                 endpoint.load.restarted();
+                endpoint.prefill.restarted();
                 endpoint.incarnation = view.incarnation;
             }
             endpoint.addr.clone_from(&view.addr);
@@ -217,8 +231,17 @@
         found
     }
 
-    fn group(&mut self, base: &RouteTarget) -> usize {
-        self.groups.insert_full(base.clone(), ()).0
+    /// Returns the positions of the endpoints that can run the requests of a group.
+    pub fn holders(&self, group: usize) -> &[usize] {
+        self.groups.get_index(group).map_or(&[], |(_, holders)| holders.as_slice())
+    }
+
+    fn group(&mut self, base: &RouteTarget, holders: &[usize]) -> usize {
+        self.groups.insert_full(base.clone(), holders.to_vec()).0
+    }
+
+    fn pool(&mut self, service: &ServiceId) -> usize {
+        self.pools.insert_full(service.clone(), ()).0
     }
 }
 
@@ -231,7 +254,8 @@
             usable: false,
             load: EndpointLoad::default(),
             breaker: Breaker::default(),
-            pending: 0,
+            prefill: Prefill::new(),
+            service_time: None,
             suspects: Vec::new(),
             lost: Vec::new(),
             seed: xxh3_64(id.as_str().as_bytes()),
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,7 +1,10 @@
 use std::time::Duration;
 
+use indexmap::IndexMap;
+
 use crate::Decision;
 use crate::RequestId;
+use crate::RouteTarget;
 use crate::Time;
 use crate::ZoneId;
 use crate::active::Active;
@@ -20,13 +23,26 @@
 /// Time that forwarding to another zone's entry and back adds.
 const HOP: f64 = 0.004;
 
+/// Load, as a fraction of the slots, above which an endpoint is busy.
+const BUSY: f64 = 0.5;
+
 /// Where a request can run now.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Route {
-    /// On the endpoint at this position.
-    Endpoint(usize),
+    /// On an endpoint.
+    Endpoint {
+        /// Position of the endpoint.
+        index: usize,
+        /// Estimated seconds to the first token.
+        first: f64,
+        /// Part of it that the request itself takes.
+        own: f64,
+    },
     /// On none until a slot is free.
-    Full,
+    Full {
+        /// Estimated seconds from then to the first token.
+        own: f64,
+    },
     /// On none until a circuit breaker lets a probe through.
     Blocked(Time),
     /// On none of this zone.
@@ -40,6 +56,7 @@
         let Some(spec) = self.fleet.targets.get(&active.ask.target) else { return Route::Nowhere };
         let mut any = false;
         let mut reopens: Option<Time> = None;
+        let mut owns = Vec::new();
         for list in [&spec.holders, &spec.bases] {
             let mut candidates = Vec::new();
             for index in list {
@@ -62,15 +79,19 @@
             };
             let untried: Vec<Candidate> = candidates.iter().filter(is_new).copied().collect();
             let candidates = if untried.is_empty() { candidates } else { untried };
-            if let Some(index) = routing::choose(&self.policy, &candidates, active.left(now), self.turn) {
-                return Route::Endpoint(index);
+            let chosen = routing::choose(&self.policy, &candidates, active.left(now), self.turn);
+            if let Some(chosen) = chosen {
+                let Candidate { index, first, own, .. } = chosen;
+                return Route::Endpoint { index, first, own };
             }
+            owns.extend(candidates.iter().map(|candidate| candidate.own).min_by(f64::total_cmp));
         }
+        let own = owns.into_iter().min_by(f64::total_cmp).unwrap_or(0.0);
         match reopens {
-            _ if any => Route::Full,
+            _ if any => Route::Full { own },
             Some(until) => Route::Blocked(until),
             None if spec.holders.is_empty() && spec.bases.is_empty() => Route::Nowhere,
-            None => Route::Full,
+            None => Route::Full { own },
         }
     }
 
@@ -80,22 +101,24 @@
         let Some((id, endpoint)) = self.fleet.endpoints.get_index_mut(index) else { return Decision::Wait };
         let Some(active) = self.requests.get_mut(&request) else { return Decision::Wait };
         let fingerprint = active.ask.fingerprint;
+        let warm = endpoint.prefill.is_warm(active.ask.prefix, now);
+        let work = prefill_work(&self.estimates, active, warm);
         if self.quarantine.standing(fingerprint, now) != Standing::Clear {
             endpoint.suspects.push(fingerprint);
         }
+        let slots = self.fleet.targets.get(&active.ask.target).map_or(1.0, |spec| spec.slots);
         active.attempts += 1;
         active.phase = Phase::Running(Attempt {
             endpoint: id.clone(),
             incarnation: endpoint.incarnation,
             start: now,
             sent: false,
-            pending: endpoint.pending,
+            prefill: endpoint.prefill.start(active.ask.prefix, work, now),
+            busy: endpoint.load.total(now) > slots * BUSY,
             mark: None,
         });
         endpoint.load.started();
-        endpoint.pending += 1;
         endpoint.breaker.sent(now);
-        *self.running.entry(active.group).or_default() += 1;
         Decision::Send {
             endpoint: id.clone(),
             addr: endpoint.addr.clone(),
@@ -109,7 +132,7 @@
         if active.ask.forwarded {
             return None;
         }
-        let first = HOP + self.first(active, 0);
+        let first = HOP + prefill_work(&self.estimates, active, false);
         if local.is_some_and(|local| first >= local) {
             return None;
         }
@@ -164,15 +187,17 @@
             Standing::Suspect(crashes) => active.ask.fingerprint.0 ^ crashes as u64,
             _ => active.ask.prefix,
         };
+        let work = prefill_work(&self.estimates, active, endpoint.prefill.is_warm(active.ask.prefix, now));
         let service = self.estimates.get(&active.group).and_then(Estimate::service).unwrap_or(0.0);
         let queue = (load + 1.0 - slots).max(0.0) * service / slots;
         Candidate {
             index,
             weight: routing::weight(endpoint.seed, key),
             load,
-            own: endpoint.load.own(),
+            outstanding: endpoint.load.own(),
             slots,
-            first: queue + self.first(active, endpoint.pending),
+            first: queue + endpoint.prefill.first(work),
+            own: endpoint.prefill.alone(work),
         }
     }
 
@@ -193,3 +218,12 @@
         }
     }
 }
+
+/// Returns the seconds to the first token on an idle endpoint, or to the whole answer of a plain service.
+pub(crate) fn prefill_work(estimates: &IndexMap<usize, Estimate>, active: &Active, warm: bool) -> f64 {
+    let Some(estimate) = estimates.get(&active.group) else { return 0.0 };
+    match active.ask.target {
+        RouteTarget::Model(_) => estimate.prefill(active.ask.prompt, warm),
+        RouteTarget::Service(_) => estimate.service().unwrap_or(0.0),
+    }
+}
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -13,11 +13,13 @@
     /// Requests on it, as far as known.
     pub load: f64,
     /// Requests of this entry on it.
-    pub own: u32,
+    pub outstanding: u32,
     /// Requests that it runs at once.
     pub slots: f64,
     /// Estimated seconds to the first token.
     pub first: f64,
+    /// Part of it that the request itself takes.
+    pub own: f64,
 }
 
 /// Returns the rendezvous hash of an endpoint and a key.
@@ -28,19 +30,19 @@
 /// Chooses among candidates for a request with `left` seconds to its target; `turn` counts the choices.
 ///
 /// Returns `None` if every candidate is full.
-pub(crate) fn choose(policy: &Policy, candidates: &[Candidate], left: f64, turn: u64) -> Option<usize> {
+pub(crate) fn choose(policy: &Policy, candidates: &[Candidate], left: f64, turn: u64) -> Option<Candidate> {
     match policy.routing {
         RoutingRule::Affinity => by_affinity(policy, candidates, left),
         RoutingRule::LeastOutstanding => {
-            let least = candidates.iter().min_by_key(|candidate| (candidate.own, candidate.weight));
-            least.map(|candidate| candidate.index)
+            let least = candidates.iter().min_by_key(|candidate| (candidate.outstanding, candidate.weight));
+            least.copied()
         }
         RoutingRule::RoundRobin if candidates.is_empty() => None,
-        RoutingRule::RoundRobin => Some(candidates[turn as usize % candidates.len()].index),
+        RoutingRule::RoundRobin => Some(candidates[turn as usize % candidates.len()]),
     }
 }
 
-fn by_affinity(policy: &Policy, candidates: &[Candidate], left: f64) -> Option<usize> {
+fn by_affinity(policy: &Policy, candidates: &[Candidate], left: f64) -> Option<Candidate> {
     let mean = candidates.iter().map(|candidate| candidate.load).sum::<f64>() / candidates.len() as f64;
     let bounded = mean * policy.bound + 1.0;
     let open = candidates.iter().filter(|candidate| candidate.load + 1.0 <= policy.limit(candidate.slots));
@@ -48,5 +50,5 @@
         candidate.load <= bounded.max(policy.spare * candidate.slots) && candidate.first <= left
     });
     let home = near.max_by_key(|candidate| candidate.weight);
-    home.or_else(|| open.min_by(|a, b| a.first.total_cmp(&b.first))).map(|candidate| candidate.index)
+    home.or_else(|| open.min_by(|a, b| a.first.total_cmp(&b.first))).copied()
 }
