--- /dev/null
+++ b/crates/entry/src/refusal.rs
@@ -0,0 +1,171 @@
+use std::time::Duration;
+
+use axum::response::IntoResponse;
+use axum::response::Response;
+use bytes::Bytes;
+use carobwick_core::OnceRefusal;
+use carobwick_core::RefusalCode;
+use carobwick_core::RunStatus;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use serde_json::json;
+
+use crate::names::RUN;
+
+/// Answer to a request that is not served, or not served to its end.
+#[derive(Debug, Clone)]
+pub(crate) struct Refusal {
+    pub code: Code,
+    pub message: String,
+    pub run: RunStatus,
+    pub retry_after: Option<Duration>,
+}
+
+/// Stable code of a refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Code {
+    BadHeader,
+    BadJson,
+    BadRequest,
+    BodyTimeout,
+    BodyTooLarge,
+    UnknownModel,
+    UnknownPath,
+    UnknownService,
+    WrongMethod,
+    Deadline,
+    EndpointFailed,
+    AnswerLost,
+    InProgress,
+    KeyReused,
+    NotKept,
+    OnceRate,
+    OnceUnavailable,
+    OutcomeUnknown,
+    Dispatch(RefusalCode),
+    NotReady,
+    Overloaded,
+}
+
+impl Refusal {
+    /// Builds a refusal of a request that did not run.
+    pub fn new(code: Code, message: impl Into<String>) -> Self {
+        Self { code, message: message.into(), run: RunStatus::No, retry_after: None }
+    }
+
+    #[must_use]
+    pub fn after(mut self, delay: Duration) -> Self {
+        self.retry_after = Some(delay);
+        self
+    }
+
+    #[must_use]
+    pub fn with_run(mut self, run: RunStatus) -> Self {
+        self.run = run;
+        self
+    }
+
+    /// Renders the JSON body.
+    pub fn body(&self) -> String {
+        let mut error = json!({"code": self.code.as_str(), "message": self.message, "run": self.run});
+        if let Some(delay) = self.retry_after {
+            error["retry_after_ms"] = json!(delay.as_millis() as u64);
+        }
+        json!({"error": error}).to_string()
+    }
+
+    /// Renders the event that ends a stream of which a part was shown.
+    pub fn event(&self) -> Bytes {
+        Bytes::from(format!("event: error\ndata: {}\n\n", self.body()))
+    }
+}
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> Response {
+        let mut response = Response::new(self.body().into());
+        *response.status_mut() = self.code.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if self.run == RunStatus::No {
+            headers.insert(RUN, HeaderValue::from_static("no"));
+        }
+        if let Some(delay) = self.retry_after {
+            headers.insert(RETRY_AFTER, HeaderValue::from(delay.as_millis().div_ceil(1_000).max(1) as u64));
+        }
+        response
+    }
+}
+
+impl From<OnceRefusal> for Refusal {
+    fn from(refusal: OnceRefusal) -> Self {
+        let second = Duration::from_secs(1);
+        match refusal {
+            OnceRefusal::InProgress => Self::new(Code::InProgress, "a request with this key is running")
+                .with_run(RunStatus::Unknown)
+                .after(second),
+            OnceRefusal::OutcomeUnknown => Self::new(
+                Code::OutcomeUnknown,
+                "a request with this key may have run; its answer is not known",
+            )
+            .with_run(RunStatus::Unknown),
+            OnceRefusal::NotKept => Self::new(
+                Code::NotKept,
+                "the request with this key is done; its answer was too large to keep",
+            )
+            .with_run(RunStatus::Unknown),
+            OnceRefusal::KeyReused => Self::new(Code::KeyReused, "this key was used for another request"),
+            OnceRefusal::Unavailable => {
+                Self::new(Code::OnceUnavailable, "idempotency records are unavailable").after(second)
+            }
+        }
+    }
+}
+
+impl Code {
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::BadHeader => "bad_header",
+            Self::BadJson => "bad_json",
+            Self::BadRequest => "bad_request",
+            Self::BodyTimeout => "body_timeout",
+            Self::BodyTooLarge => "body_too_large",
+            Self::UnknownModel => "unknown_model",
+            Self::UnknownPath => "unknown_path",
+            Self::UnknownService => "unknown_service",
+            Self::WrongMethod => "wrong_method",
+            Self::Deadline => "deadline",
+            Self::EndpointFailed => "endpoint_failed",
+            Self::AnswerLost => "answer_lost",
+            Self::InProgress => "in_progress",
+            Self::KeyReused => "key_reused",
+            Self::NotKept => "answer_not_kept",
+            Self::OnceRate => "once_rate",
+            Self::OnceUnavailable => "once_unavailable",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::Dispatch(code) => code.as_str(),
+            Self::NotReady => "not_ready",
+            Self::Overloaded => "overloaded",
+        }
+    }
+
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Dispatch(code) => {
+                StatusCode::from_u16(code.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
+            }
+            Self::BadHeader | Self::BadJson | Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::UnknownModel | Self::UnknownPath | Self::UnknownService => StatusCode::NOT_FOUND,
+            Self::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
+            Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
+            Self::EndpointFailed | Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::InProgress | Self::OutcomeUnknown | Self::NotKept => StatusCode::CONFLICT,
+            Self::OnceRate => StatusCode::TOO_MANY_REQUESTS,
+            Self::NotReady | Self::OnceUnavailable | Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
