Rollback, explain and the rest of the command line; capacity by home zone

Capacity is checked in each model's home zone, since only that zone never drops the last copy; a check over all allowed zones was ruled out, as it accepts manifests whose home zones overflow. Engines keep room for one largest adapter, as the placement does.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -31,6 +31,8 @@
     Unreachable(String),
     /// The change may have been made.
     Unknown(String),
+    /// The change was made and has not reached all instances.
+    Pending(String),
 }
 
 #[derive(Debug, Deserialize)]
@@ -67,6 +69,9 @@
         for url in self.urls()? {
             match self.http.get(&format!("{url}{path}")).await {
                 Ok(value) => return Ok(value),
+                Err(Error::Status(404, body)) if serde_json::from_str::<Refusal>(&body).is_ok() => {
+                    return Err(Failure::from_answer(url, &Error::Status(404, body)));
+                }
                 Err(err) => failures.push(format!("{url}: {err}")),
             }
         }
@@ -92,8 +97,10 @@
                         .map_err(|err| Failure::Unknown(format!("{url}: {err}")));
                 }
                 Err(Error::Connect(text)) => failures.push(text),
-                // Entries don't serve changes.
-                Err(Error::Status(404 | 405, _)) => failures.push(format!("{url}: no planner")),
+                // Entries don't serve changes; a planner's refusal has a body.
+                Err(Error::Status(404 | 405, body)) if serde_json::from_str::<Refusal>(&body).is_err() => {
+                    failures.push(format!("{url}: no planner"));
+                }
                 Err(err) => return Err(Failure::from_answer(url, &err)),
             }
         }
@@ -126,7 +133,8 @@
             | Self::Refused(text)
             | Self::Conflict(text)
             | Self::Unreachable(text)
-            | Self::Unknown(text) => f.write_str(text),
+            | Self::Unknown(text)
+            | Self::Pending(text) => f.write_str(text),
         }
     }
 }
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -1,35 +1,115 @@
 use std::path::Path;
+use std::time::Duration;
 
+use carobwick_core::DrainReply;
+use carobwick_core::DrainRequest;
+use carobwick_core::DrainTarget;
 use carobwick_core::Event;
+use carobwick_core::Explanation;
+use carobwick_core::InstanceReport;
 use carobwick_core::Manifest;
+use carobwick_core::ModelId;
 use carobwick_core::PublishReply;
+use carobwick_core::RollbackRequest;
 use carobwick_core::StatusReport;
 use carobwick_core::Version;
 use serde::Serialize;
+use tokio::time::Instant;
 
 use crate::client::Client;
 use crate::client::Failure;
 use crate::options::Command;
+use crate::options::TargetKind;
 use crate::text;
 
+/// Time after which an accepted manifest that is not in force everywhere is reported; 6 s are expected.
+const PATIENCE: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(250);
+
 /// Carries out a command and returns what to print.
 pub(crate) async fn run(client: &Client, command: &Command) -> Result<String, Failure> {
     match command {
-        Command::Publish { expect, file } => publish(client, file, *expect).await,
+        Command::Publish { expect, wait, json, file } => {
+            let reply = publish(client, file, *expect).await?;
+            report(client, &reply, *wait, *json).await
+        }
+        Command::Rollback { wait, json, version } => {
+            let request = RollbackRequest { version: *version };
+            let reply: PublishReply = client.post("/admin/rollback", &request).await?;
+            report(client, &reply, *wait, *json).await
+        }
+        Command::Drain { json, kind, id } => drain(client, *kind, id, true, *json).await,
+        Command::Undrain { json, kind, id } => drain(client, *kind, id, false, *json).await,
+        Command::Explain { json, model } => explain(client, model, *json).await,
         Command::Status { json } => status(client, *json).await,
         Command::Timeline { json } => timeline(client, *json).await,
         Command::Check { file } => check(file),
     }
 }
 
-async fn publish(client: &Client, file: &Path, expect: Option<Version>) -> Result<String, Failure> {
+async fn publish(client: &Client, file: &Path, expect: Option<Version>) -> Result<PublishReply, Failure> {
     let manifest = read(file)?;
     let path = match expect {
         Some(version) => format!("/admin/manifest?expect={version}"),
         None => "/admin/manifest".to_owned(),
     };
-    let reply: PublishReply = client.post(&path, &manifest).await?;
-    Ok(format!("published version {}\n", reply.version))
+    client.post(&path, &manifest).await
+}
+
+async fn report(client: &Client, reply: &PublishReply, wait: bool, json: bool) -> Result<String, Failure> {
+    if wait {
+        wait_in_force(client, reply.version).await?;
+    }
+    if json {
+        return to_json(reply);
+    }
+    let place = if wait { ", in force on all live instances" } else { "" };
+    Ok(format!("published version {}{place}\n", reply.version))
+}
+
+/// Polls the status until all live instances have the version.
+async fn wait_in_force(client: &Client, version: Version) -> Result<(), Failure> {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let report: StatusReport = client.get("/admin/status").await?;
+        let lacking: Vec<&InstanceReport> = report
+            .instances
+            .iter()
+            .filter(|instance| instance.live && instance.version < Some(version))
+            .collect();
+        // Without a known instance, only the planner that answered can be asked.
+        if lacking.is_empty() && report.version >= Some(version) {
+            return Ok(());
+        }
+        if Instant::now() >= end {
+            let names: Vec<String> = lacking.iter().map(|lacking| lacking.instance.to_string()).collect();
+            let text =
+                format!("version {version} is published, but not in force yet at {}", names.join(", "));
+            return Err(Failure::Pending(text));
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn drain(
+    client: &Client,
+    kind: TargetKind,
+    id: &str,
+    drained: bool,
+    json: bool,
+) -> Result<String, Failure> {
+    let wrong = |err: carobwick_core::Error| Failure::Usage(err.to_string());
+    let target = match kind {
+        TargetKind::Endpoint => DrainTarget::Endpoint(id.parse().map_err(wrong)?),
+        TargetKind::Instance => DrainTarget::Instance(id.parse().map_err(wrong)?),
+    };
+    let reply: DrainReply = client.post("/admin/drains", &DrainRequest { target, drained }).await?;
+    if json { to_json(&reply) } else { Ok(text::drain(&reply)) }
+}
+
+async fn explain(client: &Client, model: &ModelId, json: bool) -> Result<String, Failure> {
+    let explanation: Explanation = client.get(&format!("/admin/explain/{model}")).await?;
+    if json { to_json(&explanation) } else { Ok(text::explanation(&explanation)) }
 }
 
 async fn status(client: &Client, json: bool) -> Result<String, Failure> {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -35,6 +35,7 @@
             Self::Conflict(_) => 4,
             Self::Unreachable(_) => 5,
             Self::Unknown(_) => 6,
+            Self::Pending(_) => 7,
         })
     }
 }
--- a/crates/cli/src/text.rs
+++ b/crates/cli/src/text.rs
@@ -1,15 +1,73 @@
 use std::fmt::Write;
 
+use carobwick_core::DrainReply;
+use carobwick_core::EndpointId;
 use carobwick_core::Event;
+use carobwick_core::Explanation;
 use carobwick_core::StatusReport;
 use carobwick_core::Version;
 
-/// Puts the events of several processes into one order: by time, then by process and its own order.
+/// Puts the events of several processes into one order: by time, then by process.
+///
+/// The order within a process is kept even if its clock was set back in between.
 pub(crate) fn sort(events: &mut [Event]) {
     events.sort_by(|a, b| {
-        let key = |event: &Event| (event.at, event.instance.clone(), event.process.clone(), event.sequence);
+        let key = |event: &Event| (event.instance.clone(), event.process.clone(), event.sequence);
         key(a).cmp(&key(b))
     });
+    let mut times = Vec::with_capacity(events.len());
+    for (index, event) in events.iter().enumerate() {
+        let before = index.checked_sub(1).map(|before| (&events[before], times[before]));
+        let same =
+            before.filter(|(other, _)| other.instance == event.instance && other.process == event.process);
+        times.push(same.map_or(event.at, |(_, time)| event.at.max(time)));
+    }
+    let mut order: Vec<usize> = (0..events.len()).collect();
+    order.sort_by_key(|index| (times[*index], *index));
+    let sorted: Vec<Event> = order.into_iter().map(|index| events[index].clone()).collect();
+    events.clone_from_slice(&sorted);
+}
+
+/// Renders the answer to a drain.
+pub(crate) fn drain(reply: &DrainReply) -> String {
+    let state = if reply.mark.drained { "drained" } else { "in use" };
+    let durable = if reply.durable {
+        "stored"
+    } else {
+        "not stored yet: the key-value service does not answer, the zone's leader stores it later"
+    };
+    format!("{}: {state} ({durable})\n", reply.target)
+}
+
+/// Renders where a model is.
+pub(crate) fn explanation(explanation: &Explanation) -> String {
+    let mut out = String::new();
+    let mut parts = Vec::new();
+    if let Some(base) = &explanation.base {
+        parts.push(format!("adapter of {base}"));
+    }
+    if let Some(home) = &explanation.home {
+        parts.push(format!("home zone {home}"));
+    }
+    if !explanation.declared {
+        parts.push("not declared by the manifest in force".to_owned());
+    }
+    if explanation.retiring {
+        parts.push("retiring, takes no new requests".to_owned());
+    }
+    line(&mut out, format_args!("{}: {}", explanation.model, parts.join("; ")));
+    for zone in &explanation.zones {
+        let names: Vec<&str> = zone.resident.iter().map(EndpointId::as_str).collect();
+        let place = if names.is_empty() { "not resident".to_owned() } else { names.join(", ") };
+        line(&mut out, format_args!("  zone {}: {place}", zone.zone));
+        if let Some(reason) = &zone.reason {
+            line(&mut out, format_args!("    why: {reason}"));
+        }
+        if let Some(blocked) = &zone.blocked {
+            line(&mut out, format_args!("    held back: {blocked}"));
+        }
+    }
+    out
 }
 
 /// Renders events, one a line.
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -13,6 +13,7 @@
 use crate::ServiceId;
 use crate::ZoneId;
 use crate::ZoneView;
+use crate::home_zone;
 
 /// Checks a manifest against the one that it replaces and against the memory of the zones.
 ///
@@ -45,53 +46,68 @@
     Ok(())
 }
 
-/// Packs one copy of each model, largest first, into the endpoints of the zones that may hold it.
+/// An engine with the models packed into it.
+#[derive(Debug)]
+struct Bin<'a> {
+    zone: &'a ZoneId,
+    service: &'a ServiceId,
+    memory: Bytes,
+    models: Bytes,
+    /// Room for the largest adapter of the models; only one of them needs it at a time.
+    adapter: Bytes,
+}
+
+impl Bin<'_> {
+    fn fits(&self, size: Bytes, adapter: Bytes) -> bool {
+        self.models + size + self.adapter.max(adapter) <= self.memory
+    }
+}
+
+/// Packs one copy of each model, largest first, into the engines of its home zone, which never drops it.
 ///
 /// First fit decreasing can miss a packing that exists when memory is almost full; the placement is greedy too and
 /// could not make use of one.
 fn check_memory(manifest: &Manifest, views: &IndexMap<ZoneId, Arc<ZoneView>>) -> Result<()> {
-    let mut free = free_memory(manifest, views);
-    let mut items: Vec<(&ModelId, &ModelSpec, Bytes)> =
-        manifest.models.iter().map(|(id, spec)| (id, spec, size_with_adapter(manifest, id, spec))).collect();
-    items.sort_by_key(|(id, _, size)| (Reverse(*size), *id));
-    for (id, spec, size) in items {
-        let zones = manifest.zones_of(spec);
-        if zones.iter().any(|zone| !views.contains_key(zone)) {
-            // The memory of a zone without a view, such as at the first start, is unknown.
+    let mut bins = bins(manifest, views);
+    let mut models: Vec<(&ModelId, &ModelSpec)> = manifest.models.iter().collect();
+    models.sort_by_key(|(id, spec)| (Reverse(spec.size), *id));
+    for (id, spec) in models {
+        // The memory of a zone without a view, as at the first start, is unknown.
+        let Some(home) = home_zone(manifest, id).filter(|home| views.contains_key(*home)) else {
             continue;
-        }
-        let fits = free.iter_mut().find(|(zone, service, bytes)| {
-            *service == &spec.service && zones.contains(zone) && *bytes >= size
-        });
-        let Some((_, _, bytes)) = fits else {
-            return Err(Error::capacity(format!("models.{id}: {size} bytes do not fit in its zones")));
         };
-        bytes.0 -= size.0;
+        let adapter = largest_adapter(manifest, id);
+        let bin = bins
+            .iter_mut()
+            .find(|bin| bin.zone == home && *bin.service == spec.service && bin.fits(spec.size, adapter));
+        let Some(bin) = bin else {
+            let size = spec.size;
+            return Err(Error::capacity(format!(
+                "models.{id}: {size} bytes do not fit in its home zone {home}"
+            )));
+        };
+        bin.models = bin.models + spec.size;
+        bin.adapter = bin.adapter.max(adapter);
     }
     Ok(())
 }
 
-/// Returns the memory of each engine that is not about to stop.
-fn free_memory<'a>(
-    manifest: &'a Manifest,
-    views: &'a IndexMap<ZoneId, Arc<ZoneView>>,
-) -> Vec<(&'a ZoneId, &'a ServiceId, Bytes)> {
-    let mut free = Vec::new();
+/// Returns the engines that are not about to stop.
+fn bins<'a>(manifest: &'a Manifest, views: &'a IndexMap<ZoneId, Arc<ZoneView>>) -> Vec<Bin<'a>> {
+    let mut bins = Vec::new();
     for (zone, view) in views {
-        for endpoint in view.endpoints.values() {
-            let spec = manifest.services.get(&endpoint.service);
-            if let Some(spec) = spec
-                && endpoint.state != EndpointState::Leaving
-            {
-                free.push((zone, &endpoint.service, spec.memory));
+        let staying = view.endpoints.values().filter(|endpoint| endpoint.state != EndpointState::Leaving);
+        for endpoint in staying {
+            if let Some(spec) = manifest.services.get(&endpoint.service) {
+                let (service, memory) = (&endpoint.service, spec.memory);
+                bins.push(Bin { zone, service, memory, models: Bytes(0), adapter: Bytes(0) });
             }
         }
     }
-    free
+    bins
 }
 
-/// Returns the size of a model with room for its largest adapter.
-fn size_with_adapter(manifest: &Manifest, id: &ModelId, spec: &ModelSpec) -> Bytes {
-    let adapters = manifest.adapters.values().filter(|adapter| adapter.base == *id);
-    spec.size + adapters.map(|adapter| adapter.size).max().unwrap_or_default()
+fn largest_adapter(manifest: &Manifest, base: &ModelId) -> Bytes {
+    let adapters = manifest.adapters.values().filter(|adapter| adapter.base == *base);
+    adapters.map(|adapter| adapter.size).max().unwrap_or_default()
 }
--- a/crates/core/src/report.rs
+++ b/crates/core/src/report.rs
@@ -8,6 +8,7 @@
 use crate::EndpointState;
 use crate::InstanceId;
 use crate::LoadReport;
+use crate::ModelId;
 use crate::ServiceId;
 use crate::Version;
 use crate::WriteId;
@@ -22,6 +23,14 @@
     pub write_id: WriteId,
 }
 
+/// Request to publish the content of an older version again.
+#[data]
+#[serde(deny_unknown_fields)]
+pub struct RollbackRequest {
+    /// The older version.
+    pub version: Version,
+}
+
 /// Request to drain a target or to put it back into use.
 #[data]
 #[serde(deny_unknown_fields)]
@@ -52,7 +61,7 @@
     pub zone: ZoneId,
     /// Version in force there.
     pub version: Option<Version>,
-    /// Whether the key-value service answered its last call.
+    /// Whether the key-value service answers.
     pub key_value: bool,
     /// Zones by name.
     pub zones: Vec<ZoneReport>,
@@ -108,3 +117,33 @@
     /// Load that the zone's leader saw last.
     pub load: LoadReport,
 }
+
+/// Where a model or adapter is, and why.
+#[data]
+pub struct Explanation {
+    /// The model or adapter.
+    pub model: ModelId,
+    /// Base model, if it is an adapter.
+    pub base: Option<ModelId>,
+    /// Whether the manifest in force declares it.
+    pub declared: bool,
+    /// Whether it takes no new requests.
+    pub retiring: bool,
+    /// Zone that never drops its last copy.
+    pub home: Option<ZoneId>,
+    /// What is known in each zone.
+    pub zones: Vec<ZoneExplanation>,
+}
+
+/// Where a model or adapter is in one zone.
+#[data]
+pub struct ZoneExplanation {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Live endpoints that serve it.
+    pub resident: Vec<EndpointId>,
+    /// Why it is there.
+    pub reason: Option<String>,
+    /// What holds a change back.
+    pub blocked: Option<String>,
+}
--- a/crates/planner/src/key_value.rs
+++ b/crates/planner/src/key_value.rs
@@ -54,6 +54,13 @@
     Ok(Some(StoredConfig { revision: entry.revision, record: Arc::new(record) }))
 }
 
+/// Finds out whether the service answers.
+pub(crate) async fn probe(context: &Context) {
+    if let Err(err) = observe(context, context.key_value.revisions(PREFIX).await) {
+        tracing::debug!("kv: no answer: {err}");
+    }
+}
+
 /// Notes whether the service answered.
 pub(crate) fn observe<T>(context: &Context, result: Result<T>) -> Result<T> {
     context.reachable.store(result.is_ok(), Ordering::Relaxed);
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -7,8 +7,10 @@
 //! with peers, the watch of the key-value service, the operator API and the leader are tasks under one supervisor.
 //! [`Leader`] runs the decisions of `carobwick_core::Controller` with real calls.
 
+mod archive;
 mod context;
 mod exchange;
+mod explain;
 mod key_value;
 mod leader;
 mod leader_calls;
--- a/crates/planner/src/operator.rs
+++ b/crates/planner/src/operator.rs
@@ -2,6 +2,7 @@
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::DefaultBodyLimit;
+use axum::extract::Path;
 use axum::extract::Query;
 use axum::extract::State;
 use axum::http::StatusCode;
@@ -17,6 +18,7 @@
 use carobwick_core::Publish;
 use carobwick_core::PublishOutcome;
 use carobwick_core::PublishReply;
+use carobwick_core::RollbackRequest;
 use carobwick_core::StatusReport;
 use carobwick_core::Version;
 use carobwick_core::WriteId;
@@ -26,6 +28,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Context;
+use crate::archive;
+use crate::explain;
 use crate::key_value;
 use crate::publishing;
 use crate::status;
@@ -47,7 +51,9 @@
 fn router(context: Context) -> Router {
     Router::new()
         .route("/admin/manifest", post(publish).get(manifest))
+        .route("/admin/rollback", post(rollback))
         .route("/admin/drains", post(drain))
+        .route("/admin/explain/{*model}", get(explain_model))
         .route("/admin/status", get(read_status))
         .route("/admin/timeline", get(timeline))
         .route("/metrics", get(metrics))
@@ -100,6 +106,29 @@
     }
 }
 
+async fn rollback(State(context): State<Context>, Json(request): Json<RollbackRequest>) -> Response {
+    let version = request.version;
+    match archive::find(&context, version).await {
+        Ok(Some(manifest)) => run_publish(&context, Publish::rollback(manifest, write_id())).await,
+        Ok(None) => {
+            refusal(StatusCode::NOT_FOUND, "not_found", &format!("version {version} is not known any more"))
+        }
+        Err(err) => refusal(StatusCode::SERVICE_UNAVAILABLE, "unavailable", &err.to_string()),
+    }
+}
+
+async fn explain_model(State(context): State<Context>, Path(model): Path<String>) -> Response {
+    let id = match model.parse() {
+        Ok(id) => id,
+        Err(err) => return refusal(StatusCode::BAD_REQUEST, "invalid", &format!("{err}")),
+    };
+    let Some(explanation) = context.node.read(|state| explain::explain(state, &id)) else {
+        let message = format!("`{model}` is neither declared nor resident");
+        return refusal(StatusCode::NOT_FOUND, "not_found", &message);
+    };
+    Json(explanation).into_response()
+}
+
 async fn drain(State(context): State<Context>, Json(request): Json<DrainRequest>) -> Json<DrainReply> {
     let DrainRequest { target, drained } = request;
     let mark = context.node.update(|state| state.drains.set(target.clone(), drained, write_id()));
@@ -115,6 +144,8 @@
 }
 
 async fn read_status(State(context): State<Context>) -> Json<StatusReport> {
+    // Planners that don't watch the service seldom call it, so the last call may be long ago.
+    key_value::probe(&context).await;
     Json(status::report(&context))
 }
 
--- a/crates/planner/src/publishing.rs
+++ b/crates/planner/src/publishing.rs
@@ -10,6 +10,7 @@
 use carobwick_runtime::Put;
 
 use crate::Context;
+use crate::archive;
 use crate::key_value;
 
 /// Carries out a publish and puts the outcome in force here.
@@ -18,7 +19,12 @@
     loop {
         let event = match step {
             PublishStep::Read => read(context).await,
-            PublishStep::Write { expect, record, .. } => write(context, expect, &record).await,
+            PublishStep::Write { expect, record, replaced } => {
+                if let Some(replaced) = replaced {
+                    archive::keep(context, &replaced).await;
+                }
+                write(context, expect, &record).await
+            }
             PublishStep::Pause(pause) => {
                 tokio::time::sleep(pause).await;
                 PublishEvent::Resumed
--- a/crates/planner/tests/process.rs
+++ b/crates/planner/tests/process.rs
@@ -7,8 +7,10 @@
 use carobwick_core::DrainReply;
 use carobwick_core::DrainRequest;
 use carobwick_core::DrainTarget;
+use carobwick_core::Explanation;
 use carobwick_core::Manifest;
 use carobwick_core::PublishReply;
+use carobwick_core::RollbackRequest;
 use carobwick_core::SharedState;
 use carobwick_core::StatusReport;
 use carobwick_core::Version;
@@ -139,3 +141,23 @@
     kv.faults().set(KvFaults::default());
     until(&second, |state| state.drains.is_drained(&target)).await;
 }
+
+/// Guards against a rollback that works only on the planner that saw the older version.
+#[tokio::test]
+async fn rollback_finds_an_older_version_in_the_archive() {
+    let (kv, first, _second) = with_platform(KvFaults::default()).await;
+    for _ in 0..3 {
+        publish(&first, "").await.unwrap();
+    }
+    let key_value = format!("http://{}", kv.server().addr());
+    let late = Planner::start(Settings { key_value, ..settings("p2", Vec::new()) }).await.unwrap();
+    let http = HttpClient::open(Duration::from_secs(10));
+    let url = format!("http://{}/admin/rollback", late.operators());
+    let reply: PublishReply = http.post(&url, &RollbackRequest { version: Version(1) }).await.unwrap();
+    assert_eq!(reply.version, Version(4));
+    let unknown = http.post::<_, PublishReply>(&url, &RollbackRequest { version: Version(9) }).await;
+    assert!(matches!(unknown, Err(Error::Status(404, _))));
+    let url = format!("http://{}/admin/explain/smid-01:a1", late.operators());
+    let explanation: Explanation = http.get(&url).await.unwrap();
+    assert!(explanation.declared && explanation.home.is_some());
+}
