standins: readings of keys only, and examples on the main types

The client now reads revisions with `keys_only`, which the stand-in took but answered with all values, so that the bytes of such a call were overstated. The range's end is renamed in code only; its wire name is unchanged. The load generator returns a connection by value instead of a flag that its drop reads.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -27,6 +27,24 @@
 use crate::Server;
 
 /// Stand-in for a model engine.
+///
+/// # Examples
+///
+/// ```
+/// use carobwick_core::Bytes;
+/// use carobwick_standins::EngineFaults;
+/// use carobwick_standins::EngineOptions;
+/// use carobwick_standins::EngineStandin;
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> anyhow::Result<()> {
+/// let options = EngineOptions::new("e1".parse()?, "smid-llm".parse()?, Bytes(80_000_000_000));
+/// let engine = EngineStandin::spawn("127.0.0.1:0".parse()?, options, EngineFaults::default()).await?;
+/// engine.faults().set(EngineFaults { lose_orders: 1, ..EngineFaults::default() });
+/// assert!(engine.state().resident.is_empty());
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Debug)]
 pub struct EngineStandin {
     server: Server,
--- a/crates/standins/src/kv.rs
+++ b/crates/standins/src/kv.rs
@@ -54,6 +54,25 @@
 const TICK: Duration = Duration::from_millis(20);
 
 /// Stand-in for the platform's key-value service, in the JSON form of the etcd v3 API.
+///
+/// # Examples
+///
+/// ```
+/// use carobwick_runtime::Expect;
+/// use carobwick_runtime::KeyValue;
+/// use carobwick_standins::KvFaults;
+/// use carobwick_standins::KvStandin;
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> anyhow::Result<()> {
+/// let kv = KvStandin::spawn("127.0.0.1:0".parse()?, KvFaults::default()).await?;
+/// let client = KeyValue::open(&kv.server().url(), std::time::Duration::from_secs(1));
+/// client.put_if("a", Expect::Absent, b"1", None).await?;
+/// kv.faults().set(KvFaults { down: true, ..KvFaults::default() });
+/// client.get("a").await.unwrap_err();
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Debug)]
 pub struct KvStandin {
     server: Server,
--- a/crates/standins/src/kv/store.rs
+++ b/crates/standins/src/kv/store.rs
@@ -93,7 +93,7 @@
             .keys
             .iter()
             .filter(|(key, _)| range.covers(key))
-            .map(|(key, stored)| stored.render(key))
+            .map(|(key, stored)| stored.render(key, range.keys_only))
             .collect();
         let count = found.len().to_string();
         json!({"header": header(self.revision), "kvs": found, "count": count})
@@ -267,7 +267,7 @@
 impl Range {
     /// Returns whether the range holds a key; a single zero byte as its end means all keys from its start.
     fn covers(&self, key: &[u8]) -> bool {
-        match self.range_end.as_slice() {
+        match self.end.as_slice() {
             [] => key == self.key,
             [0] => key >= self.key.as_slice(),
             end => key >= self.key.as_slice() && key < end,
--- a/crates/standins/src/kv/wire.rs
+++ b/crates/standins/src/kv/wire.rs
@@ -16,8 +16,11 @@
 pub(super) struct Range {
     #[serde(deserialize_with = "bytes")]
     pub key: Vec<u8>,
-    #[serde(deserialize_with = "bytes", alias = "rangeEnd")]
-    pub range_end: Vec<u8>,
+    #[serde(deserialize_with = "bytes", rename = "range_end", alias = "rangeEnd")]
+    pub end: Vec<u8>,
+    /// Whether the values are left out.
+    #[serde(alias = "keysOnly")]
+    pub keys_only: bool,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -110,14 +113,16 @@
 
 impl Stored {
     /// Renders the key and value as a `KeyValue` message; zero numbers are left out, as the API's JSON form does.
-    pub(super) fn render(&self, key: &[u8]) -> Value {
+    pub(super) fn render(&self, key: &[u8], keys_only: bool) -> Value {
         let mut kv = json!({
             "key": STANDARD.encode(key),
             "create_revision": self.create_revision.to_string(),
             "mod_revision": self.mod_revision.to_string(),
             "version": self.version.to_string(),
-            "value": STANDARD.encode(&self.value),
         });
+        if !keys_only {
+            kv["value"] = Value::String(STANDARD.encode(&self.value));
+        }
         if self.lease > 0 {
             kv["lease"] = Value::String(self.lease.to_string());
         }
@@ -129,7 +134,7 @@
     /// Renders the change as an `Event` message of a watch.
     pub(super) fn render(&self) -> Value {
         match &self.stored {
-            Some(stored) => json!({"kv": stored.render(&self.key)}),
+            Some(stored) => json!({"kv": stored.render(&self.key, false)}),
             None => json!({"type": "DELETE", "kv": {
                 "key": STANDARD.encode(&self.key), "mod_revision": self.revision.to_string(),
             }}),
--- a/crates/standins/src/load/client.rs
+++ b/crates/standins/src/load/client.rs
@@ -1,7 +1,5 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use http::Request;
@@ -28,12 +26,11 @@
     idle: Mutex<Vec<Sender>>,
 }
 
-/// A connection in use; it goes back to the idle ones when the answer was read to its end.
+/// A connection in use; it is closed unless the answer was read to its end.
 #[derive(Debug)]
 pub(super) struct Lent<'a> {
     target: &'a Target,
-    sender: Option<Sender>,
-    reusable: AtomicBool,
+    sender: Sender,
 }
 
 impl Client {
@@ -52,7 +49,7 @@
         let target = &self.targets[(asked.number % self.targets.len() as u64) as usize];
         if let Some(mut sender) = target.take() {
             match sender.try_send_request(request(target, asked)?).await {
-                Ok(response) => return Ok((response, Lent::new(target, sender))),
+                Ok(response) => return Ok((response, Lent { target, sender })),
                 // The server closed the idle connection before anything was sent.
                 Err(err) if err.message().is_some() => {}
                 Err(err) => return Err(err.into_error().into()),
@@ -60,7 +57,7 @@
         }
         let mut sender = target.connect().await?;
         let response = sender.send_request(request(target, asked)?).await?;
-        Ok((response, Lent::new(target, sender)))
+        Ok((response, Lent { target, sender }))
     }
 }
 
@@ -88,22 +85,10 @@
     }
 }
 
-impl<'a> Lent<'a> {
-    fn new(target: &'a Target, sender: Sender) -> Self {
-        Self { target, sender: Some(sender), reusable: AtomicBool::new(false) }
-    }
-
-    /// Marks the connection as reusable: the answer was read to its end.
-    pub(super) fn finished(&self) {
-        self.reusable.store(true, Ordering::Relaxed);
-    }
-}
-
-impl Drop for Lent<'_> {
-    fn drop(&mut self) {
-        if let Some(sender) = self.sender.take().filter(|_| self.reusable.load(Ordering::Relaxed)) {
-            self.target.idle.lock().unwrap_or_else(PoisonError::into_inner).push(sender);
-        }
+impl Lent<'_> {
+    /// Keeps the connection for another request, as the answer was read to its end.
+    pub(super) fn finished(self) {
+        self.target.idle.lock().unwrap_or_else(PoisonError::into_inner).push(self.sender);
     }
 }
 
--- a/crates/standins/tests/standins/kv.rs
+++ b/crates/standins/tests/standins/kv.rs
@@ -125,6 +125,18 @@
     assert!(matches!(larger, Err(Error::Status(400, _))));
 }
 
+/// Guards against a reading of keys only that sends the values as well.
+#[tokio::test]
+async fn keys_are_listed_without_values() {
+    let (kv, client) = open().await;
+    let revision = written(&client.put_if("k/a", Expect::Absent, b"1", None).await.unwrap());
+    assert_eq!(client.revisions("k/").await.unwrap(), [("k/a".to_owned(), revision)]);
+    let http = HttpClient::open(Duration::from_secs(1));
+    let url = format!("{}/v3/kv/range", kv.server().url());
+    let answer: Value = http.post(&url, &json!({"key": "ay9h", "keys_only": true})).await.unwrap();
+    assert_eq!(answer["kvs"][0]["value"], Value::Null);
+}
+
 /// Guards against a watch that counts per event, and calls that are not counted.
 #[tokio::test]
 async fn calls_are_counted_by_kind() {
