entry: readiness follows instance drains; tests of slow and leaving callers

Cause: a drained instance stayed in the balancer, idle connections to endpoints were kept for ever, and nothing showed that a slow caller stops only itself.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -191,6 +191,11 @@
             }
             Decision::Forward { addr, .. } => Ok(Target::Zone { addr }),
             Decision::Wait => Err(Refusal::new(Code::TooManyRequests, "the request was not placed")),
+            // The request was checked against the manifest, which the dispatcher is about to take over.
+            Decision::Refuse { code: RefusalCode::NotFound, run, .. } => {
+                let refusal = Refusal::new(Code::NotReady, "a new manifest is being taken over");
+                Err(refusal.with_run(run).after(Duration::from_secs(1)))
+            }
             Decision::Refuse { code, run, retry_after } => {
                 let text = match &inbound.target {
                     RouteTarget::Model(model) => format!("model `{model}`: {}", reason(code)),
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -11,6 +11,7 @@
 use carobwick_core::DeliveryEvent;
 use carobwick_core::DeliveryStep;
 use carobwick_core::DeliveryTerms;
+use carobwick_core::EventKind;
 use carobwick_core::GiveUp;
 use carobwick_core::LoadReport;
 use carobwick_core::RefusalCode;
@@ -358,6 +359,11 @@
         if let RouteTarget::Model(model) = &self.inbound.target {
             self.serving.demand.refused(model);
         }
+        if run == RunStatus::Unknown {
+            let text =
+                format!("request {} may have run and has no whole answer: {reason:?}", self.inbound.request);
+            self.serving.timeline.add(EventKind::Request, text);
+        }
         let second = Duration::from_secs(1);
         match (reason, self.refusal.take()) {
             (GiveUp::Unplaced, Some(refusal)) => refusal.with_run(run),
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use carobwick_core::ConfigRecord;
+use carobwick_core::DrainTarget;
 use carobwick_core::RequestId;
 use carobwick_runtime::Metrics;
 use carobwick_runtime::Node;
@@ -81,8 +82,15 @@
             if state.config.is_none() {
                 return Some("no manifest has arrived yet");
             }
-            let known = state.views.contains_key(&self.settings.zone);
-            if known { None } else { Some("no view of the zone has arrived yet") }
+            let Some(view) = state.views.get(&self.settings.zone) else {
+                return Some("no view of the zone has arrived yet");
+            };
+            let instance = &self.settings.instance;
+            let leaves = view.instances.get(instance).is_some_and(|own| !own.live);
+            if leaves || state.drains.is_drained(&DrainTarget::Instance(instance.clone())) {
+                return Some("the instance is drained");
+            }
+            None
         })
     }
 
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -99,9 +99,12 @@
         }
     }
 
-    /// Drops connections without streams to addresses that are not in use any more.
+    /// Closes connections without streams, but for one to each address that is in use.
     pub fn retain(&self, in_use: impl Fn(&str) -> bool) {
-        lock(&self.pools).retain(|addr, pool| in_use(addr) || !pool.is_idle());
+        lock(&self.pools).retain(|addr, pool| {
+            let kept = usize::from(in_use(addr));
+            pool.trim(kept) > 0 || kept > 0
+        });
     }
 
     fn pool(&self, addr: &str) -> Arc<Pool> {
@@ -138,8 +141,18 @@
         Ok((sender, slot))
     }
 
-    fn is_idle(&self) -> bool {
-        lock(&self.connections).iter().all(|connection| connection.streams.load(Ordering::Relaxed) == 0)
+    /// Closes connections without streams, but for `kept` of them, and returns how many remain.
+    fn trim(&self, kept: usize) -> usize {
+        let mut connections = lock(&self.connections);
+        let mut idle = 0;
+        connections.retain(|connection| {
+            if connection.sender.is_closed() {
+                return false;
+            }
+            idle += usize::from(connection.streams.load(Ordering::Relaxed) == 0);
+            connection.streams.load(Ordering::Relaxed) > 0 || idle <= kept
+        });
+        connections.len()
     }
 }
 
--- /dev/null
+++ b/crates/entry/tests/behaviour/callers.rs
@@ -0,0 +1,94 @@
+//! Callers that are slow or leave, and readiness for the balancer.
+
+use std::time::Duration;
+
+use carobwick_core::DrainTarget;
+use carobwick_core::WriteId;
+use carobwick_entry::Entry;
+use http::Method;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
+
+use crate::support::Zone;
+use crate::support::call;
+use crate::support::chat;
+use crate::support::chat_body;
+use crate::support::open;
+
+const CHAT: &str = "/v1/chat/completions";
+
+/// Guards against requests that go on for nobody.
+#[tokio::test]
+async fn caller_that_leaves_cancels_its_attempt() {
+    let zone = Zone::spawn(1, 0).await;
+    let entry = zone.entry("entry-1", "").await;
+    for stream in [true, false] {
+        let before = zone.engines[0].stats().cancelled;
+        let body = chat_body("long", 1_000_000, stream);
+        let request = open(entry.callers(), Method::POST, CHAT, &[], &body);
+        if let Ok(mut response) = tokio::time::timeout(Duration::from_millis(100), request).await {
+            response.body_mut().frame().await.unwrap().unwrap();
+        }
+        while zone.engines[0].stats().cancelled == before {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Guards against slow callers that use up the window of the connection to an endpoint and stop the others.
+#[tokio::test]
+async fn slow_caller_slows_only_its_own_stream() {
+    let zone = Zone::spawn_with(1, 0, 10).await;
+    let entry = zone.entry("entry-1", "").await;
+    let body = chat_body("long", 150_000, true);
+    let head = format!("POST {CHAT} HTTP/1.1\r\nhost: entry\r\ncontent-length: {}\r\n\r\n", body.len());
+    let mut slow = Vec::new();
+    for _ in 0..4 {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4_096).unwrap();
+        let mut stream = socket.connect(entry.callers()).await.unwrap();
+        stream.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
+        slow.push(stream);
+    }
+    // By now the streams that nobody reads have filled what the entry and the sockets hold for them.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let body = chat_body("short", 50, true);
+    let other = chat(entry.callers(), &body);
+    let other =
+        tokio::time::timeout(Duration::from_secs(20), other).await.expect("slow callers stop another one");
+    assert!(other.text().ends_with("data: [DONE]\n\n"));
+}
+
+/// Guards against an entry that is not ready since its own planner is away.
+#[tokio::test]
+async fn other_planner_is_used_while_the_own_one_is_away() {
+    let zone = Zone::spawn(1, 0).await;
+    let mut settings = zone.settings("a", "entry-1", "");
+    settings.fallbacks = vec![settings.planner];
+    settings.planner = "127.0.0.1:1".parse().unwrap();
+    let entry = Entry::bind(settings).await.unwrap();
+    assert_eq!(ready(&entry).await, StatusCode::SERVICE_UNAVAILABLE);
+    while ready(&entry).await != StatusCode::OK {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against new requests for an instance that is about to be replaced.
+#[tokio::test]
+async fn drained_instance_is_not_ready() {
+    let zone = Zone::spawn(1, 0).await;
+    let entry = zone.entry("entry-1", "").await;
+    assert_eq!(ready(&entry).await, StatusCode::OK);
+    let target = DrainTarget::Instance("entry-1".parse().unwrap());
+    zone.planner.update(|state| state.drains.set(target, true, WriteId(9)));
+    while ready(&entry).await == StatusCode::OK {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(chat(entry.callers(), &chat_body("late", 1, false)).await.status, StatusCode::OK);
+}
+
+async fn ready(entry: &Entry) -> StatusCode {
+    call(entry.callers(), Method::GET, "/readyz", &[], "").await.status
+}
--- a/crates/entry/tests/behaviour/once.rs
+++ b/crates/entry/tests/behaviour/once.rs
@@ -79,6 +79,23 @@
     assert_eq!(executions(&zone), 2);
 }
 
+/// Guards against calls that use up the rate of the key-value service: two writes per request, one lease for all.
+#[tokio::test]
+async fn request_with_a_key_costs_two_writes() {
+    let zone = Zone::spawn(0, 1).await;
+    let entry = zone.entry("entry-1", "--once-rate 10").await;
+    for index in 0..10 {
+        assert_eq!(pay(&entry, &format!("k{index}")).await.status, StatusCode::OK);
+    }
+    let calls: u64 = zone.kv.counts().into_values().sum();
+    assert_eq!(calls, 21, "{:?}", zone.kv.counts());
+    let mut codes = Vec::new();
+    for index in 10..40 {
+        codes.push(pay(&entry, &format!("k{index}")).await.status);
+    }
+    assert!(codes.contains(&StatusCode::TOO_MANY_REQUESTS));
+}
+
 /// Guards against a rerun of a payment whose answer was lost.
 #[tokio::test]
 async fn single_run_request_is_not_sent_again_after_a_loss() {
--- a/crates/entry/tests/behaviour/support.rs
+++ b/crates/entry/tests/behaviour/support.rs
@@ -68,6 +68,11 @@
 impl Zone {
     /// Starts a zone with a number of engines and replicas of the plain service.
     pub async fn spawn(engines: usize, services: usize) -> Self {
+        Self::spawn_with(engines, services, 200).await
+    }
+
+    /// Starts a zone whose engines take the given time for a token.
+    pub async fn spawn_with(engines: usize, services: usize, token_us: u64) -> Self {
         let mut zone = Self {
             engines: Vec::new(),
             services: Vec::new(),
@@ -79,7 +84,7 @@
         zone.server =
             PeerServer::bind(any(), move |message| std::future::ready(reply(&node, message))).await.unwrap();
         for index in 0..engines {
-            zone.engines.push(engine(index).await);
+            zone.engines.push(engine(index, token_us).await);
         }
         for index in 0..services {
             let options =
@@ -240,11 +245,14 @@
     }
 }
 
-async fn engine(index: usize) -> EngineStandin {
+async fn engine(index: usize, token_us: u64) -> EngineStandin {
     let id = format!("llm-{index}").parse().unwrap();
     let mut options = EngineOptions::new(id, "llm".parse().unwrap(), carobwick_core::Bytes(100));
     options.load_time = Duration::ZERO;
     options.slots = 4_096;
+    options.timing.token_us = token_us;
+    options.timing.growth = 0.0;
+    options.grace = Duration::from_millis(50);
     let engine = EngineStandin::spawn(any(), options, EngineFaults::default()).await.unwrap();
     load(&engine).await;
     engine
