proof: quarantine run; verdicts by which requests can explain the crashes

The run has entries that exchange crash reports with delay, crashes with and without a cause, drains, and requests that crash each endpoint and are resent through all entries. It found that a crash count per request does not convict if some requests of its crashes never come back, and that copies ran on before the crash was noticed. A request is now convicted if two others and one outside cause can't explain its crashes; losses of connections count before their report.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -148,7 +148,7 @@
             let decision = match standing {
                 Standing::Convicted => self.refuse(waiting.request, RefusalCode::CrashesEndpoint, None),
                 Standing::Held(_) => continue,
-                Standing::Clear | Standing::Suspect(_) => match self.route(waiting.request, standing, now) {
+                Standing::Clear | Standing::Suspect => match self.route(waiting.request, standing, now) {
                     Route::Endpoint { index, .. } => self.start(waiting.request, index, now),
                     Route::Nowhere => {
                         let forward = self.forward(waiting.request, None, now);
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -52,7 +52,7 @@
             retries: 0.1,
             queue: 1_024,
             queue_tokens: 1_000_000,
-            settle: Duration::from_secs(3),
+            settle: Duration::from_secs(4),
         }
     }
 }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -161,7 +161,7 @@
     fn is_open_to(&self, active: &Active, endpoint: &Endpoint, standing: Standing) -> bool {
         match standing {
             Standing::Clear => true,
-            Standing::Suspect(_) => endpoint.suspects.is_empty() && !self.is_running(active),
+            Standing::Suspect => endpoint.suspects.is_empty() && !self.is_running(active),
             Standing::Held(_) | Standing::Convicted => false,
         }
     }
@@ -182,9 +182,9 @@
     ) -> Candidate {
         let endpoint = &self.fleet.endpoints[index];
         let load = endpoint.load.total(now);
-        // Copies of a suspect go to the same endpoint from all entries, and to another one after each crash.
+        // Copies of a suspect go to the same endpoint from all entries, and different suspects to different ones.
         let key = match standing {
-            Standing::Suspect(crashes) => active.ask.fingerprint.0 ^ crashes as u64,
+            Standing::Suspect => active.ask.fingerprint.0,
             _ => active.ask.prefix,
         };
         let work = prefill_work(&self.estimates, active, endpoint.prefill.is_warm(active.ask.prefix, now));
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -10,29 +10,29 @@
 use crate::SuspectSet;
 use crate::Time;
 
-/// Time for which a request whose connection broke is a suspect without a crash report.
+/// Time after its hold for which a request whose connection broke is a suspect without a crash report.
 const LOST: Duration = Duration::from_secs(30);
-/// Crashes with no other possible cause after which a request is blamed; after one, the endpoint may have failed by
-/// itself.
-const ALONE: usize = 2;
-/// Crashes after which a request is blamed although others on those endpoints have not finished since.
-const REPEATED: usize = 3;
-/// Times to settle for which a request with two crashes is held, so that the others can finish.
-const HOLD: u32 = 5;
+/// Times to settle for which a request with two crashes is held, so that the others can finish; it doubles with each
+/// further crash.
+const HOLD: u32 = 4;
+const MAX_DOUBLINGS: u32 = 6;
+/// Unexplained crashes that are compared, the latest ones.
+const COMPARED: usize = 64;
 
 type Crash = (EndpointId, Incarnation);
 
 /// Judges from crash reports which requests crash endpoints.
 ///
-/// A request is convicted when it was in two crashes whose other requests have all finished since, or in three
-/// unexplained crashes of which no other request was in more than one. A verdict waits until the reports of other
+/// A request is convicted when two others can't be the causes of its crashes, even if one of the crashes had a cause
+/// outside of the requests. Others that have finished since are no causes. A verdict waits until the reports of other
 /// entries have arrived, because a report that lacks the real cause would convict a harmless request.
 #[derive(Debug)]
 pub(crate) struct Quarantine {
     settle: Duration,
     set: SuspectSet,
     seen: IndexMap<Crash, Time>,
-    lost: IndexMap<Fingerprint, Time>,
+    /// Broken connections of this entry's requests.
+    lost: IndexMap<Fingerprint, Suspicion>,
     suspects: IndexMap<Fingerprint, Suspicion>,
     convicted: IndexSet<Fingerprint>,
     changed: IndexSet<Crash>,
@@ -45,17 +45,17 @@
 pub(crate) enum Standing {
     /// Run it anywhere.
     Clear,
-    /// Run it on an endpoint without another suspect; the number counts its crashes.
-    Suspect(usize),
+    /// Run it on an endpoint without another suspect.
+    Suspect,
     /// Keep it until the other requests of its crashes have finished or been blamed, at most until the given time.
     Held(Time),
     /// Refuse it.
     Convicted,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct Suspicion {
-    crashes: usize,
+    crashes: u32,
     last: Time,
 }
 
@@ -90,7 +90,11 @@
 
     /// Notes a request whose connection broke; the crash report may come later.
     pub fn lose(&mut self, fingerprint: Fingerprint, now: Time) {
-        self.lost.insert(fingerprint, now);
+        let settle = self.settle;
+        self.lost.retain(|_, lost| now < lost.last + hold(settle, lost.crashes) + LOST);
+        let lost = self.lost.entry(fingerprint).or_default();
+        lost.crashes += 1;
+        lost.last = now;
     }
 
     /// Notes a request that finished, which proves that it does not crash endpoints.
@@ -119,15 +123,16 @@
         if self.convicted.contains(&fingerprint) {
             return Standing::Convicted;
         }
-        let Some(suspicion) = self.suspects.get(&fingerprint) else {
-            let lost = self.lost.get(&fingerprint).is_some_and(|at| now < *at + LOST);
-            return if lost { Standing::Suspect(0) } else { Standing::Clear };
-        };
-        let until = suspicion.last + self.settle * HOLD;
-        if suspicion.crashes > 1 && now < until {
-            return Standing::Held(until);
+        // A loss and the report of its crash count once.
+        let reported = self.suspects.get(&fingerprint).copied().unwrap_or_default();
+        let lost = self.lost.get(&fingerprint).copied().unwrap_or_default();
+        let crashes = reported.crashes.max(lost.crashes);
+        let until = reported.last.max(lost.last) + hold(self.settle, crashes);
+        match crashes {
+            0 => Standing::Clear,
+            2.. if now < until => Standing::Held(until),
+            _ => Standing::Suspect,
         }
-        Standing::Suspect(suspicion.crashes)
     }
 
     /// Judges again if a report has come or settled since the last time.
@@ -136,11 +141,13 @@
             return;
         }
         self.stale = false;
-        self.lost.retain(|_, at| now < *at + LOST);
+        let settle = self.settle;
         for report in self.set.reports() {
             self.seen.entry((report.endpoint.clone(), report.incarnation)).or_insert(now);
         }
-        let settle = self.settle;
+        let known: IndexSet<Crash> =
+            self.set.reports().map(|report| (report.endpoint.clone(), report.incarnation)).collect();
+        self.seen.retain(|crash, _| known.contains(crash));
         self.review = self.seen.values().map(|at| *at + settle).filter(|at| *at > now).min();
         self.judge(now);
     }
@@ -151,9 +158,7 @@
             let open = self.unexplained();
             let settled: Vec<&CrashReport> =
                 open.iter().copied().filter(|report| now >= self.seen_at(report) + self.settle).collect();
-            let Some(guilty) = only_candidate(&settled).or_else(|| repeated_candidate(&settled)) else {
-                break;
-            };
+            let Some(guilty) = find_guilty(&settled) else { break };
             self.convicted.insert(guilty);
         }
         let mut suspects: IndexMap<Fingerprint, Suspicion> = IndexMap::new();
@@ -180,32 +185,37 @@
     }
 }
 
-/// Finds a request that is the only candidate of two of the reports.
-fn only_candidate(reports: &[&CrashReport]) -> Option<Fingerprint> {
-    let mut alone: IndexMap<Fingerprint, usize> = IndexMap::new();
-    for report in reports {
-        let mut candidates = report.candidates();
-        if let (Some(only), None) = (candidates.next(), candidates.next()) {
-            *alone.entry(only).or_default() += 1;
-        }
-    }
-    alone.into_iter().find(|(_, crashes)| *crashes >= ALONE).map(|(fingerprint, _)| fingerprint)
+/// Returns the time for which a request is kept after its latest crash.
+fn hold(settle: Duration, crashes: u32) -> Duration {
+    settle * (HOLD << crashes.saturating_sub(2).min(MAX_DOUBLINGS))
 }
 
-/// Finds a request that is in three of the reports, such that each other candidate is in at most one of those.
-fn repeated_candidate(reports: &[&CrashReport]) -> Option<Fingerprint> {
-    let mut crashes: IndexMap<Fingerprint, Vec<usize>> = IndexMap::new();
-    for (index, report) in reports.iter().enumerate() {
+/// Finds a request whose crashes can't be explained by two others and one cause outside of the requests.
+fn find_guilty(reports: &[&CrashReport]) -> Option<Fingerprint> {
+    let mut crashes: IndexMap<Fingerprint, u64> = IndexMap::new();
+    for (index, report) in reports.iter().rev().take(COMPARED).enumerate() {
         for fingerprint in report.candidates() {
-            crashes.entry(fingerprint).or_default().push(index);
+            *crashes.entry(fingerprint).or_default() |= 1 << index;
         }
     }
-    let is_alone = |fingerprint: &Fingerprint, own: &[usize]| {
-        crashes
-            .iter()
-            .filter(|(other, _)| *other != fingerprint)
-            .all(|(_, others)| others.iter().filter(|index| own.contains(index)).count() <= 1)
+    let is_guilty = |fingerprint: Fingerprint, own: u64| {
+        let others: Vec<u64> =
+            crashes.iter().filter(|(other, _)| **other != fingerprint).map(|(_, set)| set & own).collect();
+        own.count_ones() > 1 && bits(own).all(|outside| !is_covered(own & !outside, &others, 2))
     };
-    let found = crashes.iter().find(|(fingerprint, own)| own.len() >= REPEATED && is_alone(fingerprint, own));
-    found.map(|(fingerprint, _)| *fingerprint)
+    crashes
+        .iter()
+        .find(|(fingerprint, own)| is_guilty(**fingerprint, **own))
+        .map(|(fingerprint, _)| *fingerprint)
+}
+
+/// Returns whether `count` of the sets contain all crashes of `rest` between them.
+fn is_covered(rest: u64, sets: &[u64], count: u32) -> bool {
+    let Some(first) = bits(rest).next() else { return true };
+    count > 0
+        && sets.iter().filter(|set| **set & first != 0).any(|set| is_covered(rest & !set, sets, count - 1))
+}
+
+fn bits(set: u64) -> impl Iterator<Item = u64> {
+    (0..u64::BITS).map(|bit| 1 << bit).filter(move |bit| set & bit != 0)
 }
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -10,6 +10,7 @@
 mod delivery_run;
 mod planner_run;
 mod quarantine_run;
+mod quarantine_scene;
 mod report;
 
 pub use area::Area;
