--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -1,3 +1,5 @@
+use indexmap::IndexSet;
+
 use crate::Account;
 use crate::Action;
 use crate::Bytes;
@@ -63,9 +65,14 @@
         if self.part_of(&resident.model) == Part::Outside {
             return self.is_droppable(Need::Reach, endpoint, resident);
         }
-        // The new version must serve wherever the zone needs it before the old one goes.
-        spec.version != resident.version
-            && self.serving(&resident.model, Some(&spec.version)).next().is_some()
+        // In its home zone, the new version must serve before the old one goes.
+        let replaced = self.serving(&resident.model, Some(&spec.version)).next().is_some();
+        spec.version != resident.version && (replaced || self.is_dispensable(endpoint, resident))
+    }
+
+    /// Returns whether a copy outside of its home zone can make way for a newer version.
+    fn is_dispensable(&mut self, endpoint: &EndpointId, resident: &Resident) -> bool {
+        self.part_of(&resident.model) != Part::Home && self.is_droppable(Need::Reach, endpoint, resident)
     }
 
     /// Returns an adapter of the resident model, which must leave before its base, or the model itself.
@@ -143,18 +150,19 @@
     /// Returns whether a copy of a declared model can go: others serve, or the home zone's plan holds it.
     fn is_droppable(&mut self, need: Need, endpoint: &EndpointId, resident: &Resident) -> bool {
         let model = &resident.model;
-        let Some(spec) = self.scene.manifest.models.get(model) else {
+        if !self.scene.manifest.models.contains_key(model) {
             return true;
-        };
-        let others = self.serving(model, None).filter(|other| *other != endpoint).count();
+        }
+        let others: IndexSet<&EndpointId> =
+            self.serving(model, None).filter(|other| *other != endpoint).collect();
         let kept = self.scene.kept.get(model).copied().unwrap_or(0);
-        let load = self.model_load(model, spec);
+        let load = self.model_load(model);
         let wanted = match need {
             // Reaching a model is worth more than another one's extra copies.
             Need::Reach | Need::Version => 1,
             Need::Growth | Need::Backup => kept.max(load.ceil() as usize).max(1),
         };
-        if others >= wanted {
+        if others.len() >= wanted {
             return true;
         }
         let home = crate::homes::home_zone(self.scene.manifest, model);
