entry: own setting for idle connections of callers; test of the operators' API

Cause: the timeout for a head also closed idle keep-alive connections after 10 s, which a balancer with a longer idle time answers with errors. Ruled out: two timeouts for idle time and heads, which the HTTP library can't tell apart.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -76,7 +76,7 @@
         builder
             .http1()
             .timer(TokioTimer::new())
-            .header_read_timeout(timeout)
+            .header_read_timeout(self.limits.idle_timeout.duration())
             .max_buf_size(self.limits.max_head);
         builder
             .http2()
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -62,9 +62,13 @@
     /// Requests in flight
     #[bpaf(env("CAROBWICK_MAX_REQUESTS"), argument("COUNT"), fallback(8_192))]
     pub max_requests: usize,
-    /// Milliseconds in which a caller must send the head, and then the body, of a request
+    /// Milliseconds in which a caller must start to use a connection, and send the body of a request
     #[bpaf(env("CAROBWICK_READ_TIMEOUT"), argument("MS"), fallback(Millis(10_000)))]
     pub read_timeout: Millis,
+    /// Milliseconds after which a connection without the whole head of a next request is closed; should exceed the
+    /// idle time of the balancer, which otherwise sends requests to connections that are being closed
+    #[bpaf(env("CAROBWICK_IDLE_TIMEOUT"), argument("MS"), fallback(Millis(75_000)))]
+    pub idle_timeout: Millis,
     /// Milliseconds after which a request without a first event or a whole answer is given up
     #[bpaf(env("CAROBWICK_DEADLINE"), argument("MS"), fallback(Millis(60_000)))]
     pub deadline: Millis,
@@ -135,6 +139,7 @@
             ("max-answer", self.max_answer as u64, 1 << 30),
             ("max-requests", self.max_requests as u64, 1 << 20),
             ("read-timeout", self.read_timeout.0, 3_600_000),
+            ("idle-timeout", self.idle_timeout.0, 3_600_000),
             ("deadline", self.deadline.0, 3_600_000),
             ("stream-limit", self.stream_limit.0, 86_400_000),
             ("attempts", u64::from(self.attempts), 10),
--- a/crates/entry/tests/behaviour/bad_input.rs
+++ b/crates/entry/tests/behaviour/bad_input.rs
@@ -67,7 +67,7 @@
 #[tokio::test]
 async fn oversized_and_slow_heads_end_the_connection() {
     let zone = Zone::spawn(0, 1).await;
-    let entry = zone.entry("entry-1", "--max-head 8192 --read-timeout 200").await;
+    let entry = zone.entry("entry-1", "--max-head 8192 --read-timeout 200 --idle-timeout 200").await;
     let mut large = TcpStream::connect(entry.callers()).await.unwrap();
     let head = format!("GET /healthz HTTP/1.1\r\nx: {}\r\n\r\n", "x".repeat(20_000));
     large.write_all(head.as_bytes()).await.unwrap();
--- a/crates/entry/tests/behaviour/callers.rs
+++ b/crates/entry/tests/behaviour/callers.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use carobwick_core::DrainTarget;
+use carobwick_core::Event;
+use carobwick_core::EventKind;
 use carobwick_core::WriteId;
 use carobwick_entry::Entry;
 use http::Method;
@@ -89,6 +91,26 @@
     assert_eq!(chat(entry.callers(), &chat_body("late", 1, false)).await.status, StatusCode::OK);
 }
 
+/// Guards against an operators' API that hides what the entry does.
+#[tokio::test]
+async fn operators_see_status_metrics_and_timeline() {
+    let zone = Zone::spawn(1, 0).await;
+    let entry = zone.entry("entry-1", "").await;
+    chat(entry.callers(), &chat_body("one", 1, false)).await;
+    chat(entry.callers(), "{").await;
+    let status = call(entry.operators(), Method::GET, "/admin/status", &[], "").await.json();
+    assert_eq!((&status["ready"], &status["shared"]["version"]), (&true.into(), &1.into()));
+    let metrics = call(entry.operators(), Method::GET, "/metrics", &[], "").await;
+    for line in ["carobwick_requests_total", "carobwick_refusals_total", "code=\"bad_json\""] {
+        assert!(metrics.text().contains(line), "{line} is missing in {}", metrics.text());
+    }
+    let events = call(entry.operators(), Method::GET, "/admin/timeline", &[], "").await;
+    let events: Vec<Event> = serde_json::from_slice(&events.body).unwrap();
+    assert!(events.iter().any(|event| event.kind == EventKind::Config));
+    let hidden = call(entry.callers(), Method::GET, "/admin/status", &[], "").await;
+    assert_eq!(hidden.status, StatusCode::NOT_FOUND, "callers see the operators' API");
+}
+
 async fn ready(entry: &Entry) -> StatusCode {
     call(entry.callers(), Method::GET, "/readyz", &[], "").await.status
 }
