--- a/crates/proof/src/config_run/checks.rs
+++ b/crates/proof/src/config_run/checks.rs
@@ -83,6 +83,7 @@
             return;
         }
         process.highest = version;
+        process.ever = version.max(process.ever);
         let Some(record) = process.state.config.clone() else {
             return;
         };
@@ -92,6 +93,19 @@
         }
     }
 
+    /// Checks that a process believes a version to be in force only where it was.
+    pub fn check_confirmations(&mut self, index: usize) {
+        let wrong = self.processes.iter().find(|other| {
+            let believed = self.processes[index].state.applied.get(&other.instance).copied();
+            believed > other.ever
+        });
+        if let Some(wrong) = wrong.map(|wrong| wrong.index) {
+            self.violate(&format!(
+                "process {index} believes a version in force at process {wrong} that never was"
+            ));
+        }
+    }
+
     /// Checks that an accepted manifest is in force wherever it could be learned.
     pub fn check_in_force(&mut self, accepted: usize) {
         let accepted = self.checks.accepted[accepted];
--- a/crates/proof/src/config_run/process.rs
+++ b/crates/proof/src/config_run/process.rs
@@ -32,6 +32,8 @@
     pub up_since: Time,
     /// Highest version in force in this life.
     pub highest: Option<Version>,
+    /// Highest version in force in any life.
+    pub ever: Option<Version>,
     /// State of some time ago, for a process that comes back with it.
     pub old_copy: SharedState,
 }
@@ -45,6 +47,7 @@
             life: 0,
             up_since: Time::ZERO,
             highest: None,
+            ever: None,
             old_copy: SharedState::default(),
         }
     }
--- a/crates/proof/src/config_run/world.rs
+++ b/crates/proof/src/config_run/world.rs
@@ -217,6 +217,7 @@
     }
 
     fn round(&mut self, index: usize) {
+        self.check_confirmations(index);
         let process = &mut self.processes[index];
         let life = process.life;
         if let Some(version) = process.version() {
--- /dev/null
+++ b/crates/runtime/examples/traffic.rs
@@ -0,0 +1,243 @@
+//! Control traffic between planners at the target scale: every exchange of a fleet in virtual time, with the encoded
+//! size of each message.
+//!
+//! `cargo run --release -p carobwick-runtime --example traffic`
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use carobwick_core::ConfigRecord;
+use carobwick_core::Delta;
+use carobwick_core::EndpointState;
+use carobwick_core::EndpointView;
+use carobwick_core::Fence;
+use carobwick_core::Incarnation;
+use carobwick_core::InstanceView;
+use carobwick_core::LoadReport;
+use carobwick_core::Manifest;
+use carobwick_core::PeerChoices;
+use carobwick_core::PeerMessage;
+use carobwick_core::Resident;
+use carobwick_core::SharedState;
+use carobwick_core::Version;
+use carobwick_core::WriteId;
+use carobwick_core::ZoneView;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use serde_json::json;
+
+const ZONES: usize = 7;
+const INSTANCES: usize = 47;
+const ENDPOINTS: usize = 96;
+const MODELS: usize = 1_600;
+/// Seconds between rounds.
+const ROUND: f64 = 0.5;
+/// Rounds after which a publish counts as lost; 12 rounds are 6 s.
+const MAX_ROUNDS: usize = 60;
+/// Bytes around a message: h2 frame headers and compressed request or response headers, as the test `traffic` of this
+/// crate measures them on a connection.
+const FRAMING: usize = 21;
+
+struct Fleet {
+    states: Vec<SharedState>,
+    addresses: BTreeMap<String, usize>,
+    rng: StdRng,
+    bytes: usize,
+    messages: usize,
+}
+
+fn main() {
+    // The size of the manifest does not matter for patches; a small one keeps 329 copies in memory.
+    println!("manifest of {MODELS} models, whole: {} bytes", whole_manifest());
+    let mut fleet = Fleet::new();
+    fleet.report("until all confirmations are known", 12);
+    fleet.report("quiet", 20);
+    let rounds = fleet.publish();
+    println!("publish: in force at all {} instances after {rounds} rounds", ZONES * INSTANCES);
+    fleet.report("rest of the 30 s after a publish of one model", 60 - rounds);
+    fleet.change_view();
+    fleet.report("10 s after one endpoint changed its models", 20);
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let views: Vec<Arc<ZoneView>> = (0..ZONES).map(|zone| Arc::new(view(zone))).collect();
+        let record = ConfigRecord::first(manifest(20), WriteId(1)).expect("the manifest is valid");
+        let mut states = Vec::new();
+        for _ in 0..ZONES * INSTANCES {
+            let mut state = SharedState::default();
+            state.adopt(record.clone());
+            state.views = views.iter().map(|view| (view.zone.clone(), Arc::clone(view))).collect();
+            states.push(state);
+        }
+        let addresses = (0..states.len()).map(|index| (address(index), index)).collect();
+        Self { states, addresses, rng: StdRng::seed_from_u64(1), bytes: 0, messages: 0 }
+    }
+
+    fn report(&mut self, what: &str, rounds: usize) {
+        (self.bytes, self.messages) = (0, 0);
+        for _ in 0..rounds {
+            self.round();
+        }
+        self.print(what, rounds);
+    }
+
+    fn print(&self, what: &str, rounds: usize) {
+        let seconds = rounds as f64 * ROUND * self.states.len() as f64;
+        // Each message is sent by one instance and received by another.
+        let both = 2.0 * self.bytes as f64 / seconds;
+        println!(
+            "{what}: {both:.0} bytes/s per instance, sent and received; {:.1} messages/s",
+            2.0 * self.messages as f64 / seconds
+        );
+    }
+
+    /// Publishes a change of one model and returns the rounds until it is in force everywhere.
+    fn publish(&mut self) -> usize {
+        let own = self.states[0].config.clone().expect("a manifest is in force");
+        let mut changed = own.manifest.clone();
+        changed.models[0].size.0 += 1;
+        let record = own.following(changed, WriteId(2)).expect("the manifest is valid");
+        self.states[0].adopt(record);
+        (self.bytes, self.messages) = (0, 0);
+        let in_force =
+            |state: &SharedState| state.config.as_ref().is_some_and(|own| own.version == Version(2));
+        let mut rounds = 0;
+        while rounds < MAX_ROUNDS && !self.states.iter().all(in_force) {
+            self.round();
+            rounds += 1;
+        }
+        self.print("until a publish is in force everywhere", rounds);
+        rounds
+    }
+
+    fn change_view(&mut self) {
+        let mut view = ZoneView::clone(&self.states[0].views[0]);
+        view.version = view.version.next();
+        view.endpoints[0].resident.pop();
+        self.states[0].merge_view(view);
+    }
+
+    fn round(&mut self) {
+        for index in 0..self.states.len() {
+            let state = &mut self.states[index];
+            if let Some(version) = state.config.as_ref().map(|record| record.version) {
+                state.confirm(&instance(index), version);
+            }
+            let choices = PeerChoices::from_views(&state.views, &zone(index / INSTANCES), &instance(index));
+            let mut chosen: Vec<String> = choices.local.choose_multiple(&mut self.rng, 2).cloned().collect();
+            chosen.extend(choices.remote.choose(&mut self.rng).cloned());
+            for address in chosen {
+                self.exchange(index, self.addresses[&address]);
+            }
+        }
+    }
+
+    fn exchange(&mut self, from: usize, to: usize) {
+        let digest = self.states[from].digest();
+        self.count(&PeerMessage::Probe { from: instance(from), summary: digest.summary() });
+        if digest.summary() == self.states[to].digest().summary() {
+            self.count(&PeerMessage::Same);
+            return;
+        }
+        self.count(&PeerMessage::Differs);
+        self.count(&PeerMessage::Sync { from: instance(from), digest: digest.clone() });
+        self.states[to].learn_applied(&digest);
+        let (own, delta) = (self.states[to].digest(), self.states[to].delta_for(&digest));
+        self.count(&PeerMessage::SyncReply { digest: own.clone(), delta: delta.clone() });
+        self.states[from].merge(delta);
+        self.states[from].learn_applied(&own);
+        let delta = self.states[from].delta_for(&own);
+        if delta != Delta::default() {
+            self.count(&PeerMessage::Push { delta: delta.clone() });
+            self.count(&PeerMessage::Ack);
+            self.states[to].merge(delta);
+        }
+    }
+
+    fn count(&mut self, message: &PeerMessage) {
+        self.bytes += encoded(message) + FRAMING;
+        self.messages += 1;
+    }
+}
+
+fn encoded(message: &PeerMessage) -> usize {
+    let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard());
+    bytes.expect("messages can be encoded").len()
+}
+
+fn whole_manifest() -> usize {
+    let record = ConfigRecord::first(manifest(MODELS), WriteId(1)).expect("the manifest is valid");
+    encoded(&PeerMessage::Push { delta: Delta { config: Some(record), ..Delta::default() } })
+}
+
+fn manifest(models: usize) -> Manifest {
+    let model = |index: usize| {
+        (
+            format!("lettering-model-{index:04}"),
+            json!({"service": "lettering-llm", "version": "2026-01-15", "size": 12_000_000_000_u64}),
+        )
+    };
+    let models: serde_json::Map<String, serde_json::Value> = (0..models).map(model).collect();
+    let manifest = json!({
+        "deployment": "target",
+        "objective": {"attainment": 1.0, "moves": 0.5},
+        "store": {"rate": 2.0, "concurrent": 8},
+        "adapter_loads": 64,
+        "zones": (0..ZONES).map(zone).collect::<Vec<_>>(),
+        "services": {"lettering-llm": {"kind": "engine", "memory": 320_000_000_000_u64, "slots": 64}},
+        "models": models,
+    });
+    Manifest::from_json(&manifest.to_string()).expect("the manifest is valid")
+}
+
+fn view(index: usize) -> ZoneView {
+    let first = index * INSTANCES;
+    let instances = (first..first + INSTANCES).map(|index| {
+        let entry = format!("10.1.{}.{}:8080", index / INSTANCES, index % INSTANCES);
+        (instance(index), InstanceView { entry, peer: address(index), live: true })
+    });
+    let resident = |model: usize| Resident {
+        model: id(&format!("lettering-model-{:04}", model % MODELS)),
+        version: id("2026-01-15"),
+        size: carobwick_core::Bytes(12_000_000_000),
+    };
+    let endpoints = (0..ENDPOINTS).map(|endpoint| {
+        let view = EndpointView {
+            service: id("lettering-llm"),
+            addr: format!("10.2.{index}.{endpoint}:8000"),
+            incarnation: Incarnation(endpoint as u64 + 1),
+            state: EndpointState::Live,
+            resident: (0..5).map(|slot| resident(index * 228 + endpoint * 5 + slot)).collect(),
+            load: LoadReport { running: 20, queued: 3, cached_tokens: 100_000, free_tokens: 50_000 },
+        };
+        (id(&format!("zone-{index}-engine-{endpoint:03}")), view)
+    });
+    ZoneView {
+        zone: zone(index),
+        fence: Fence::first(1_000_000),
+        version: Version(1),
+        leader: instance(first),
+        instances: instances.collect(),
+        endpoints: endpoints.collect(),
+        blocked: [].into(),
+        reasons: [].into(),
+    }
+}
+
+fn zone(index: usize) -> carobwick_core::ZoneId {
+    id(&format!("region-zone-{index}"))
+}
+
+fn instance(index: usize) -> carobwick_core::InstanceId {
+    id(&format!("zone-{}-entry-{:02}", index / INSTANCES, index % INSTANCES))
+}
+
+fn address(index: usize) -> String {
+    format!("10.1.{}.{}:7000", index / INSTANCES, index % INSTANCES)
+}
+
+fn id<T: std::str::FromStr<Err = carobwick_core::Error>>(text: &str) -> T {
+    text.parse().expect("the id is valid")
+}
