peer: a restarted peer is reached in the same exchange; tests of peers and supervision

A closed kept connection is now followed by one try on a new one, except for demand reports, which could be counted twice. Closed connections leave the map, which kept one for each replaced instance for ever. Supervision is tested in virtual time, for which tests use tokio's `test-util`. The random run also checks that no view goes back at a process.

--- a/crates/proof/src/config_run/checks.rs
+++ b/crates/proof/src/config_run/checks.rs
@@ -93,6 +93,17 @@
         }
     }
 
+    /// Checks that no view of a process went back.
+    pub fn check_views(&mut self, index: usize) {
+        let ranks = self.processes[index].state.digest().views;
+        let before = std::mem::replace(&mut self.processes[index].ranks, ranks.clone());
+        for (zone, rank) in &before {
+            if ranks.get(zone) < Some(rank) {
+                self.violate(&format!("process {index} went back from view {rank:?} of {zone}"));
+            }
+        }
+    }
+
     /// Checks that a process believes a version to be in force only where it was.
     pub fn check_confirmations(&mut self, index: usize) {
         let wrong = self.processes.iter().find(|other| {
--- a/crates/proof/src/config_run/process.rs
+++ b/crates/proof/src/config_run/process.rs
@@ -34,6 +34,8 @@
     pub highest: Option<Version>,
     /// Highest version in force in any life.
     pub ever: Option<Version>,
+    /// Rank of each zone's view in this life.
+    pub ranks: IndexMap<ZoneId, (Fence, Version)>,
     /// State of some time ago, for a process that comes back with it.
     pub old_copy: SharedState,
 }
@@ -48,6 +50,7 @@
             up_since: Time::ZERO,
             highest: None,
             ever: None,
+            ranks: IndexMap::new(),
             old_copy: SharedState::default(),
         }
     }
@@ -62,6 +65,7 @@
         self.life += 1;
         self.up_since = now;
         self.highest = self.version();
+        self.ranks = self.state.digest().views;
     }
 
     pub fn version(&self) -> Option<Version> {
--- a/crates/proof/src/config_run/world.rs
+++ b/crates/proof/src/config_run/world.rs
@@ -271,6 +271,7 @@
     pub fn merge(&mut self, index: usize, delta: Delta) {
         self.processes[index].state.merge(delta);
         self.check_version(index);
+        self.check_views(index);
     }
 
     fn watch_check(&mut self, index: usize) {
--- a/crates/runtime/src/peer.rs
+++ b/crates/runtime/src/peer.rs
@@ -1,6 +1,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,10 +31,18 @@
 /// Client side of the peer protocol: one h2 connection per peer, one stream per exchange.
 #[derive(Debug, Clone)]
 pub struct PeerClient {
-    connections: Arc<Mutex<HashMap<String, SendRequest<Bytes>>>>,
+    connections: Arc<Mutex<HashMap<String, Kept>>>,
+    next: Arc<AtomicU64>,
     timeout: Duration,
 }
 
+/// A connection that is used again.
+#[derive(Debug)]
+struct Kept {
+    id: u64,
+    sender: SendRequest<Bytes>,
+}
+
 /// Server side of the peer protocol.
 #[derive(Debug)]
 pub struct PeerServer {
@@ -43,7 +53,7 @@
 impl PeerClient {
     /// Opens a client whose exchanges end after `timeout`.
     pub fn open(timeout: Duration) -> Self {
-        Self { connections: Arc::default(), timeout }
+        Self { connections: Arc::default(), next: Arc::default(), timeout }
     }
 
     /// Sends a message to the peer at `addr` (`IP:port`) and returns its reply.
@@ -53,7 +63,7 @@
     /// Fails if the peer does not reply in time. The connection is then closed, and the next exchange makes a new
     /// one, since a connection can go silent while new ones work.
     pub async fn exchange(&self, addr: &str, message: &PeerMessage) -> Result<PeerMessage> {
-        let result = tokio::time::timeout(self.timeout, self.try_exchange(addr, message)).await;
+        let result = tokio::time::timeout(self.timeout, self.exchange_again(addr, message)).await;
         let result = result.unwrap_or_else(|_| Err(Error::Lost(format!("no reply from {addr}"))));
         if result.is_err() {
             self.connections.lock().await.remove(addr);
@@ -61,6 +71,19 @@
         result
     }
 
+    /// Exchanges, once more on a new connection if a kept one turns out to be closed, as after a restart of the peer.
+    async fn exchange_again(&self, addr: &str, message: &PeerMessage) -> Result<PeerMessage> {
+        let kept = self.connections.lock().await.contains_key(addr);
+        let result = self.try_exchange(addr, message).await;
+        // The peer may have counted the demand already; all other messages can be taken twice.
+        let once = matches!(message, PeerMessage::Demand(_) | PeerMessage::Relayed(_));
+        if result.is_ok() || !kept || once {
+            return result;
+        }
+        self.connections.lock().await.remove(addr);
+        self.try_exchange(addr, message).await
+    }
+
     async fn try_exchange(&self, addr: &str, message: &PeerMessage) -> Result<PeerMessage> {
         let mut sender = self.connection(addr).await?.ready().await?;
         let request = Request::post("http://peer/").body(()).map_err(|err| Error::Codec(err.to_string()))?;
@@ -71,19 +94,27 @@
     }
 
     async fn connection(&self, addr: &str) -> Result<SendRequest<Bytes>> {
-        if let Some(sender) = self.connections.lock().await.get(addr) {
-            return Ok(sender.clone());
+        if let Some(kept) = self.connections.lock().await.get(addr) {
+            return Ok(kept.sender.clone());
         }
         let stream =
             TcpStream::connect(addr).await.map_err(|err| Error::Connect(format!("{addr}: {err}")))?;
         stream.set_nodelay(true)?;
         let (sender, connection) = h2::client::handshake(stream).await?;
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let kept = Kept { id, sender: sender.clone() };
+        self.connections.lock().await.insert(addr.to_owned(), kept);
+        let (connections, addr) = (Arc::clone(&self.connections), addr.to_owned());
         tokio::spawn(async move {
             if let Err(err) = connection.await {
                 tracing::debug!("peer: connection ended: {err}");
             }
+            // Peers that were replaced are never asked again, so their closed connections must not stay here.
+            let mut connections = connections.lock().await;
+            if connections.get(&addr).is_some_and(|kept| kept.id == id) {
+                connections.remove(&addr);
+            }
         });
-        self.connections.lock().await.insert(addr.to_owned(), sender.clone());
         Ok(sender)
     }
 }
--- /dev/null
+++ b/crates/runtime/tests/peer.rs
@@ -0,0 +1,75 @@
+//! The peer protocol between a client and a server in one process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carobwick_core::Delta;
+use carobwick_core::DrainSet;
+use carobwick_core::DrainTarget;
+use carobwick_core::PeerMessage;
+use carobwick_core::WriteId;
+use carobwick_runtime::Error;
+use carobwick_runtime::PeerClient;
+use carobwick_runtime::PeerServer;
+use tokio::net::TcpListener;
+
+const LOCAL: &str = "127.0.0.1:0";
+const PATIENCE: Duration = Duration::from_secs(10);
+
+async fn echo(addr: SocketAddr) -> PeerServer {
+    PeerServer::bind(addr, |message| async move { message }).await.unwrap()
+}
+
+/// Guards against messages that are cut off at the window of the connection; a whole manifest is larger than it.
+#[tokio::test]
+async fn large_message_arrives_whole() {
+    let server = echo(LOCAL.parse().unwrap()).await;
+    let mut drains = DrainSet::default();
+    for index in 0..20_000 {
+        let target = DrainTarget::Endpoint(format!("endpoint-{index}").parse().unwrap());
+        drains.set(target, true, WriteId(index));
+    }
+    let message = PeerMessage::Push { delta: Delta { drains, ..Delta::default() } };
+    let client = PeerClient::open(PATIENCE);
+    assert_eq!(client.exchange(&server.addr().to_string(), &message).await.unwrap(), message);
+}
+
+/// Guards against a client that keeps using the connection to a peer that was restarted.
+#[tokio::test]
+async fn restarted_peer_is_reached_again() {
+    let server = echo(LOCAL.parse().unwrap()).await;
+    let addr = server.addr();
+    let client = PeerClient::open(PATIENCE);
+    client.exchange(&addr.to_string(), &PeerMessage::Ack).await.unwrap();
+    drop(server);
+    let server = loop {
+        // The port is free once the connections of the first server are closed.
+        match PeerServer::bind(addr, |message| async move { message }).await {
+            Ok(server) => break server,
+            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    };
+    let reply = client.exchange(&server.addr().to_string(), &PeerMessage::Ack).await;
+    assert_eq!(reply.unwrap(), PeerMessage::Ack);
+}
+
+/// Guards against an exchange that waits forever for a peer that took the connection and went silent.
+#[tokio::test]
+async fn silent_peer_ends_the_exchange() {
+    let silent = TcpListener::bind(LOCAL).await.unwrap();
+    let addr = silent.local_addr().unwrap().to_string();
+    let client = PeerClient::open(Duration::from_millis(50));
+    let err = client.exchange(&addr, &PeerMessage::Ack).await.unwrap_err();
+    assert!(matches!(err, Error::Lost(_)), "{err}");
+}
+
+/// Guards against a server that ends at a message which is no message.
+#[tokio::test]
+async fn garbage_on_a_connection_does_not_stop_the_server() {
+    let server = echo(LOCAL.parse().unwrap()).await;
+    let mut stream = tokio::net::TcpStream::connect(server.addr()).await.unwrap();
+    tokio::io::AsyncWriteExt::write_all(&mut stream, b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+    let client = PeerClient::open(PATIENCE);
+    let reply = client.exchange(&server.addr().to_string(), &PeerMessage::Ack).await;
+    assert_eq!(reply.unwrap(), PeerMessage::Ack);
+}
--- /dev/null
+++ b/crates/runtime/tests/supervisor.rs
@@ -0,0 +1,99 @@
+//! Supervision: restarts, their bound, and what happens to tasks at the end. Time is virtual.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use carobwick_runtime::Supervisor;
+use test_case::test_case;
+use tokio_util::sync::CancellationToken;
+
+/// Sets a flag when it is dropped, which is when the task that owns it has ended.
+#[derive(Clone, Default)]
+struct Ends(Arc<AtomicUsize>);
+
+struct Guard(Ends);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.0.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// Guards against a task that stays down, or is restarted forever, after it fails or panics.
+#[test_case(false ; "error")]
+#[test_case(true ; "panic")]
+#[tokio::test(start_paused = true)]
+async fn failing_task_is_restarted_up_to_a_bound(panics: bool) {
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&runs);
+    let supervisor = Supervisor::new("test", CancellationToken::new()).task("failing", move || {
+        counted.fetch_add(1, Ordering::SeqCst);
+        async move {
+            assert!(!panics, "as asked");
+            anyhow::bail!("as asked")
+        }
+    });
+    let err = supervisor.run().await.unwrap_err();
+    assert!(err.to_string().contains("task failing failed 6 times"), "{err}");
+    assert_eq!(runs.load(Ordering::SeqCst), 6);
+}
+
+/// Guards against tasks that go on after their supervisor has failed.
+#[tokio::test(start_paused = true)]
+async fn other_tasks_end_when_the_supervisor_fails() {
+    let ends = Ends::default();
+    let watched = ends.clone();
+    let supervisor = Supervisor::new("test", CancellationToken::new())
+        .task("failing", || async { anyhow::bail!("as asked") })
+        .task("endless", move || {
+            let guard = Guard(watched.clone());
+            async move {
+                let _guard = guard;
+                std::future::pending::<()>().await;
+                Ok(())
+            }
+        });
+    supervisor.run().await.unwrap_err();
+    // The abort takes effect when the runtime comes to the task.
+    while ends.0.load(Ordering::SeqCst) == 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Guards against a shutdown that cuts off what a graceful task still does, and against one that never ends.
+#[test_case(10, true ; "ends by itself")]
+#[test_case(1_000, false ; "is aborted in the end")]
+#[tokio::test(start_paused = true)]
+async fn graceful_task_gets_time_to_end(seconds: u64, finishes: bool) {
+    let stop = CancellationToken::new();
+    let finished = Arc::new(AtomicUsize::new(0));
+    let (counted, stopped) = (Arc::clone(&finished), stop.clone());
+    let supervisor = Supervisor::new("test", stop.clone()).graceful_task("slow", move || {
+        let (counted, stopped) = (Arc::clone(&counted), stopped.clone());
+        async move {
+            stopped.cancelled().await;
+            tokio::time::sleep(Duration::from_secs(seconds)).await;
+            counted.fetch_add(1, Ordering::SeqCst);
+            Ok(())
+        }
+    });
+    let run = tokio::spawn(supervisor.run());
+    tokio::task::yield_now().await;
+    stop.cancel();
+    run.await.unwrap().unwrap();
+    assert_eq!(finished.load(Ordering::SeqCst) == 1, finishes);
+}
+
+/// Guards against a shutdown that waits for the delay before a restart.
+#[tokio::test(start_paused = true)]
+async fn stop_ends_the_wait_before_a_restart() {
+    let stop = CancellationToken::new();
+    let stopping = stop.clone();
+    let supervisor = Supervisor::new("test", stop).task("failing", move || {
+        stopping.cancel();
+        async { anyhow::bail!("as asked") }
+    });
+    supervisor.run().await.unwrap();
+}
