--- a/crates/runtime/tests/supervisor.rs
+++ b/crates/runtime/tests/supervisor.rs
@@ -66,7 +66,7 @@
 #[test_case(10, true ; "ends by itself")]
 #[test_case(1_000, false ; "is aborted in the end")]
 #[tokio::test(start_paused = true)]
-async fn graceful_task_gets_time_to_end(seconds: u64, finishes: bool) {
+async fn graceful_task_gets_time_to_end(seconds: u64, ends_itself: bool) {
     let stop = CancellationToken::new();
     let finished = Arc::new(AtomicUsize::new(0));
     let (counted, stopped) = (Arc::clone(&finished), stop.clone());
@@ -83,7 +83,7 @@
     tokio::task::yield_now().await;
     stop.cancel();
     run.await.unwrap().unwrap();
-    assert_eq!(finished.load(Ordering::SeqCst) == 1, finishes);
+    assert_eq!(finished.load(Ordering::SeqCst) == 1, ends_itself);
 }
 
 /// Guards against a shutdown that waits for the delay before a restart.
