--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -212,14 +212,16 @@
 
     /// Returns whether a version of a model or adapter is in memory or may get there by an open order.
     pub fn has(&self, model: &ModelId, version: &ModelVersion) -> bool {
-        self.versions(model).any(|known| known == version)
+        self.copies().any(|copy| copy == (model, version))
     }
 
     /// Returns the models and adapters that are being loaded or may be.
     pub fn loads_in_flight(&self) -> impl Iterator<Item = &ModelId> {
         let orders = self.open_orders().filter_map(load_of);
         let orders = orders.filter(|(model, version, _)| !self.holds(model, version));
-        self.loading.iter().map(|loading| &loading.model).chain(orders.map(|(model, ..)| model))
+        // Engines report a copy that is being unloaded as under way too.
+        let loading = self.loading.iter().filter(|r| !self.unloads(&r.model, &r.version));
+        loading.map(|loading| &loading.model).chain(orders.map(|(model, ..)| model))
     }
 
     /// Returns the models and adapters in memory or on their way there, with repetitions.
@@ -228,11 +230,10 @@
         self.held().map(|resident| &resident.model).chain(loads)
     }
 
-    /// Returns the versions of a model or adapter in memory or on their way there, with repetitions.
-    pub fn versions(&self, id: &ModelId) -> impl Iterator<Item = &ModelVersion> {
-        let loads = self.open_orders().filter_map(load_of).filter(move |(model, ..)| *model == id);
-        let held = self.held().filter(move |resident| resident.model == *id);
-        held.map(|resident| &resident.version).chain(loads.map(|(_, version, _)| version))
+    /// Returns the models and adapters in memory or on their way there with their versions, with repetitions.
+    pub fn copies(&self) -> impl Iterator<Item = (&ModelId, &ModelVersion)> {
+        let loads = self.open_orders().filter_map(load_of).map(|(model, version, _)| (model, version));
+        self.held().map(|resident| (&resident.model, &resident.version)).chain(loads)
     }
 
     /// Returns whether an open order unloads a version of a model or adapter.
--- a/crates/entry/tests/behaviour/main.rs
+++ b/crates/entry/tests/behaviour/main.rs
@@ -1,7 +1,9 @@
 //! Behaviour of an entry against stand-ins for the platform and the endpoints.
 
 mod bad_input;
+mod callers;
 mod failures;
+mod golden;
 mod once;
 mod session;
 mod support;
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -14,6 +14,7 @@
 mod key_value;
 mod leader;
 mod leader_calls;
+mod leader_metrics;
 mod operator;
 mod planner;
 mod publishing;
