--- a/crates/proof/src/config_run/world.rs
+++ b/crates/proof/src/config_run/world.rs
@@ -217,6 +217,7 @@
     }
 
     fn round(&mut self, index: usize) {
+        self.check_confirmations(index);
         let process = &mut self.processes[index];
         let life = process.life;
         if let Some(version) = process.version() {
@@ -270,6 +271,7 @@
     pub fn merge(&mut self, index: usize, delta: Delta) {
         self.processes[index].state.merge(delta);
         self.check_version(index);
+        self.check_views(index);
     }
 
     fn watch_check(&mut self, index: usize) {
