core: tests of a leader's first steps

Scripted replies now hold each of them alone: an order waits for its plan, a successor settles by number or by time, unheard engines count, an older manifest changes nothing.

--- /dev/null
+++ b/crates/core/tests/controller.rs
@@ -0,0 +1,233 @@
+//! A leader's first steps, with scripted replies: what it must not do before it knows enough.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use carobwick_core::Action;
+use carobwick_core::Bytes;
+use carobwick_core::Command;
+use carobwick_core::ConfigRecord;
+use carobwick_core::Controller;
+use carobwick_core::EndpointId;
+use carobwick_core::EndpointPlan;
+use carobwick_core::EngineState;
+use carobwick_core::Fence;
+use carobwick_core::Incarnation;
+use carobwick_core::LeaseEvent;
+use carobwick_core::LeaseStep;
+use carobwick_core::ListedEndpoint;
+use carobwick_core::Manifest;
+use carobwick_core::Order;
+use carobwick_core::OrderId;
+use carobwick_core::PlanEvent;
+use carobwick_core::PlanStep;
+use carobwick_core::PlannedOrder;
+use carobwick_core::Resident;
+use carobwick_core::Role;
+use carobwick_core::Tick;
+use carobwick_core::Time;
+use carobwick_core::Version;
+use carobwick_core::WriteId;
+use carobwick_core::ZoneListing;
+use carobwick_core::ZonePlan;
+use serde_json::json;
+
+const TERM: u64 = 42;
+
+/// A leader whose lease calls are answered at once; plan writes are answered only if `writes` is set.
+struct Run {
+    controller: Controller,
+    millis: u64,
+    writes: bool,
+    plan: Option<ZonePlan>,
+    sent: Vec<(EndpointId, Order)>,
+}
+
+impl Run {
+    fn new(checks: bool, plan: Option<ZonePlan>) -> Self {
+        let manifest = json!({
+            "deployment": "test",
+            "objective": {"attainment": 1.0, "moves": 1.0},
+            "store": {"rate": 50.0, "concurrent": 4},
+            "adapter_loads": 4,
+            "zones": ["a"],
+            "services": {"llm": {"kind": "engine", "memory": 100, "slots": 8, "checks_fence": checks}},
+            "models": {"m": {"service": "llm", "version": "1", "size": 60}},
+        });
+        let manifest = Manifest::from_json(&manifest.to_string()).unwrap();
+        let record = ConfigRecord::first(manifest, WriteId(1)).unwrap();
+        let mut controller = Controller::new("i1".parse().unwrap(), "a".parse().unwrap());
+        controller.set_config(Arc::new(record));
+        let mut listing = ZoneListing::default();
+        for id in ["e0", "e1"] {
+            let listed =
+                ListedEndpoint { service: "llm".parse().unwrap(), addr: String::new(), leaving: false };
+            listing.endpoints.insert(id.parse().unwrap(), listed);
+        }
+        controller.set_listing(listing);
+        Self { controller, millis: 1_000, writes: true, plan, sent: Vec::new() }
+    }
+
+    fn tick(&self) -> Tick {
+        let now = Time::ZERO + Duration::from_millis(self.millis);
+        Tick { now, wall_ms: self.millis, seed: self.millis }
+    }
+
+    /// Steps every 100 ms; each engine given answers with its state each time.
+    fn run(&mut self, millis: u64, states: &[(&str, EngineState)]) {
+        for _ in 0..millis / 100 {
+            self.millis += 100;
+            let tick = self.tick();
+            for (id, state) in states {
+                let asked = (tick.now, tick.wall_ms);
+                self.controller.on_state(&tick, &id.parse().unwrap(), asked, Some(state));
+            }
+            for command in self.controller.step(&tick) {
+                self.answer(&tick, command);
+            }
+        }
+    }
+
+    fn answer(&mut self, tick: &Tick, command: Command) {
+        match command {
+            Command::Lease(step) => {
+                let event = match step {
+                    LeaseStep::Read => LeaseEvent::Read(None),
+                    LeaseStep::Grant => LeaseEvent::Granted(1),
+                    LeaseStep::Create { .. } => LeaseEvent::Created(TERM),
+                    LeaseStep::KeepAlive(_) => LeaseEvent::Kept(true),
+                    LeaseStep::Revoke(_) | LeaseStep::Wait => LeaseEvent::Revoked,
+                };
+                self.controller.on_lease(tick.now, event);
+            }
+            Command::Plan(tag, PlanStep::Read) => {
+                let found = self.plan.clone().map(|plan| (Box::new(plan), 1));
+                self.controller.on_plan(tick, tag, PlanEvent::Read(found));
+            }
+            Command::Plan(tag, PlanStep::Write { plan, .. }) => {
+                self.plan = Some(*plan);
+                if self.writes {
+                    self.controller.on_plan(tick, tag, PlanEvent::Written(tick.now.millis()));
+                }
+            }
+            Command::Send { endpoint, order, .. } => self.sent.push((endpoint, order)),
+            Command::Plan(_, PlanStep::Wait) | Command::ReadZone(_) | Command::Note(_) => {}
+        }
+    }
+
+    /// Counts the loads that were ordered; an order that gets no reply is sent again.
+    fn loads(&self) -> usize {
+        let loads = self.sent.iter().filter(|(_, order)| matches!(order.action, Action::Load { .. }));
+        loads.map(|(_, order)| order.id).collect::<BTreeSet<_>>().len()
+    }
+}
+
+fn resident() -> Resident {
+    Resident { model: "m".parse().unwrap(), version: "1".parse().unwrap(), size: Bytes(60) }
+}
+
+fn state(fence: u64, resident: Vec<Resident>) -> EngineState {
+    EngineState {
+        incarnation: Incarnation(1),
+        fence: Fence(fence),
+        memory: Bytes(100),
+        resident,
+        loading: Vec::new(),
+        running: 0,
+        queued: 0,
+        role: Role::Mixed,
+        results: Vec::new(),
+    }
+}
+
+/// A plan of the leader before, with what `e0` holds and an order that may still reach it.
+fn plan(resident: Vec<Resident>, open: bool) -> ZonePlan {
+    let action = Action::Load {
+        model: "m".parse().unwrap(),
+        version: "1".parse().unwrap(),
+        size: Bytes(60),
+        base: None,
+    };
+    let order = Order { id: OrderId(9), fence: Fence::first(7).next(), expires_ms: 4_000, action };
+    let orders = if open { vec![PlannedOrder { order, settled: false }] } else { Vec::new() };
+    let endpoint = EndpointPlan {
+        id: "e0".parse().unwrap(),
+        service: "llm".parse().unwrap(),
+        addr: String::new(),
+        incarnation: Incarnation(1),
+        resident,
+        orders,
+    };
+    ZonePlan {
+        fence: Fence::first(7),
+        version: Version(3),
+        write_id: WriteId(5),
+        manifest_version: Version(1),
+        held: Vec::new(),
+        endpoints: vec![endpoint],
+    }
+}
+
+/// Guards against an order that a successor can't know of, since its plan was never written.
+#[test]
+fn order_waits_for_its_plan() {
+    let mut run = Run::new(true, None);
+    let empty = [("e0", state(0, Vec::new())), ("e1", state(0, Vec::new()))];
+    run.run(500, &empty);
+    run.writes = false;
+    run.run(1_500, &empty);
+    let listed: usize = run.plan.iter().flat_map(|plan| &plan.endpoints).map(|e| e.orders.len()).sum();
+    assert_eq!(listed, 1, "{:?}", run.plan);
+    assert_eq!(run.sent.len(), 0);
+}
+
+/// Guards against a successor that plans beside an order of the leader before it: on an engine that checks, a higher
+/// number comes first, and nothing else until the state shows it.
+#[test]
+fn successor_raises_the_number_before_it_trusts_a_state() {
+    let mut run = Run::new(true, Some(plan(Vec::new(), true)));
+    run.run(2_000, &[("e0", state(0, Vec::new())), ("e1", state(0, Vec::new()))]);
+    assert!(
+        run.sent.iter().all(|(endpoint, order)| endpoint.as_str() == "e0" && order.action == Action::Noop)
+    );
+    let (_, noop) = run.sent.last().unwrap().clone();
+    assert!(noop.fence > Fence::first(TERM));
+    run.run(1_000, &[("e0", state(noop.fence.0, Vec::new())), ("e1", state(0, Vec::new()))]);
+    assert_eq!(run.loads(), 1);
+}
+
+/// Guards against the same on an engine that ignores numbers, where only time settles an order.
+#[test]
+fn successor_waits_where_numbers_are_ignored() {
+    let mut run = Run::new(false, Some(plan(Vec::new(), true)));
+    let empty = [("e0", state(0, Vec::new())), ("e1", state(0, Vec::new()))];
+    run.run(6_900, &empty);
+    assert_eq!(run.sent.len(), 0, "the order can arrive until 8 s");
+    run.run(2_000, &empty);
+    assert_eq!(run.loads(), 1);
+}
+
+/// Guards against a load after a leader change because the engine that holds the model has not answered yet.
+#[test]
+fn copy_on_an_unheard_engine_counts_at_first() {
+    let mut run = Run::new(true, Some(plan(vec![resident()], false)));
+    run.run(9_000, &[("e1", state(0, Vec::new()))]);
+    assert_eq!(run.sent.len(), 0);
+    run.run(4_000, &[("e1", state(0, Vec::new()))]);
+    assert_eq!(run.loads(), 1, "an engine that stays silent is down");
+}
+
+/// Guards against a leader with an old manifest that undoes what other zones rely on.
+#[test]
+fn older_manifest_than_the_plans_changes_nothing() {
+    let mut newer = plan(Vec::new(), false);
+    newer.manifest_version = Version(2);
+    let mut run = Run::new(true, Some(newer));
+    run.run(5_000, &[("e0", state(0, Vec::new())), ("e1", state(0, Vec::new()))]);
+    assert_eq!(run.sent.len(), 0);
+    assert_eq!(
+        run.plan.map(|plan| (plan.fence, plan.manifest_version)),
+        Some((Fence::first(TERM), Version(2)))
+    );
+}
