entry: refusals to a forwarding entry bear its attempt id

Cause: the entry that forwards a request accepts an answer only with its own attempt's id, and refusals did not carry it. Ruled out: trusting refusals without the id, since a mixed-up answer could then pass as proof. Change: one layer repeats the id on every answer and refusal. Before: the new test fails in both cases (answer_lost; run: unknown).

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -59,10 +59,6 @@
     for name in [ATTEMPT, LOAD, INCARNATION, REQUEST] {
         headers.remove(name);
     }
-    // An entry that forwarded the request accepts the answer only with its own attempt's id.
-    if let Some(attempt) = inbound.headers.get(ATTEMPT) {
-        headers.insert(ATTEMPT, attempt.clone());
-    }
     if let Ok(request) = HeaderValue::from_str(&inbound.request.to_string()) {
         headers.insert(REQUEST, request);
     }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -5,6 +5,8 @@
 use axum::extract::Path;
 use axum::extract::Request;
 use axum::extract::State;
+use axum::middleware;
+use axum::middleware::Next;
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::any;
@@ -24,6 +26,7 @@
 use crate::health;
 use crate::inbound::Inbound;
 use crate::inbound::read_body;
+use crate::names::ATTEMPT;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::serving::Serving;
@@ -40,9 +43,22 @@
         .route("/readyz", get(health::ready))
         .fallback(unknown_path)
         .method_not_allowed_fallback(wrong_method)
+        .layer(middleware::from_fn(bear_attempt))
         .with_state(serving)
 }
 
+/// Repeats the attempt id of an entry that forwarded the request, on refusals too.
+///
+/// Without it the other entry could not trust a refusal which says that the request did not run.
+async fn bear_attempt(request: Request, next: Next) -> Response {
+    let attempt = request.headers().get(ATTEMPT).cloned();
+    let mut response = next.run(request).await;
+    if let Some(attempt) = attempt {
+        response.headers_mut().insert(ATTEMPT, attempt);
+    }
+    response
+}
+
 async fn chat(State(serving): State<Arc<Serving>>, request: Request) -> Response {
     let (parts, body) = request.into_parts();
     serve(&serving, parts.headers, body, move |id, manifest, headers, body, deadline| {
--- a/crates/entry/tests/behaviour/failures.rs
+++ b/crates/entry/tests/behaviour/failures.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use test_case::test_case;
 
 use crate::support::MODEL;
 use crate::support::Zone;
@@ -155,3 +156,21 @@
         .map(|value| value["choices"][0]["delta"]["content"].as_str().unwrap_or_default().to_owned())
         .collect()
 }
+
+/// Guards against a refusal of another zone's entry being taken for an answer that was lost: the request did not
+/// run there, so it may run elsewhere, and the caller must learn that it did not run.
+#[test_case("/services/desk/payments/x" ; "single run")]
+#[test_case("/services/desk/hours" ; "repeatable")]
+#[tokio::test]
+async fn refusal_of_another_zone_proves_that_nothing_ran(path: &str) {
+    let zone = Zone::spawn(1, 1).await;
+    // The zone that holds the service is announced with an entry that has no endpoints, so it refuses.
+    let far = zone.entry_in("c", "far", "").await;
+    let mut view = entry_view("a", far.callers(), 2);
+    view.endpoints = zone.view("a").endpoints;
+    zone.planner.update(|state| state.merge_view(view));
+    let near = zone.entry_in("b", "near", "").await;
+    let answer = call(near.callers(), Method::POST, path, &[], "42 EUR").await;
+    assert_eq!(answer.json()["error"]["run"], "no", "{}", answer.text());
+    assert_eq!(answer.code(), "unavailable");
+}
