--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -45,12 +45,6 @@
     /// Load relative to the mean up to which an endpoint keeps its prefixes
     #[bpaf(argument("FACTOR"), fallback(Policy::default().bound))]
     bound: f64,
-    /// Load as a fraction of the slots up to which an endpoint keeps its prefixes
-    #[bpaf(argument("FRACTION"), fallback(Policy::default().spare))]
-    spare: f64,
-    /// Requests sent to an endpoint beyond its slots, as a fraction of the slots
-    #[bpaf(argument("FRACTION"), fallback(Policy::default().overcommit))]
-    overcommit: f64,
 }
 
 fn main() -> anyhow::Result<()> {
@@ -107,12 +101,7 @@
 }
 
 fn policies(options: &Options) -> Vec<(&'static str, Policy)> {
-    let policy = Policy {
-        bound: options.bound,
-        spare: options.spare,
-        overcommit: options.overcommit,
-        ..Policy::default()
-    };
+    let policy = Policy { bound: options.bound, ..Policy::default() };
     let all = vec![
         ("carobwick", policy),
         ("least-outstanding", Policy::baseline(RoutingRule::LeastOutstanding)),
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -16,10 +16,6 @@
     pub admission: bool,
     /// Load relative to the mean up to which an endpoint keeps its prefixes.
     pub bound: f64,
-    /// Load, as a fraction of the slots, up to which an endpoint keeps its prefixes however idle the others are.
-    pub spare: f64,
-    /// Requests that an entry sends to an endpoint beyond its slots, as a fraction of the slots.
-    pub overcommit: f64,
     /// Retries as a fraction of requests.
     pub retries: f64,
     /// Most requests that wait in one entry.
@@ -47,8 +43,6 @@
             routing: RoutingRule::Affinity,
             admission: true,
             bound: 1.25,
-            spare: 0.0,
-            overcommit: 0.0,
             retries: 0.1,
             queue: 1_024,
             queue_tokens: 1_000_000,
@@ -62,11 +56,6 @@
     pub fn baseline(routing: RoutingRule) -> Self {
         Self { routing, admission: false, ..Self::default() }
     }
-
-    /// Returns the requests that an endpoint may have at once.
-    pub(crate) fn limit(&self, slots: f64) -> f64 {
-        slots * (1.0 + self.overcommit)
-    }
 }
 
 /// Hashes the part of a prompt that decides the affinity of a request: its first 4 KiB and the model.
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -45,10 +45,8 @@
 fn by_affinity(policy: &Policy, candidates: &[Candidate], left: f64) -> Option<Candidate> {
     let mean = candidates.iter().map(|candidate| candidate.load).sum::<f64>() / candidates.len() as f64;
     let bounded = mean * policy.bound + 1.0;
-    let open = candidates.iter().filter(|candidate| candidate.load + 1.0 <= policy.limit(candidate.slots));
-    let near = open.clone().filter(|candidate| {
-        candidate.load <= bounded.max(policy.spare * candidate.slots) && candidate.first <= left
-    });
+    let open = candidates.iter().filter(|candidate| candidate.load + 1.0 <= candidate.slots);
+    let near = open.clone().filter(|candidate| candidate.load <= bounded && candidate.first <= left);
     let home = near.max_by_key(|candidate| candidate.weight);
     home.or_else(|| open.min_by(|a, b| a.first.total_cmp(&b.first))).copied()
 }
