--- a/crates/proof/src/planner_run/planner.rs
+++ b/crates/proof/src/planner_run/planner.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use carobwick_core::ConfigRecord;
@@ -20,6 +21,7 @@
     /// Counts the runs of the process; replies to an earlier one are lost.
     pub run: u64,
     pub frozen_until: u64,
+    pub resigned_until: u64,
     /// Speed of the monotonic clock.
     pub rate: f64,
     /// Error of the wall clock in milliseconds.
@@ -27,6 +29,8 @@
     pub config: Arc<ConfigRecord>,
     pub drains: DrainSet,
     pub polls: BTreeMap<EndpointId, u64>,
+    /// Engines whose last poll was lost.
+    pub lost: BTreeSet<EndpointId>,
     pub listed: u64,
 }
 
