--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -5,10 +5,12 @@
 use carobwick_core::Manifest;
 use carobwick_core::ModelId;
 use carobwick_core::ZoneId;
+use carobwick_core::home_zone;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::Hardware;
+use crate::PlacementRule;
 
 /// A deployment of the size of a current one, with a fixed placement.
 #[derive(Debug, Clone)]
@@ -19,6 +21,8 @@
     pub manifest: Arc<Manifest>,
     /// Endpoints with their zone and the models and adapters on them.
     pub endpoints: Vec<(EndpointId, ZoneId, Vec<ModelId>)>,
+    /// How they came there.
+    pub rule: PlacementRule,
     /// Entries of each zone.
     pub entries: usize,
     /// Speed of its endpoints.
@@ -86,8 +90,8 @@
     /// # Errors
     ///
     /// Fails if a manifest is not valid.
-    pub fn all() -> anyhow::Result<Vec<Self>> {
-        [GIETIJZERHUIS, QALAM].iter().map(Self::build).collect()
+    pub fn all(rule: PlacementRule) -> anyhow::Result<Vec<Self>> {
+        [GIETIJZERHUIS, QALAM].iter().map(|size| Self::build(size, rule)).collect()
     }
 
     /// Returns the requests per second that fill all slots.
@@ -97,7 +101,7 @@
         self.endpoints.len() as f64 * slots / (tokens * gap + self.hardware.fixed)
     }
 
-    fn build(size: &Size) -> anyhow::Result<Self> {
+    fn build(size: &Size, rule: PlacementRule) -> anyhow::Result<Self> {
         let models: Vec<ModelId> = (0..size.models)
             .map(|index| format!("model-{index:02}").parse().context("model id"))
             .collect::<anyhow::Result<_>>()?;
@@ -107,7 +111,7 @@
                 Ok((format!("{base}:{index:03}").parse()?, base.clone()))
             })
             .collect::<anyhow::Result<_>>()?;
-        let manifest = manifest(size, &models, &adapters);
+        let manifest = Manifest::from_json(&manifest(size, &models, &adapters).to_string())?;
         let weights: Vec<f64> = (1..=models.len()).map(|rank| 1.0 / (rank as f64).powf(0.8)).collect();
         let total: f64 = weights.iter().sum();
         let popularity: Vec<(ModelId, f64)> =
@@ -115,7 +119,12 @@
         let mut endpoints: Vec<(EndpointId, ZoneId, Vec<ModelId>)> = (0..size.replicas)
             .map(|index| Ok((format!("llm-{index:02}").parse()?, size.zones[index % 3].parse()?, Vec::new())))
             .collect::<anyhow::Result<_>>()?;
-        place(&mut endpoints, &popularity, size.copies);
+        match rule {
+            PlacementRule::Spread => place(&mut endpoints, &popularity, size.copies),
+            PlacementRule::Once | PlacementRule::Leaders => {
+                place_once(&mut endpoints, &popularity, &manifest);
+            }
+        }
         for (id, base) in &adapters {
             for (.., resident) in endpoints.iter_mut().filter(|(.., resident)| resident.contains(base)) {
                 resident.push(id.clone());
@@ -123,7 +132,8 @@
         }
         Ok(Self {
             name: size.name,
-            manifest: Arc::new(Manifest::from_json(&manifest.to_string())?),
+            manifest: Arc::new(manifest),
+            rule,
             endpoints,
             entries: size.entries,
             hardware: HARDWARE,
@@ -160,6 +170,22 @@
     }
 }
 
+/// Gives each model one copy in its home zone, on the endpoint with the least work.
+fn place_once(
+    endpoints: &mut [(EndpointId, ZoneId, Vec<ModelId>)],
+    popularity: &[(ModelId, f64)],
+    manifest: &Manifest,
+) {
+    let mut work = vec![0.0_f64; endpoints.len()];
+    for (id, share) in popularity {
+        let home = home_zone(manifest, id);
+        let own = (0..endpoints.len()).filter(|index| Some(&endpoints[*index].1) == home);
+        let Some(endpoint) = own.min_by(|a, b| work[*a].total_cmp(&work[*b])) else { continue };
+        work[endpoint] += share;
+        endpoints[endpoint].2.push(id.clone());
+    }
+}
+
 fn manifest(size: &Size, models: &[ModelId], adapters: &[(ModelId, ModelId)]) -> Value {
     let model = |id: &ModelId| (id.to_string(), json!({"service": "llm", "version": "1", "size": 10_000}));
     let adapter = |(id, base): &(ModelId, ModelId)| {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod engine;
 mod flow;
+mod placing;
 mod plot;
 mod prefix_cache;
 mod score;
@@ -20,6 +21,8 @@
 pub use engine::Hardware;
 pub use engine::Job;
 pub use engine::Output;
+pub use placing::Moves;
+pub use placing::PlacementRule;
 pub use plot::plot;
 pub use prefix_cache::PrefixCache;
 pub use score::Score;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 use bpaf::Bpaf;
 use carobwick_bench::Deployment;
 use carobwick_bench::HEADER;
+use carobwick_bench::PlacementRule;
 use carobwick_bench::Score;
 use carobwick_bench::Shape;
 use carobwick_bench::Spread;
@@ -33,6 +34,9 @@
     /// Policy to run: carobwick, least-outstanding or round-robin; all if left out
     #[bpaf(argument("NAME"))]
     policy: Option<String>,
+    /// Placement: spread, once or leaders
+    #[bpaf(argument("RULE"), fallback(PlacementRule::Spread))]
+    placement: PlacementRule,
     /// Number of seeds
     #[bpaf(argument("COUNT"), fallback(5))]
     seeds: u64,
@@ -55,7 +59,7 @@
     }
     println!("{HEADER}");
     let mut sweeps = Vec::new();
-    for deployment in Deployment::all()? {
+    for deployment in Deployment::all(options.placement)? {
         if options.deployment.as_ref().is_some_and(|name| name != deployment.name) {
             continue;
         }
--- /dev/null
+++ b/crates/bench/src/placing.rs
@@ -0,0 +1,205 @@
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use carobwick_core::Action;
+use carobwick_core::Availability;
+use carobwick_core::Bytes;
+use carobwick_core::Demand;
+use carobwick_core::EndpointId;
+use carobwick_core::EngineStanding;
+use carobwick_core::EngineState;
+use carobwick_core::Fence;
+use carobwick_core::Ledger;
+use carobwick_core::Manifest;
+use carobwick_core::ModelId;
+use carobwick_core::Pacing;
+use carobwick_core::Resident;
+use carobwick_core::Role;
+use carobwick_core::Scene;
+use carobwick_core::Time;
+use carobwick_core::ZoneId;
+use carobwick_core::adapter_loads;
+use carobwick_core::place;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::Engine;
+
+/// Time to load a model at the weight store's full speed.
+const MODEL_LOAD: Duration = Duration::from_secs(4);
+
+/// Where models are resident.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlacementRule {
+    /// As many copies as fit, spread by popularity, and never moved.
+    Spread,
+    /// One copy of each model in its home zone, never moved.
+    Once,
+    /// One copy of each model at the start, then as the zone leaders decide.
+    Leaders,
+}
+
+/// Moves by kind.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Moves {
+    /// Loads of models.
+    pub models: u64,
+    /// Loads of adapters.
+    pub adapters: u64,
+    /// Unloads of either.
+    pub unloads: u64,
+}
+
+/// Endpoint with its zone and what is resident.
+pub(crate) type Holding = (EndpointId, ZoneId, Vec<ModelId>);
+
+/// Placement decisions of one zone's leader.
+#[derive(Debug)]
+pub(crate) struct ZonePlacing {
+    zone: ZoneId,
+    pub demand: Demand,
+    pacing: Pacing,
+    /// Loads of models under way.
+    loading: Vec<(Time, EndpointId, ModelId)>,
+}
+
+impl ZonePlacing {
+    pub fn new(manifest: &Manifest, zone: &ZoneId) -> Self {
+        let pacing = Pacing::new(manifest, Time::ZERO);
+        Self { zone: zone.clone(), demand: Demand::default(), pacing, loading: Vec::new() }
+    }
+
+    /// Ends loads that are due, decides, and starts the moves.
+    pub fn step(
+        &mut self,
+        manifest: &Manifest,
+        holdings: &mut [Holding],
+        engines: &[Engine],
+        now: Time,
+    ) -> Moves {
+        for (_, endpoint, model) in self.loading.extract_if(.., |(at, ..)| *at <= now) {
+            resident_on(holdings, &endpoint).push(model);
+        }
+        let (ledger, standings) = self.books(manifest, holdings, engines, now);
+        let mut held: IndexMap<ZoneId, IndexSet<ModelId>> = IndexMap::new();
+        for (_, zone, resident) in holdings.iter().filter(|(_, zone, _)| *zone != self.zone) {
+            held.entry(zone.clone()).or_default().extend(resident.iter().cloned());
+        }
+        let running = self.loading.len() as u32;
+        let allowed = self.pacing.allows(manifest, &self.zone, now, now.millis(), running);
+        let scene = Scene {
+            zone: &self.zone,
+            manifest,
+            ledger: &ledger,
+            engines: &standings,
+            demand: &self.demand,
+            held: &held,
+            kept: &IndexMap::new(),
+            model_loads: u32::from(allowed),
+            adapter_loads: adapter_loads(manifest),
+            now,
+        };
+        let mut moves = Moves::default();
+        for order in place(&scene).moves {
+            match order.action {
+                Action::Load { model, base: None, .. } => {
+                    moves.models += 1;
+                    self.pacing.count(manifest, now);
+                    self.loading.push((now + MODEL_LOAD, order.endpoint, model));
+                }
+                Action::Load { model, .. } => {
+                    moves.adapters += 1;
+                    resident_on(holdings, &order.endpoint).push(model);
+                }
+                Action::Unload { model, .. } => {
+                    moves.unloads += 1;
+                    resident_on(holdings, &order.endpoint).retain(|other| *other != model);
+                }
+                Action::Role { .. } | Action::Noop => {}
+            }
+        }
+        moves
+    }
+
+    fn books(
+        &self,
+        manifest: &Manifest,
+        holdings: &[Holding],
+        engines: &[Engine],
+        now: Time,
+    ) -> (Ledger, IndexMap<EndpointId, EngineStanding>) {
+        let (mut ledger, mut standings) = (Ledger::default(), IndexMap::new());
+        let own = holdings.iter().zip(engines).filter(|((_, zone, _), _)| *zone == self.zone);
+        for ((id, _, resident), engine) in own {
+            let service = manifest.models[0].service.clone();
+            let memory = manifest.services[&service].memory;
+            let loading: Vec<Resident> = self
+                .loading
+                .iter()
+                .filter(|(_, endpoint, _)| endpoint == id)
+                .map(|(.., model)| resident_of(manifest, model))
+                .collect();
+            let takes_orders = engine.is_up() && loading.is_empty();
+            let state = EngineState {
+                incarnation: engine.incarnation(),
+                fence: Fence(1),
+                memory,
+                resident: resident.iter().map(|model| resident_of(manifest, model)).collect(),
+                loading,
+                running: engine.load().running,
+                queued: engine.load().queued,
+                role: Role::Mixed,
+                results: Vec::new(),
+            };
+            ledger.open(id, memory, true).observe(&state, now, now.millis());
+            let availability = if engine.is_up() { Availability::Ready } else { Availability::Down };
+            standings.insert(id.clone(), EngineStanding { service, availability, fresh: true, takes_orders });
+        }
+        (ledger, standings)
+    }
+}
+
+/// Returns what a manifest says of a model or adapter that is resident.
+pub(crate) fn resident_of(manifest: &Manifest, id: &ModelId) -> Resident {
+    let model = manifest.models.get(id).map(|spec| (spec.version.clone(), spec.size));
+    let adapter = manifest.adapters.get(id).map(|spec| (spec.version.clone(), spec.size));
+    let (version, size) = model.or(adapter).unwrap_or_else(|| panic!("`{id}` is placed but not declared"));
+    Resident { model: id.clone(), version, size: Bytes(size.0) }
+}
+
+fn resident_on<'a>(holdings: &'a mut [Holding], endpoint: &EndpointId) -> &'a mut Vec<ModelId> {
+    let found = holdings.iter_mut().find(|(id, ..)| id == endpoint);
+    &mut found.unwrap_or_else(|| panic!("`{endpoint}` is no endpoint of the deployment")).2
+}
+
+impl std::ops::AddAssign for Moves {
+    fn add_assign(&mut self, rhs: Self) {
+        self.models += rhs.models;
+        self.adapters += rhs.adapters;
+        self.unloads += rhs.unloads;
+    }
+}
+
+impl fmt::Display for PlacementRule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Spread => "spread",
+            Self::Once => "once",
+            Self::Leaders => "leaders",
+        })
+    }
+}
+
+impl FromStr for PlacementRule {
+    type Err = anyhow::Error;
+
+    fn from_str(text: &str) -> anyhow::Result<Self> {
+        match text {
+            "spread" => Ok(Self::Spread),
+            "once" => Ok(Self::Once),
+            "leaders" => Ok(Self::Leaders),
+            _ => Err(anyhow::anyhow!("`{text}` is none of spread, once, leaders")),
+        }
+    }
+}
--- a/crates/bench/src/score.rs
+++ b/crates/bench/src/score.rs
@@ -1,5 +1,7 @@
 use hdrhistogram::Histogram;
 
+use crate::Moves;
+
 /// What one run of a policy gave.
 #[derive(Debug, Clone)]
 pub struct Score {
@@ -11,6 +13,8 @@
     pub refused: u64,
     /// Requests that were lost or ended with an error.
     pub failed: u64,
+    /// Moves of the whole run.
+    pub moves: Moves,
     /// Seconds that were counted.
     pub seconds: f64,
     /// Accelerators in use.
@@ -42,6 +46,7 @@
             attained: 0,
             refused: 0,
             failed: 0,
+            moves: Moves::default(),
             seconds,
             accelerators,
             first: histogram(),
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -6,20 +6,14 @@
 use carobwick_core::AttemptOutcome;
 use carobwick_core::Decision;
 use carobwick_core::Dispatcher;
-use carobwick_core::DrainSet;
 use carobwick_core::EndpointId;
-use carobwick_core::EndpointState;
-use carobwick_core::EndpointView;
-use carobwick_core::Fence;
-use carobwick_core::InstanceView;
+use carobwick_core::ModelDemand;
 use carobwick_core::ModelId;
 use carobwick_core::Policy;
 use carobwick_core::RequestId;
-use carobwick_core::Resident;
 use carobwick_core::SuspectSet;
 use carobwick_core::Time;
 use carobwick_core::Tokens;
-use carobwick_core::Version;
 use carobwick_core::ZoneId;
 use carobwick_core::ZoneView;
 use indexmap::IndexMap;
@@ -30,15 +24,21 @@
 use crate::Deployment;
 use crate::Engine;
 use crate::Output;
+use crate::PlacementRule;
 use crate::Score;
 use crate::Shape;
 use crate::flow::Flow;
+use crate::placing::ZonePlacing;
 use crate::shape::WARM_UP;
 
+mod publish;
+
 /// One-way latency.
 const HOP: Duration = Duration::from_millis(1);
 /// Interval of the views; each shows the state one interval ago.
 const VIEW: Duration = Duration::from_secs(1);
+/// Interval of the demand reports.
+const REPORT: Duration = Duration::from_secs(2);
 /// Time from a restart until the models are loaded again.
 const RELOAD: Duration = Duration::from_secs(5);
 
@@ -54,6 +54,8 @@
     flows: Vec<Flow>,
     lagged: IndexMap<ZoneId, Arc<ZoneView>>,
     suspects: SuspectSet,
+    /// Leaders of the zones, if the placement changes.
+    leaders: Vec<ZonePlacing>,
     score: Score,
 }
 
@@ -64,6 +66,7 @@
     up: bool,
     dispatcher: Dispatcher,
     poll: Option<Time>,
+    demand: IndexMap<ModelId, ModelDemand>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -74,6 +77,7 @@
     Engine(usize),
     Poll(usize),
     View,
+    Report,
     Crash(usize),
     Restart(usize),
     Zone(usize, bool),
@@ -117,6 +121,7 @@
                 up: true,
                 dispatcher: Dispatcher::new(policy.clone()),
                 poll: None,
+                demand: IndexMap::new(),
             })
             .collect();
         let engine = |(.., resident): &(EndpointId, ZoneId, Vec<ModelId>)| {
@@ -129,6 +134,8 @@
             let origin = zone + zones.len() * rng.random_range(0..deployment.entries);
             Flow::new(arrival, origin)
         };
+        let leaders = zones.iter().map(|zone| ZonePlacing::new(&deployment.manifest, zone));
+        let leaders = leaders.filter(|_| deployment.rule == PlacementRule::Leaders).collect();
         let mut world = Self {
             now: Time::ZERO,
             events: BinaryHeap::new(),
@@ -138,6 +145,7 @@
             flows: arrivals.into_iter().map(flow).collect(),
             lagged: IndexMap::new(),
             suspects: SuspectSet::default(),
+            leaders,
             score: Score::new((seconds - WARM_UP) as f64, deployment.endpoints.len() as u32),
             deployment: deployment.clone(),
         };
@@ -145,6 +153,7 @@
             world.at(world.flows[index].arrival.at, Event::Arrive(index));
         }
         world.after(VIEW, Event::View);
+        world.after(REPORT, Event::Report);
         if shape == Shape::Faults {
             let second = |second| Time::ZERO + Duration::from_secs(second);
             world.at(second(20), Event::Crash(0));
@@ -172,9 +181,14 @@
             Event::Engine(engine) => self.advance(engine),
             Event::Poll(entry) => self.poll(entry),
             Event::View => {
+                self.place();
                 self.publish();
                 self.after(VIEW, Event::View);
             }
+            Event::Report => {
+                self.report();
+                self.after(REPORT, Event::Report);
+            }
             Event::Crash(engine) => self.crash(engine),
             Event::Restart(engine) => {
                 self.engines[engine].restart();
@@ -196,6 +210,7 @@
             };
             self.flows[index].origin = other;
         }
+        self.demand(index).arrivals += 1;
         let ask = self.flows[index].ask(index, false);
         let entry = self.flows[index].origin;
         let decision = self.entries[entry].dispatcher.admit(ask, self.now);
@@ -339,6 +354,10 @@
     }
 
     fn end(&mut self, index: usize, refused: bool, complete: bool) {
+        self.demand(index).refusals += u32::from(refused);
+        if complete {
+            self.demand(index).tokens.0 += self.flows[index].arrival.tokens;
+        }
         let flow = &mut self.flows[index];
         flow.ended = true;
         if flow.arrival.at < Time::ZERO + Duration::from_secs(WARM_UP) {
@@ -410,64 +429,4 @@
             }
         }
     }
-
-    /// Shows every entry the state of one interval ago, and takes the present state for the next time.
-    fn publish(&mut self) {
-        for entry in &mut self.entries {
-            for report in entry.dispatcher.take_reports() {
-                self.suspects.add(report);
-            }
-            entry.dispatcher.set_view(
-                &self.deployment.manifest,
-                &entry.zone,
-                &self.lagged,
-                &DrainSet::default(),
-                &self.suspects,
-            );
-        }
-        let zones = self.deployment.manifest.zones.clone();
-        self.lagged = zones.into_iter().map(|zone| (zone.clone(), Arc::new(self.view(zone)))).collect();
-    }
-
-    fn view(&self, zone: ZoneId) -> ZoneView {
-        let instance = |index: usize, entry: &Entry| {
-            let id = format!("instance-{index}").parse().expect("the id has only allowed characters");
-            (id, InstanceView { entry: entry.addr.clone(), peer: String::new(), live: entry.up })
-        };
-        let own = self.entries.iter().enumerate().filter(|(_, entry)| entry.zone == zone);
-        let instances: IndexMap<_, _> = own.map(|(index, entry)| instance(index, entry)).collect();
-        let endpoints = self.deployment.endpoints.iter().zip(&self.engines);
-        let endpoints =
-            endpoints.filter(|((_, other, _), _)| *other == zone).map(|((id, _, resident), engine)| {
-                let state = if engine.is_up() { EndpointState::Live } else { EndpointState::Down };
-                let resident = resident.iter().map(|model| self.resident(model)).collect();
-                let view = EndpointView {
-                    service: "llm".parse().expect("the id has only allowed characters"),
-                    addr: id.to_string(),
-                    incarnation: engine.incarnation(),
-                    state,
-                    resident,
-                    load: engine.load(),
-                };
-                (id.clone(), view)
-            });
-        ZoneView {
-            fence: Fence::first(1),
-            version: Version(self.now.0),
-            leader: "leader".parse().expect("the id has only allowed characters"),
-            instances,
-            endpoints: endpoints.collect(),
-            blocked: IndexMap::new(),
-            reasons: IndexMap::new(),
-            zone,
-        }
-    }
-
-    fn resident(&self, id: &ModelId) -> Resident {
-        let manifest = &self.deployment.manifest;
-        let model = manifest.models.get(id).map(|spec| (spec.version.clone(), spec.size));
-        let adapter = manifest.adapters.get(id).map(|spec| (spec.version.clone(), spec.size));
-        let (version, size) = model.or(adapter).expect("placed models are declared");
-        Resident { model: id.clone(), version, size }
-    }
 }
--- a/crates/bench/tests/model.rs
+++ b/crates/bench/tests/model.rs
@@ -7,6 +7,7 @@
 use carobwick_bench::Hardware;
 use carobwick_bench::Job;
 use carobwick_bench::Output;
+use carobwick_bench::PlacementRule;
 use carobwick_bench::PrefixCache;
 use carobwick_bench::Shape;
 use carobwick_bench::World;
@@ -76,7 +77,7 @@
 /// Guards against figures that can't be reproduced, and requests that are neither answered nor counted.
 #[test]
 fn equal_seeds_give_equal_scores() {
-    let deployments = Deployment::all().unwrap();
+    let deployments = Deployment::all(PlacementRule::Spread).unwrap();
     for policy in [Policy::default(), Policy::baseline(RoutingRule::RoundRobin)] {
         let score = || World::run(&deployments[0], &policy, Shape::Faults, 40, 3);
         let (first, second) = (score(), score());
