core: test of the fair share under a flood

Nothing showed that the share protects a caller. With 4 requests/s of capacity, one caller sending 40/s and one 1/s for 60 s, the latter gets 59 served and none refused, the former 181. With the comparison against the share off (uncommitted), the latter gets 0 of 60 and the test fails.

--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use carobwick_core::Ask;
 use carobwick_core::AttemptOutcome;
 use carobwick_core::Decision;
 use carobwick_core::DrainTarget;
@@ -193,3 +194,41 @@
     let failures = used.iter().filter(|failed| **failed).count();
     assert_eq!(failures, 3, "two to open the breaker, one probe after 1 s, none within the next 2 s");
 }
+
+/// Guards against a caller that floods a saturated service taking the share of one that stays below its own.
+#[test]
+fn flood_leaves_others_their_share() {
+    let mut deployment = Deployment::new(1);
+    deployment.views.shift_remove(&"b".parse::<ZoneId>().unwrap());
+    let mut dispatcher = deployment.dispatcher(Policy::default());
+    let mut ends: Vec<(u64, RequestId)> = Vec::new();
+    let mut served = [0, 0];
+    let mut refused = [0, 0];
+    // Four slots and 1 s per request; `flood` sends 40 requests/s and `calm` 1.
+    for now in (0..60_000).step_by(5) {
+        let done = ends.extract_if(.., |(end, _)| *end <= now);
+        for (end, request) in done.collect::<Vec<_>>() {
+            complete(&mut dispatcher, request.0, end - 990, end);
+        }
+        let mut decisions = dispatcher.poll(at(now));
+        let arrivals = [(now % 25 == 0, "flood", 0), (now % 1_000 == 500, "calm", 1)];
+        for (_, caller, index) in arrivals.into_iter().filter(|(due, ..)| *due) {
+            let request = now * 10 + index;
+            let new = Ask { caller: caller.parse().unwrap(), ..ask(request) };
+            decisions.push((RequestId(request), dispatcher.admit(new, at(now))));
+        }
+        for (request, decision) in decisions {
+            let caller = usize::from(request.0 % 10 == 1);
+            match decision {
+                Decision::Send { .. } => {
+                    served[caller] += 1;
+                    ends.push((now + 1_000, request));
+                }
+                Decision::Refuse { .. } => refused[caller] += 1,
+                Decision::Wait | Decision::Forward { .. } => {}
+            }
+        }
+    }
+    assert!(refused[1] <= 3, "calm: {} served, {} refused", served[1], refused[1]);
+    assert!(served[0] >= 150, "flood: {} served, {} refused", served[0], refused[0]);
+}
