--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 use bpaf::Bpaf;
 use carobwick_bench::Deployment;
 use carobwick_bench::HEADER;
+use carobwick_bench::PlacementRule;
 use carobwick_bench::Score;
 use carobwick_bench::Shape;
 use carobwick_bench::Spread;
@@ -33,6 +34,9 @@
     /// Policy to run: carobwick, least-outstanding or round-robin; all if left out
     #[bpaf(argument("NAME"))]
     policy: Option<String>,
+    /// Placement: spread, once or leaders
+    #[bpaf(argument("RULE"), fallback(PlacementRule::Spread))]
+    placement: PlacementRule,
     /// Number of seeds
     #[bpaf(argument("COUNT"), fallback(5))]
     seeds: u64,
@@ -45,12 +49,6 @@
     /// Load relative to the mean up to which an endpoint keeps its prefixes
     #[bpaf(argument("FACTOR"), fallback(Policy::default().bound))]
     bound: f64,
-    /// Load as a fraction of the slots up to which an endpoint keeps its prefixes
-    #[bpaf(argument("FRACTION"), fallback(Policy::default().spare))]
-    spare: f64,
-    /// Requests sent to an endpoint beyond its slots, as a fraction of the slots
-    #[bpaf(argument("FRACTION"), fallback(Policy::default().overcommit))]
-    overcommit: f64,
 }
 
 fn main() -> anyhow::Result<()> {
@@ -61,7 +59,7 @@
     }
     println!("{HEADER}");
     let mut sweeps = Vec::new();
-    for deployment in Deployment::all()? {
+    for deployment in Deployment::all(options.placement)? {
         if options.deployment.as_ref().is_some_and(|name| name != deployment.name) {
             continue;
         }
@@ -107,12 +105,7 @@
 }
 
 fn policies(options: &Options) -> Vec<(&'static str, Policy)> {
-    let policy = Policy {
-        bound: options.bound,
-        spare: options.spare,
-        overcommit: options.overcommit,
-        ..Policy::default()
-    };
+    let policy = Policy { bound: options.bound, ..Policy::default() };
     let all = vec![
         ("carobwick", policy),
         ("least-outstanding", Policy::baseline(RoutingRule::LeastOutstanding)),
