Planner: metrics of exchange and operator API, wrong settings named, tests of the program

Each typed setting now has its name in the error. New counters: exchanges, publishes and drains by outcome; gauges of the version in force and the key-value service. The program's tests cover settings, environment variables and the end on SIGTERM.

--- a/crates/planner/src/context.rs
+++ b/crates/planner/src/context.rs
@@ -24,6 +24,7 @@
 use tokio::sync::mpsc;
 
 use crate::Settings;
+use crate::meters::Meters;
 
 const KEY_VALUE_TIMEOUT: Duration = Duration::from_secs(1);
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -45,6 +46,8 @@
     pub timeline: Timeline,
     /// Metrics of this process.
     pub metrics: Metrics,
+    /// Counters of this process.
+    pub(crate) meters: Meters,
     /// Client of the key-value service.
     pub key_value: KeyValue,
     /// Whether the key-value service answered its last call.
@@ -74,15 +77,17 @@
         demand: mpsc::Sender<DemandReport>,
         process: &'static str,
     ) -> anyhow::Result<Self> {
+        let (node, metrics, reachable) = (Node::open(), Metrics::open()?, Arc::default());
         Ok(Self {
+            meters: Meters::open(&metrics, &node, &reachable),
             instance: settings.instance.clone(),
             zone: settings.zone.clone(),
             seeds: settings.seeds.clone().into(),
-            node: Node::open(),
+            node,
             timeline: Timeline::open(settings.instance.clone(), process),
-            metrics: Metrics::open()?,
+            metrics,
             key_value: KeyValue::open(&settings.key_value, KEY_VALUE_TIMEOUT),
-            reachable: Arc::default(),
+            reachable,
             peers: PeerClient::open(PEER_TIMEOUT),
             wake: Arc::default(),
             entry: Arc::default(),
--- a/crates/planner/src/exchange.rs
+++ b/crates/planner/src/exchange.rs
@@ -80,7 +80,9 @@
     }
     let (context, busy) = (context.clone(), Arc::clone(busy));
     tokio::spawn(async move {
-        match context.node.exchange(&context.peers, &addr, &context.instance).await {
+        let learned = context.node.exchange(&context.peers, &addr, &context.instance).await;
+        context.meters.exchange(learned.is_ok());
+        match learned {
             Ok(learned) => context.record(&learned, &addr),
             Err(err) => tracing::debug!("peer: exchange with {addr} failed: {err}"),
         }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -15,6 +15,7 @@
 mod leader;
 mod leader_calls;
 mod leader_metrics;
+mod meters;
 mod operator;
 mod planner;
 mod publishing;
--- a/crates/planner/src/operator.rs
+++ b/crates/planner/src/operator.rs
@@ -80,7 +80,15 @@
 
 async fn run_publish(context: &Context, publish: Publish) -> Response {
     let write_id = publish.write_id();
-    match publishing::run(context, publish).await {
+    let outcome = publishing::run(context, publish).await;
+    context.meters.publish(match outcome {
+        PublishOutcome::Accepted(..) => "accepted",
+        PublishOutcome::Conflict(_) => "conflict",
+        PublishOutcome::Refused(_) => "refused",
+        PublishOutcome::Unavailable => "unavailable",
+        PublishOutcome::Unknown => "unknown",
+    });
+    match outcome {
         PublishOutcome::Accepted(version, _) => Json(PublishReply { version, write_id }).into_response(),
         PublishOutcome::Conflict(version) => {
             let message = format!("version {version} was published by another writer");
@@ -140,6 +148,7 @@
         tracing::warn!("kv: drain of {target} not stored yet: {err}");
         false
     });
+    context.meters.drain(durable);
     Json(DrainReply { target, mark, durable })
 }
 
--- a/crates/planner/src/settings.rs
+++ b/crates/planner/src/settings.rs
@@ -1,4 +1,6 @@
+use std::fmt::Display;
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use anyhow::Context;
 use bpaf::Bpaf;
@@ -13,16 +15,16 @@
 #[bpaf(options, version, generate(options))]
 pub struct Settings {
     /// Name of this instance, as the instance list has it
-    #[bpaf(env("CAROBWICK_INSTANCE"), argument("ID"))]
+    #[bpaf(external(instance))]
     pub instance: InstanceId,
     /// Availability zone of this instance
-    #[bpaf(env("CAROBWICK_ZONE"), argument("ZONE"))]
+    #[bpaf(external(zone))]
     pub zone: ZoneId,
     /// Address to serve peers on
-    #[bpaf(env("CAROBWICK_PEER"), argument("IP:PORT"))]
+    #[bpaf(external(peer))]
     pub peer: SocketAddr,
     /// Address to serve the operator API on
-    #[bpaf(env("CAROBWICK_OPERATORS"), argument("IP:PORT"))]
+    #[bpaf(external(operators))]
     pub operators: SocketAddr,
     /// Address of the key-value service, such as `http://10.0.0.1:2379`
     #[bpaf(env("CAROBWICK_KEY_VALUE"), argument("URL"))]
@@ -73,6 +75,35 @@
     }
 }
 
+fn instance() -> impl Parser<InstanceId> {
+    let flag = bpaf::long("instance").help("Name of this instance, as the instance list has it");
+    named("--instance", flag.env("CAROBWICK_INSTANCE").argument("ID"))
+}
+
+fn zone() -> impl Parser<ZoneId> {
+    let flag = bpaf::long("zone").help("Availability zone of this instance");
+    named("--zone", flag.env("CAROBWICK_ZONE").argument("ZONE"))
+}
+
+fn peer() -> impl Parser<SocketAddr> {
+    let flag = bpaf::long("peer").help("Address to serve peers on");
+    named("--peer", flag.env("CAROBWICK_PEER").argument("IP:PORT"))
+}
+
+fn operators() -> impl Parser<SocketAddr> {
+    let flag = bpaf::long("operators").help("Address to serve the operator API on");
+    named("--operators", flag.env("CAROBWICK_OPERATORS").argument("IP:PORT"))
+}
+
+/// Parses the text of a setting, with its name in the error; by itself the argument parser names only the value.
+fn named<T>(name: &'static str, text: impl Parser<String>) -> impl Parser<T>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    text.parse(move |text| text.parse().map_err(|err| format!("{name}: `{text}`: {err}")))
+}
+
 fn seeds() -> impl Parser<Vec<SocketAddr>> {
     let given = bpaf::long("seeds")
         .help("Peer address of another planner, to start with; can be repeated, or separated by commas")
--- /dev/null
+++ b/crates/planner/tests/settings.rs
@@ -0,0 +1,75 @@
+//! The planner's program: settings that are refused, and its end on a signal.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::process::Command;
+use std::process::Stdio;
+
+use test_case::test_case;
+
+const VALID: [(&str, &str); 6] = [
+    ("--instance", "gent-0"),
+    ("--zone", "fl-gent"),
+    ("--peer", "127.0.0.1:7000"),
+    ("--operators", "127.0.0.1:7001"),
+    ("--key-value", "http://127.0.0.1:1"),
+    ("--instances", "http://127.0.0.1:2"),
+];
+
+/// The program with valid settings, of which one is replaced.
+fn planner(name: &str, value: &str) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_carobwick-planner"));
+    for (known, valid) in VALID.into_iter().filter(|(known, _)| *known != name) {
+        command.arg(known).arg(valid);
+    }
+    if !name.is_empty() {
+        command.arg(name).arg(value);
+    }
+    command
+}
+
+/// Guards against a process that starts with settings which can't work, or refuses them without their name.
+#[test_case("--instance", "a b", "--instance" ; "character that ids don't have")]
+#[test_case("--peer", "localhost:7000", "--peer" ; "name instead of an address")]
+#[test_case("--peer", "127.0.0.1:7001", "--operators" ; "two servers on one address")]
+#[test_case("--key-value", "127.0.0.1:1", "--key-value" ; "address without scheme")]
+#[test_case("--key-value", "http://127.0.0.1:2", "--instances" ; "one address for two services")]
+#[test_case("--seeds", "127.0.0.1:7000", "--seeds" ; "own address as a seed")]
+#[test_case("--seeds", "127.0.0.1:8000,x", "--seeds" ; "seed that is no address")]
+#[test_case("--colour", "red", "--colour" ; "unknown setting")]
+fn wrong_setting_is_refused_by_name(name: &str, value: &str, named: &str) {
+    let output = planner(name, value).arg("--check").output().unwrap();
+    assert!(!output.status.success());
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains(named), "{text}");
+}
+
+/// Guards against environment variables that are not read, or that have precedence over flags.
+#[test]
+fn setting_can_come_from_the_environment() {
+    let check = |seeds: &str, zone: &str| {
+        let mut command = planner("", "");
+        command.env("CAROBWICK_SEEDS", seeds).env("CAROBWICK_ZONE", zone).arg("--check");
+        command.output().unwrap().status.success()
+    };
+    assert!(check("127.0.0.1:8000,127.0.0.1:8001", "not a zone, but the flag has precedence"));
+    assert!(!check("127.0.0.1:8000,x", "a"));
+}
+
+/// Guards against a planner that has to be killed, or that reports failure when it was asked to stop.
+#[test]
+fn terminate_signal_ends_the_process_with_success() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_carobwick-planner"));
+    for (name, valid) in VALID {
+        let bound = name == "--peer" || name == "--operators";
+        command.arg(name).arg(if bound { "127.0.0.1:0" } else { valid });
+    }
+    let mut child = command.env("NO_COLOR", "1").stderr(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    assert!(lines.any(|line| line.unwrap().contains("serves peers on")));
+    let kill = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status().unwrap();
+    assert!(kill.success());
+    let rest: Vec<String> = lines.map(Result::unwrap).collect();
+    assert!(child.wait().unwrap().success(), "{rest:?}");
+    assert!(rest.last().unwrap().contains("planner: stopped"), "{rest:?}");
+}
