--- a/crates/core/src/publish.rs
+++ b/crates/core/src/publish.rs
@@ -14,6 +14,9 @@
 
 /// Failed calls after which a publish gives up; with calls of at most 1 s it then took about 6 s.
 const MAX_FAILURES: u32 = 4;
+/// Largest value in bytes that the key-value service stores. A record spells out values that a manifest leaves out, so
+/// it can be larger than the operator's file.
+const MAX_RECORD: usize = 1_000_000;
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
 /// One publish of a manifest by compare-and-swap, with read-back after a lost reply.
@@ -229,7 +232,15 @@
             None => ConfigRecord::first(manifest, self.write_id),
             Some(base) => base.following(manifest, self.write_id),
         };
-        record.map_err(refuse)
+        let record = record.map_err(refuse)?;
+        let bytes = serde_json::to_vec(&record).map_err(|err| refuse(err.into()))?.len();
+        if bytes > MAX_RECORD {
+            let text = format!(
+                "the manifest takes {bytes} bytes as a record; the key-value service stores {MAX_RECORD}"
+            );
+            return Err(PublishOutcome::Refused(text));
+        }
+        Ok(record)
     }
 }
 
--- a/crates/core/tests/publish.rs
+++ b/crates/core/tests/publish.rs
@@ -211,3 +211,16 @@
     assert_eq!(record.manifest.models[0].size, Bytes(50));
     assert!(record.manifest.models[1].retiring);
 }
+
+/// Guards against a record that the key-value service can't store; it is larger than the operator's file.
+#[test]
+fn manifest_that_is_too_large_as_a_record_is_refused() {
+    let names: Vec<String> = (0..8_000).map(|index| format!("model-{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut publish = Publish::manifest(manifest(&names), OWN, None);
+    let step = next(&mut publish, PublishEvent::Read(None));
+    let PublishStep::Done(PublishOutcome::Refused(reason)) = step else {
+        panic!("accepted");
+    };
+    assert!(reason.contains("bytes as a record"), "{reason}");
+}
