Planner: tests of demand that is passed on and of the metrics

Demand goes to the leader as `Relayed`, which no planner passes on, so that planners with different views can't send a report in circles.

--- a/crates/planner/tests/process.rs
+++ b/crates/planner/tests/process.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use carobwick_core::ConfigRecord;
+use carobwick_core::DemandReport;
 use carobwick_core::DrainReply;
 use carobwick_core::DrainRequest;
 use carobwick_core::DrainTarget;
 use carobwick_core::Explanation;
 use carobwick_core::Manifest;
+use carobwick_core::PeerMessage;
 use carobwick_core::PublishReply;
 use carobwick_core::RollbackRequest;
 use carobwick_core::SharedState;
@@ -19,8 +21,11 @@
 use carobwick_planner::Settings;
 use carobwick_runtime::Error;
 use carobwick_runtime::HttpClient;
+use carobwick_runtime::PeerClient;
+use carobwick_runtime::PeerServer;
 use carobwick_standins::KvFaults;
 use carobwick_standins::KvStandin;
+use serde_json::json;
 use test_case::test_case;
 
 const LOCAL: &str = "127.0.0.1:0";
@@ -161,3 +166,44 @@
     let explanation: Explanation = http.get(&url).await.unwrap();
     assert!(explanation.declared && explanation.home.is_some());
 }
+
+/// Guards against demand that does not reach the zone's leader, or goes round between planners whose views differ.
+#[tokio::test]
+async fn demand_is_passed_on_to_the_leader_once() {
+    let planner = Planner::start(settings("p0", Vec::new())).await.unwrap();
+    let (sender, mut received) = tokio::sync::mpsc::unbounded_channel();
+    let leader = PeerServer::bind(LOCAL.parse().unwrap(), move |message| {
+        if matches!(message, PeerMessage::Demand(_) | PeerMessage::Relayed(_)) {
+            sender.send(message).unwrap();
+        }
+        async { PeerMessage::Ack }
+    });
+    let leader = leader.await.unwrap();
+    let view = json!({
+        "zone": "a", "fence": 1, "version": 1, "leader": "p1", "endpoints": {},
+        "instances": {"p1": {"entry": "", "peer": leader.addr().to_string(), "live": true}},
+    });
+    planner.node().update(|state| state.merge_view(serde_json::from_value(view).unwrap()));
+    let report =
+        |interval_ms| DemandReport { instance: "p0".parse().unwrap(), interval_ms, models: [].into() };
+    let client = PeerClient::open(Duration::from_secs(10));
+    let addr = planner.peer().to_string();
+    client.exchange(&addr, &PeerMessage::Relayed(report(1))).await.unwrap();
+    client.exchange(&addr, &PeerMessage::Demand(report(2))).await.unwrap();
+    assert_eq!(received.recv().await, Some(PeerMessage::Relayed(report(2))));
+    assert!(received.try_recv().is_err(), "a relayed report was passed on");
+}
+
+/// Guards against metrics that are declared but not served.
+#[tokio::test]
+async fn metrics_show_the_version_in_force() {
+    let planner = Planner::start(settings("p0", Vec::new())).await.unwrap();
+    let record = ConfigRecord::first(manifest(), WriteId(1)).unwrap();
+    planner.node().update(|state| state.adopt(record));
+    let http = HttpClient::open(Duration::from_secs(10));
+    let url = format!("http://{}/metrics", planner.operators());
+    let body = http.send(axum::http::Method::GET, &url, axum::body::Bytes::new()).await.unwrap();
+    let text = String::from_utf8(body.to_vec()).unwrap();
+    let value = text.lines().find(|line| line.starts_with("carobwick_manifest_version")).unwrap();
+    assert!(value.ends_with(" 1"), "{value}");
+}
