--- a/crates/proof/src/planner_run.rs
+++ b/crates/proof/src/planner_run.rs
@@ -7,6 +7,7 @@
 mod kv;
 mod planner;
 mod setup;
+mod traffic;
 mod world;
 
 use crate::Report;
