core: requests that wait get their decision in time; wrong answers are no crashes

Cause, found with the load generator: after wrong attempt ids from all engines, streams waited to their deadline with idle engines (6 of 60 timed out), and an idle plain service refused its first requests as overloaded (3 of 300). (1) Two wrong answers counted as two lost connections, so the request was held for 16 s as a suspect; attempts that end with a wrong or incomplete answer of a running endpoint are now told apart. (2) A rerun waited for circuit breakers beyond its target; it is refused at once with the time of the next probe. (3) Requests in the queue had no end; after twice their target they are refused. (4) The service time of a plain service was treated as serial prefill. Ruled out: shorter breaker pauses, which only hide (2).

--- a/crates/core/src/active.rs
+++ b/crates/core/src/active.rs
@@ -18,6 +18,8 @@
     pub due: Time,
     /// Seconds that the manifest gives it until then.
     pub goal: f64,
+    /// Time at which it last began to wait.
+    pub since: Time,
     /// Seconds assumed for its service time until one was measured.
     pub assumed: f64,
     pub phase: Phase,
@@ -61,6 +63,11 @@
         self.ask.prompt.0 / 16 + self.ask.limit.0 + 1
     }
 
+    /// Returns whether it has waited for twice its target, so that its answer would be worth little.
+    pub fn is_overdue(&self, now: Time) -> bool {
+        (now - self.since).as_secs_f64() >= 2.0 * self.goal
+    }
+
     /// Returns the seconds left until its answer must begin.
     pub fn left(&self, now: Time) -> f64 {
         (self.due - now).as_secs_f64()
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -56,7 +56,10 @@
                 return self.start(request, index, now);
             }
             _ if !self.policy.admission => return self.refuse_unavailable(request, None),
-            _ if !is_new => return self.enqueue(request, standing),
+            Route::Blocked(until) if standing == Standing::Clear && until > active.due => {
+                return self.refuse_unavailable(request, Some(until - now));
+            }
+            _ if !is_new => return self.enqueue(request, standing, now),
             Route::Endpoint { first, own, .. } => (first - own, own),
             Route::Blocked(until) => ((until - now).as_secs_f64(), 0.0),
             Route::Full { own } => (self.wait(request, now), own),
@@ -69,7 +72,7 @@
         if over <= 0.0 && self.has_room(request) {
             let share = self.shares.entry(active.pool).or_default();
             share.served(&active.ask.caller, active.cost() as f64, now);
-            return self.enqueue(request, standing);
+            return self.enqueue(request, standing, now);
         }
         match route {
             Route::Blocked(until) => self.refuse_unavailable(request, Some(until - now)),
@@ -77,10 +80,11 @@
         }
     }
 
-    fn enqueue(&mut self, request: RequestId, standing: Standing) -> Decision {
+    fn enqueue(&mut self, request: RequestId, standing: Standing, now: Time) -> Decision {
         let priority = self.priority(request);
         let Some(active) = self.requests.get_mut(&request) else { return Decision::Wait };
         active.phase = Phase::Waiting;
+        active.since = now;
         let group = if standing == Standing::Clear { active.group } else { SUSPECTS };
         let waiting = Waiting { request, group, tokens: active.ask.prompt.0 };
         self.queue.push(waiting, &active.ask.caller, priority, active.cost());
@@ -105,7 +109,7 @@
         Decision::Refuse { code, run, retry_after: after }
     }
 
-    fn refuse_overloaded(&mut self, request: RequestId, over: f64) -> Decision {
+    pub(crate) fn refuse_overloaded(&mut self, request: RequestId, over: f64) -> Decision {
         // Spreads the callers that come back over a quarter of the wait.
         let spread = 1.0 + (request.0 % 256) as f64 / 1024.0;
         let after = (over * spread).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
@@ -116,7 +120,7 @@
     ///
     /// A caller with little use goes before the others, who wait up to twice as long for it. Everyone else counts all
     /// requests that wait, since later ones of other callers can go first. Above its share a caller is refused.
-    fn wait(&mut self, request: RequestId, now: Time) -> f64 {
+    pub(crate) fn wait(&mut self, request: RequestId, now: Time) -> f64 {
         let priority = self.priority(request);
         let active = &self.requests[&request];
         let (group, caller) = (active.group, &active.ask.caller);
--- a/crates/core/src/ask.rs
+++ b/crates/core/src/ask.rs
@@ -129,10 +129,19 @@
     NotRun,
     /// The connection or the endpoint failed; the request may have run.
     Failed,
+    /// The endpoint goes on running but its answer is wrong or incomplete; the request may have run.
+    Invalid,
     /// The caller or the entry gave up.
     Cancelled,
 }
 
+impl AttemptOutcome {
+    /// Returns whether the request may have run without a whole answer.
+    pub fn is_lost(self) -> bool {
+        matches!(self, Self::Failed | Self::Invalid)
+    }
+}
+
 impl RefusalCode {
     /// Returns the code as callers see it.
     pub fn as_str(self) -> &'static str {
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -120,6 +120,7 @@
             pool,
             due: (now + Duration::from_secs_f64(goal)).min(ask.deadline),
             goal,
+            since: now,
             assumed,
             phase: Phase::Waiting,
             attempts: 0,
@@ -142,7 +143,8 @@
             let Some(active) = self.requests.get(&waiting.request) else { continue };
             let group = active.group;
             let standing = self.quarantine.standing(active.ask.fingerprint, now);
-            if standing == Standing::Clear && full.contains(&group) {
+            let overdue = standing == Standing::Clear && active.is_overdue(now);
+            if standing == Standing::Clear && full.contains(&group) && !overdue {
                 continue;
             }
             let decision = match standing {
@@ -154,6 +156,13 @@
                         let forward = self.forward(waiting.request, None, now);
                         forward.unwrap_or_else(|| self.refuse_unavailable(waiting.request, None))
                     }
+                    Route::Blocked(until) if overdue => {
+                        self.refuse_unavailable(waiting.request, Some(until - now))
+                    }
+                    Route::Full { .. } if overdue => {
+                        let wait = self.wait(waiting.request, now);
+                        self.refuse_overloaded(waiting.request, wait)
+                    }
                     Route::Full { .. } | Route::Blocked(_) => {
                         if standing == Standing::Clear {
                             full.push(group);
@@ -217,12 +226,12 @@
             Phase::Waiting => self.queue.remove(request),
             Phase::Ended => {}
             Phase::Forwarded(zone) => {
-                active.ran |= outcome == AttemptOutcome::Failed;
+                active.ran |= outcome.is_lost();
                 let pause = (outcome == AttemptOutcome::NotRun).then_some(FORWARD_PAUSE);
                 self.forward_ended(&zone, group, pause, now);
             }
             Phase::Running(attempt) => {
-                active.ran |= attempt.sent && outcome == AttemptOutcome::Failed;
+                active.ran |= attempt.sent && outcome.is_lost();
                 active.tried.push(attempt.endpoint.clone());
                 self.attempt_ended(&attempt, fingerprint, outcome, load, now);
                 if matches!(outcome, AttemptOutcome::Complete { .. }) {
@@ -241,7 +250,7 @@
         self.next_poll = now;
     }
 
-    /// Decides on the next attempt of a request whose attempt ended with `Failed` or `NotRun`.
+    /// Decides on the next attempt of a request whose attempt ended with `Failed`, `Invalid` or `NotRun`.
     pub fn retry(&mut self, request: RequestId, now: Time) -> Decision {
         self.quarantine.refresh(now);
         let Some(active) = self.requests.get(&request) else {
@@ -335,7 +344,7 @@
                 AttemptOutcome::Complete { .. } => endpoint.breaker.succeeded(),
                 // An endpoint that refused with its load is up.
                 AttemptOutcome::NotRun if load.is_some() => {}
-                AttemptOutcome::NotRun if same_run => endpoint.breaker.failed(now),
+                AttemptOutcome::NotRun | AttemptOutcome::Invalid if same_run => endpoint.breaker.failed(now),
                 AttemptOutcome::Failed => {
                     if same_run {
                         endpoint.breaker.failed(now);
@@ -345,7 +354,7 @@
                         endpoint.lost.push((now, attempt.incarnation, fingerprint));
                     }
                 }
-                AttemptOutcome::NotRun | AttemptOutcome::Cancelled => {}
+                AttemptOutcome::NotRun | AttemptOutcome::Invalid | AttemptOutcome::Cancelled => {}
             }
         }
         if outcome == AttemptOutcome::Failed && attempt.sent {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -190,14 +190,18 @@
         let work = prefill_work(&self.estimates, active, endpoint.prefill.is_warm(active.ask.prefix, now));
         let service = self.estimates.get(&active.group).and_then(Estimate::service).unwrap_or(0.0);
         let queue = (load + 1.0 - slots).max(0.0) * service / slots;
+        let (first, own) = match active.ask.target {
+            RouteTarget::Model(_) => (endpoint.prefill.first(work), endpoint.prefill.alone(work)),
+            RouteTarget::Service(_) => (service, service),
+        };
         Candidate {
             index,
             weight: routing::weight(endpoint.seed, key),
             load,
             outstanding: endpoint.load.own(),
             slots,
-            first: queue + endpoint.prefill.first(work),
-            own: endpoint.prefill.alone(work),
+            first: queue + first,
+            own,
         }
     }
 
@@ -224,6 +228,7 @@
     let Some(estimate) = estimates.get(&active.group) else { return 0.0 };
     match active.ask.target {
         RouteTarget::Model(_) => estimate.prefill(active.ask.prompt, warm),
-        RouteTarget::Service(_) => estimate.service().unwrap_or(0.0),
+        // The slots of a plain service run side by side; only prefill of an engine goes one after the other.
+        RouteTarget::Service(_) => 0.0,
     }
 }
--- a/crates/entry/src/flight.rs
+++ b/crates/entry/src/flight.rs
@@ -225,6 +225,9 @@
             self.outcome = AttemptOutcome::NotRun;
         } else if status.is_server_error() {
             self.suspect_crash();
+        } else {
+            // From here on the connection tells whether the endpoint is lost.
+            self.outcome = AttemptOutcome::Invalid;
         }
         self.head = Some(Head { status, headers: answer::headers(&self.inbound, reply.response.headers()) });
         self.reply = Some(reply);
@@ -242,6 +245,7 @@
         tracing::debug!("entry: request {} attempt {attempt} failed: {err}", self.inbound.request);
         self.reply = None;
         if err.is_written() {
+            self.outcome = AttemptOutcome::Failed;
             self.suspect_crash();
         } else {
             self.outcome = AttemptOutcome::NotRun;
