entry: a stop closes its listeners and does not wait for connections without requests

Cause: a connection that had sent nothing, or half a head, delayed a stop until its timeout (up to 75 s), and the listener stayed open for its restarts, so new connections were accepted by the kernel and never served. Change: the listener is dropped when the stop begins to close; connections are closed once no request was in flight for the read timeout. Ruled out: counting requests per connection, which misses a body still written.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use carobwick_core::EventKind;
 use carobwick_runtime::Metrics;
@@ -8,6 +9,7 @@
 use carobwick_runtime::Supervisor;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::Error;
@@ -20,6 +22,9 @@
 use crate::serving::Serving;
 use crate::tidy;
 
+/// A stop looks this often whether requests are in flight.
+const POLL: Duration = Duration::from_millis(50);
+
 /// A running entry; dropping it ends its tasks without waiting.
 #[derive(Debug)]
 pub struct Entry {
@@ -91,7 +96,7 @@
     }
 
     /// Stops: readiness goes first, then new connections end, then requests in flight finish.
-    pub async fn shutdown(self) {
+    pub async fn shutdown(mut self) {
         let limits = &self.serving.settings.limits;
         tracing::info!("entry: stopping with {} requests in flight", self.serving.in_flight());
         self.serving.timeline.add(EventKind::Process, "is stopping");
@@ -99,14 +104,33 @@
         tokio::time::sleep(limits.stop_delay.duration()).await;
         self.closing.cancel();
         self.serving.work.close();
-        // Longer than any request in flight can take.
         let longest =
             limits.read_timeout.duration() + limits.deadline.duration() + limits.stream_limit.duration();
-        if tokio::time::timeout(longest, self.serving.work.wait()).await.is_err() {
-            tracing::warn!("entry: a connection did not end in {longest:?} and is cut off");
+        tokio::select! {
+            () = self.serving.work.wait() => {}
+            () = self.without_requests() => tracing::info!("entry: connections without requests are closed"),
+            // Longer than any request in flight can take.
+            () = tokio::time::sleep(longest) => {
+                tracing::warn!("entry: a connection did not end in {longest:?} and is cut off");
+            }
         }
         self.stop.cancel();
-        tracing::info!("entry: stopped");
+        match (&mut self.root).await {
+            Ok(Ok(())) => tracing::info!("entry: stopped"),
+            Ok(Err(err)) => tracing::warn!("entry: stopped: {err:#}"),
+            Err(err) => tracing::warn!("entry: stopped: {err}"),
+        }
+    }
+
+    /// Waits until no request was in flight for the time in which the end of an answer reaches its caller.
+    async fn without_requests(&self) {
+        let mut since = Instant::now();
+        while since.elapsed() < self.serving.settings.limits.read_timeout.duration() {
+            tokio::time::sleep(POLL).await;
+            if self.serving.in_flight() > 0 {
+                since = Instant::now();
+            }
+        }
     }
 }
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,5 +1,8 @@
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use axum::Router;
@@ -25,7 +28,8 @@
 /// Serves HTTP/1.1 and HTTP/2 on one address.
 #[derive(Debug, Clone)]
 pub(crate) struct Server {
-    listener: Arc<TcpListener>,
+    /// Taken out at a stop, so that new connections are refused while requests in flight finish.
+    listener: Arc<Mutex<Option<Arc<TcpListener>>>>,
     router: Router,
     limits: Limits,
     /// Ends new connections; those that are open end after their requests.
@@ -41,19 +45,27 @@
         closing: CancellationToken,
         connections: TaskTracker,
     ) -> Self {
-        Self { listener: Arc::new(listener), router, limits, closing, connections }
+        let listener = Arc::new(Mutex::new(Some(Arc::new(listener))));
+        Self { listener, router, limits, closing, connections }
     }
 
     /// Accepts connections until the server is closed.
     pub async fn accept(self) -> anyhow::Result<()> {
+        let Some(listener) = self.listener().clone() else {
+            return Ok(());
+        };
         loop {
             let accepted = tokio::select! {
-                () = self.closing.cancelled() => return Ok(()),
-                accepted = self.listener.accept() => accepted,
+                () = self.closing.cancelled() => {
+                    self.listener().take();
+                    return Ok(());
+                }
+                accepted = listener.accept() => accepted,
             };
             match accepted {
                 Ok((stream, _)) => {
-                    self.connections.spawn(self.clone().serve(stream));
+                    let (router, limits) = (self.router.clone(), self.limits.clone());
+                    self.connections.spawn(serve(stream, router, limits, self.closing.clone()));
                 }
                 Err(err) => {
                     // Descriptors may be used up; the accept would fail again at once.
@@ -64,41 +76,51 @@
         }
     }
 
-    async fn serve(self, stream: TcpStream) {
-        if stream.set_nodelay(true).is_err() {
-            return;
-        }
-        let timeout = self.limits.read_timeout.duration();
-        let Ok(Some(is_http2)) = tokio::time::timeout(timeout, is_http2(&stream)).await else {
-            return;
-        };
-        let mut builder = Builder::new(TokioExecutor::new());
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(self.limits.idle_timeout.duration())
-            .max_buf_size(self.limits.max_head);
-        builder
-            .http2()
-            .timer(TokioTimer::new())
-            .max_header_list_size(self.limits.max_head as u32)
-            .max_concurrent_streams(MAX_STREAMS)
-            .max_send_buf_size(STREAM_BUFFER)
-            .keep_alive_interval(PING_INTERVAL)
-            .keep_alive_timeout(timeout);
-        let builder = if is_http2 { builder.http2_only() } else { builder.http1_only() };
-        let service = TowerToHyperService::new(self.router);
-        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-        let result = tokio::select! {
-            result = connection.as_mut() => result,
-            () = self.closing.cancelled() => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-        };
-        if let Err(err) = result {
-            tracing::debug!("entry: connection of a caller ended: {err}");
+    fn listener(&self) -> MutexGuard<'_, Option<Arc<TcpListener>>> {
+        self.listener.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn serve(stream: TcpStream, router: Router, limits: Limits, closing: CancellationToken) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let timeout = limits.read_timeout.duration();
+    let detected = tokio::select! {
+        biased;
+        detected = tokio::time::timeout(timeout, is_http2(&stream)) => detected,
+        // A stop does not wait for a connection that has sent nothing.
+        () = closing.cancelled() => return,
+    };
+    let Ok(Some(is_http2)) = detected else {
+        return;
+    };
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout.duration())
+        .max_buf_size(limits.max_head);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(limits.max_head as u32)
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_send_buf_size(STREAM_BUFFER)
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(timeout);
+    let builder = if is_http2 { builder.http2_only() } else { builder.http1_only() };
+    let service = TowerToHyperService::new(router);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
         }
+    };
+    if let Err(err) = result {
+        tracing::debug!("entry: connection of a caller ended: {err}");
     }
 }
 
--- a/crates/entry/tests/behaviour/failures.rs
+++ b/crates/entry/tests/behaviour/failures.rs
@@ -132,17 +132,22 @@
 #[tokio::test]
 async fn shutdown_waits_for_requests_in_flight() {
     let zone = Zone::spawn(1, 0).await;
-    let entry = zone.entry("entry-1", "").await;
+    let entry = zone.entry("entry-1", "--read-timeout 500").await;
     let (callers, operators) = (entry.callers(), entry.operators());
     let mut response = open(callers, Method::POST, CHAT, &[], &chat_body("long", 300, true)).await;
     response.body_mut().frame().await.unwrap().unwrap();
+    let idle = tokio::net::TcpStream::connect(callers).await.unwrap();
+    let half = tokio::net::TcpStream::connect(callers).await.unwrap();
+    half.try_write(b"GET /healthz HT").unwrap();
     let stop = tokio::spawn(entry.shutdown());
     while call(operators, Method::GET, "/readyz", &[], "").await.status == StatusCode::OK {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     let rest = response.into_body().collect().await.unwrap().to_bytes();
     assert!(rest.ends_with(b"data: [DONE]\n\n"));
-    stop.await.unwrap();
+    let stopped = tokio::time::timeout(Duration::from_secs(8), stop).await;
+    stopped.expect("a connection without a request delays the stop").unwrap();
+    drop((idle, half));
     assert!(tokio::net::TcpStream::connect(callers).await.is_err(), "{MODEL} is still served");
 }
 
