--- a/crates/planner/src/key_value.rs
+++ b/crates/planner/src/key_value.rs
@@ -29,6 +29,9 @@
 /// Time between checks of the revisions beside a watch, whose connection can go silent without an error.
 const CHECK: Duration = Duration::from_secs(2);
 
+/// Time that a change may take through the watch after its revision was read.
+const DELIVERY: Duration = Duration::from_millis(500);
+
 /// Keeps the state up to date with the key-value service while this planner is one of its zone's watchers.
 pub(crate) async fn run(context: Context) -> anyhow::Result<()> {
     loop {
@@ -125,8 +128,16 @@
         let revisions = observe(context, context.key_value.revisions(PREFIX).await)?;
         let newest = revisions.into_iter().map(|(_, revision)| revision).max().unwrap_or(0);
         if newest > seen {
-            tracing::warn!("kv: watch of {PREFIX} missed revision {newest}");
-            return Ok(());
+            // The change may still be on its way through the watch.
+            let Ok(entries) = tokio::time::timeout(DELIVERY, watch.next()).await else {
+                tracing::warn!("kv: watch of {PREFIX} missed revision {newest}");
+                return Ok(());
+            };
+            for entry in entries? {
+                seen = seen.max(entry.revision);
+                take(context, &entry);
+            }
+            continue;
         }
         store_drains(context).await?;
     }
--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -26,7 +26,8 @@
     run(settings)
 }
 
-#[tokio::main]
+// Two threads suffice for at most 1% of a core; one per core would each keep memory of its own.
+#[tokio::main(worker_threads = 2)]
 async fn run(settings: Settings) -> anyhow::Result<ExitCode> {
     let mut planner = Planner::start(settings).await?;
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
