core: adapters are loaded in their base's home zone before they are asked for

Change: when all models are placed and nothing is held back, the leader loads the adapters of its home models where there is room; models can still take that room. Before: the new test finds no adapter loaded.

--- a/crates/core/src/adapters.rs
+++ b/crates/core/src/adapters.rs
@@ -6,14 +6,15 @@
 use crate::ModelId;
 use crate::Resident;
 use crate::Time;
+use crate::placement::Part;
 use crate::placement::Placer;
 
 /// An adapter that was used more recently is not unloaded for another one, or the two would alternate.
 const MIN_IDLE: Duration = Duration::from_secs(10);
 
 impl<'a> Placer<'a> {
-    /// Loads adapters that are asked for where their base is resident.
-    pub(crate) fn place_adapters(&mut self) {
+    /// Loads adapters that are asked for where their base is resident, and returns how many more may be loaded now.
+    pub(crate) fn place_adapters(&mut self) -> u32 {
         let scene = self.scene;
         let mut left = scene.adapter_loads;
         let used = |(id, spec): (&'a ModelId, &'a AdapterSpec)| {
@@ -36,6 +37,29 @@
                 left -= 1;
             }
         }
+        left
+    }
+
+    /// Loads adapters in the home zone of their base before anyone asks for them, where there is room.
+    ///
+    /// The first request for an adapter would otherwise wait until its demand was reported, longer than its target.
+    pub(crate) fn preload_adapters(&mut self, mut left: u32) {
+        let manifest = self.scene.manifest;
+        for (id, spec) in manifest.adapters.iter().filter(|(_, spec)| !spec.retiring) {
+            if left == 0 {
+                return;
+            }
+            let hosts = self.hosts_of(spec);
+            let resident = self.expected(id, Some(&spec.version)).any(|endpoint| hosts.contains(&endpoint));
+            if resident || self.part_of(&spec.base) != Part::Home {
+                continue;
+            }
+            let hosts = self.free_hosts(hosts);
+            if let Some(host) = self.host_with_room(spec, &hosts) {
+                self.load_adapter(id, spec, host, "beside its base");
+                left -= 1;
+            }
+        }
     }
 
     /// Returns the engines that serve the base, with its declared version if any does: other copies are about to go.
@@ -56,17 +80,9 @@
             // Another zone holds the base, and requests are forwarded there.
             return false;
         }
-        let mut hosts: Vec<&EndpointId> =
-            hosts.into_iter().filter(|host| !self.busy.contains(*host)).collect();
-        hosts.sort_by(|a, b| self.engine_load(a).total_cmp(&self.engine_load(b)));
-        let room = |host: &&EndpointId| {
-            self.scene.ledger.get(host).is_some_and(|account| account.has_room(spec.size))
-        };
-        if let Some(host) = hosts.iter().copied().find(room) {
-            let base = Some(spec.base.clone());
-            let action =
-                Action::Load { model: id.clone(), version: spec.version.clone(), size: spec.size, base };
-            self.push(host.clone(), action, "asked for");
+        let hosts = self.free_hosts(hosts);
+        if let Some(host) = self.host_with_room(spec, &hosts) {
+            self.load_adapter(id, spec, host, "asked for");
             return true;
         }
         let victim = hosts.iter().find_map(|host| Some(((*host).clone(), self.least_used(host, used)?)));
@@ -78,6 +94,27 @@
         false
     }
 
+    /// Returns the engines that can be given an order, the least loaded first.
+    fn free_hosts(&self, hosts: Vec<&'a EndpointId>) -> Vec<&'a EndpointId> {
+        let mut free: Vec<&EndpointId> =
+            hosts.into_iter().filter(|host| !self.busy.contains(*host)).collect();
+        free.sort_by(|a, b| self.engine_load(a).total_cmp(&self.engine_load(b)));
+        free
+    }
+
+    fn host_with_room(&self, spec: &AdapterSpec, hosts: &[&'a EndpointId]) -> Option<&'a EndpointId> {
+        let room = |host: &&EndpointId| {
+            self.scene.ledger.get(host).is_some_and(|account| account.has_room(spec.size))
+        };
+        hosts.iter().copied().find(room)
+    }
+
+    fn load_adapter(&mut self, id: &ModelId, spec: &AdapterSpec, host: &EndpointId, reason: &str) {
+        let (version, base) = (spec.version.clone(), Some(spec.base.clone()));
+        let action = Action::Load { model: id.clone(), version, size: spec.size, base };
+        self.push(host.clone(), action, reason);
+    }
+
     /// Returns the adapter of an engine that was used least recently, if that was before `than` and long ago.
     fn least_used(&self, host: &EndpointId, than: Time) -> Option<Resident> {
         let scene = &self.scene;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -189,7 +189,11 @@
             }
         }
         self.tidy();
-        self.place_adapters();
+        let idle = self.decision.moves.is_empty() && self.decision.blocked.is_empty();
+        let left = self.place_adapters();
+        if idle {
+            self.preload_adapters(left);
+        }
     }
 
     fn need_of(&self, id: &ModelId, spec: &'a ModelSpec) -> Option<Need> {
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -151,6 +151,24 @@
     assert_eq!(zone.copies(&model("m0")), 1);
 }
 
+/// Guards against the first request for an adapter having to wait until its demand has reached the leader, and against
+/// loads of adapters that no request asked for taking room from models.
+#[test]
+fn adapters_are_loaded_beside_their_base_when_models_are_placed() {
+    let manifest = Manifest::from_json(BE_FL).unwrap();
+    for name in &manifest.zones {
+        let mut zone = Zone::new(&manifest, name, 4);
+        zone.settle();
+        let home = |base| carobwick_core::home_zone(&manifest, base) == Some(name);
+        for (id, spec) in &manifest.adapters {
+            assert_eq!(zone.copies(id), usize::from(home(&spec.base)), "{id} in {name}");
+        }
+        let models = manifest.models.keys().filter(|id| home(id));
+        assert!(models.into_iter().all(|id| zone.copies(id) > 0), "{name}");
+        assert_eq!(zone.unloads, 0, "{name}");
+    }
+}
+
 /// Guards against a restart of an engine that leads to more than the loads that replace its copies.
 #[test]
 fn crash_reloads_only_what_lost_its_last_copy() {
