core: a rerun goes to another zone when the breakers here are open

Ruled out: opening breakers later, since every request then waits for the dead endpoint. Change: a rerun is forwarded when that is sooner than the next probe. Before: the new test ends in Wait. After: it is forwarded; all 5 tests of waiting and 14 of dispatch pass.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -56,8 +56,14 @@
                 return self.start(request, index, now);
             }
             _ if !self.policy.admission => return self.refuse_unavailable(request, None),
-            Route::Blocked(until) if standing == Standing::Clear && until > active.due => {
-                return self.refuse_unavailable(request, Some(until - now));
+            Route::Blocked(until) if standing == Standing::Clear && !is_new => {
+                let late = until > active.due;
+                let local = (until - now).as_secs_f64();
+                return match self.forward(request, Some(local), now) {
+                    Some(decision) => decision,
+                    None if late => self.refuse_unavailable(request, Some(until - now)),
+                    None => self.enqueue(request, standing, now),
+                };
             }
             _ if !is_new => return self.enqueue(request, standing, now),
             Route::Endpoint { first, own, .. } => (first - own, own),
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -61,6 +61,15 @@
     assert_eq!(after.as_secs(), 4);
 }
 
+/// Guards against a request being refused or kept after its endpoint failed although another zone serves it.
+#[test]
+fn rerun_goes_to_another_zone_when_breakers_are_open() {
+    let mut dispatcher = Deployment::new(1).dispatcher(Policy { retries: 100.0, ..Policy::default() });
+    let decision = dispatcher.admit(ask(0), at(0));
+    let decision = fail(&mut dispatcher, 0, decision, 0);
+    assert!(matches!(decision, Decision::Forward { .. }), "{decision:?}");
+}
+
 /// Guards against a request being held back as a suspect because endpoints that go on running gave wrong answers.
 #[test]
 fn wrong_answer_is_no_sign_of_a_crash() {
