--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -17,7 +17,7 @@
     if settings.check {
         return Ok(());
     }
-    start_logs(&settings.log, true)?;
+    start_logs(&settings.log)?;
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let mut entry = Entry::bind(settings).await?;
     tokio::select! {
--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -22,7 +22,7 @@
     if settings.check {
         return Ok(ExitCode::SUCCESS);
     }
-    carobwick_runtime::start_logs(&settings.log, false)?;
+    carobwick_runtime::start_logs(&settings.log)?;
     run(settings)
 }
 
