--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -51,38 +51,38 @@
 #[derive(Debug, Clone, Bpaf)]
 pub struct Limits {
     /// Largest body of a request, in bytes
-    #[bpaf(env("CAROBWICK_MAX_BODY"), argument("BYTES"), fallback(4 << 20))]
+    #[bpaf(env("CAROBWICK_MAX_BODY"), argument("BYTES"), fallback(4 << 20), display_fallback)]
     pub max_body: usize,
     /// Largest head of a request, in bytes
-    #[bpaf(env("CAROBWICK_MAX_HEAD"), argument("BYTES"), fallback(32 << 10))]
+    #[bpaf(env("CAROBWICK_MAX_HEAD"), argument("BYTES"), fallback(32 << 10), display_fallback)]
     pub max_head: usize,
     /// Largest answer in one piece, in bytes
-    #[bpaf(env("CAROBWICK_MAX_ANSWER"), argument("BYTES"), fallback(8 << 20))]
+    #[bpaf(env("CAROBWICK_MAX_ANSWER"), argument("BYTES"), fallback(8 << 20), display_fallback)]
     pub max_answer: usize,
     /// Requests in flight
-    #[bpaf(env("CAROBWICK_MAX_REQUESTS"), argument("COUNT"), fallback(8_192))]
+    #[bpaf(env("CAROBWICK_MAX_REQUESTS"), argument("COUNT"), fallback(8_192), display_fallback)]
     pub max_requests: usize,
     /// Milliseconds in which a caller must start to use a connection, and send the body of a request
-    #[bpaf(env("CAROBWICK_READ_TIMEOUT"), argument("MS"), fallback(Millis(10_000)))]
+    #[bpaf(env("CAROBWICK_READ_TIMEOUT"), argument("MS"), fallback(Millis(10_000)), display_fallback)]
     pub read_timeout: Millis,
     /// Milliseconds after which a connection without the whole head of a next request is closed; should exceed the
     /// idle time of the balancer, which otherwise sends requests to connections that are being closed
-    #[bpaf(env("CAROBWICK_IDLE_TIMEOUT"), argument("MS"), fallback(Millis(75_000)))]
+    #[bpaf(env("CAROBWICK_IDLE_TIMEOUT"), argument("MS"), fallback(Millis(75_000)), display_fallback)]
     pub idle_timeout: Millis,
     /// Milliseconds after which a request without a first event or a whole answer is given up
-    #[bpaf(env("CAROBWICK_DEADLINE"), argument("MS"), fallback(Millis(60_000)))]
+    #[bpaf(env("CAROBWICK_DEADLINE"), argument("MS"), fallback(Millis(60_000)), display_fallback)]
     pub deadline: Millis,
     /// Milliseconds after which a stream is ended
-    #[bpaf(env("CAROBWICK_STREAM_LIMIT"), argument("MS"), fallback(Millis(600_000)))]
+    #[bpaf(env("CAROBWICK_STREAM_LIMIT"), argument("MS"), fallback(Millis(600_000)), display_fallback)]
     pub stream_limit: Millis,
     /// Milliseconds between the loss of readiness and the end of new connections at a stop
-    #[bpaf(env("CAROBWICK_STOP_DELAY"), argument("MS"), fallback(Millis(2_000)))]
+    #[bpaf(env("CAROBWICK_STOP_DELAY"), argument("MS"), fallback(Millis(2_000)), display_fallback)]
     pub stop_delay: Millis,
     /// Runs of a request that may be repeated, the first one included
-    #[bpaf(env("CAROBWICK_ATTEMPTS"), argument("COUNT"), fallback(3))]
+    #[bpaf(env("CAROBWICK_ATTEMPTS"), argument("COUNT"), fallback(3), display_fallback)]
     pub attempts: u32,
     /// Requests with an idempotency key per second; each costs two writes to the key-value service
-    #[bpaf(env("CAROBWICK_ONCE_RATE"), argument("COUNT"), fallback(30))]
+    #[bpaf(env("CAROBWICK_ONCE_RATE"), argument("COUNT"), fallback(30), display_fallback)]
     pub once_rate: u32,
 }
 
