--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,8 @@
 //! Start with [`Manifest`], what operators declare, and [`ZoneView`], what an availability zone holds. The
 //! exchange between processes is [`SharedState`]. A zone is led by a [`Controller`], which runs the election
 //! ([`Lease`]), charges memory ([`Ledger`]), writes the plan ahead ([`PlanStore`]) and places models ([`place`]).
+//! An entry asks its [`Dispatcher`] where a request runs, drives it to its end with a [`Delivery`], and keeps
+//! idempotency records with [`Once`]. Operators publish with [`Publish`] and drain with a [`DrainSet`].
 //! `docs/design.md` describes the rest of the system.
 
 #[macro_use]
