--- /dev/null
+++ b/crates/core/src/gateway/book.rs
@@ -0,0 +1,332 @@
+use std::time::Duration;
+
+use carobwick_derive::data;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::Bytes;
+use crate::EndpointId;
+use crate::EndpointState;
+use crate::Incarnation;
+use crate::ModelId;
+use crate::ServiceId;
+use crate::Time;
+use crate::gateway::EndpointEntry;
+use crate::gateway::EngineAction;
+use crate::gateway::EngineOrder;
+use crate::gateway::EngineSpec;
+use crate::gateway::Holding;
+use crate::gateway::Weights;
+
+/// Time after which an order without an answer is settled by asking the engine.
+const ASK_AFTER: Duration = Duration::from_millis(300);
+
+/// Age that an entry of the list may have; what an order or a report told later than that goes before it.
+const ENTRY_AGE: Duration = Duration::from_secs(3);
+
+/// What the leader knows of one run of an engine.
+#[data]
+pub struct EngineRecord {
+    /// Its service.
+    pub service: ServiceId,
+    /// Run of its process.
+    pub run: Incarnation,
+    /// Whether it takes work.
+    pub live: bool,
+    /// Orders that it has accepted, if that is known; it is asked otherwise.
+    pub orders: Option<u64>,
+    /// What it holds.
+    pub holding: Holding,
+    /// When an order or a report told what it holds.
+    pub told: Time,
+    /// Adapters on their way.
+    pub pending: IndexSet<Weights>,
+    /// The order that is being carried out or has no answer yet.
+    pub open: Option<EngineOrder>,
+    /// When the engine should be asked for its state next.
+    pub ask: Option<Time>,
+    /// Models that it held in this run; they load faster.
+    pub held: IndexSet<ModelId>,
+}
+
+/// State of an engine as it reports it, some hundred milliseconds late.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineState {
+    /// Orders that it has accepted.
+    pub orders: u64,
+    /// What it holds.
+    pub holding: Holding,
+    /// Adapters on their way.
+    pub pending: IndexSet<Weights>,
+    /// Whether it carries out an order.
+    pub busy: bool,
+}
+
+/// How an engine took an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderReply {
+    /// It carries the order out.
+    Accepted,
+    /// The order holds already.
+    Done,
+    /// Another order is under way, or the engine accepted others since.
+    Conflict,
+    /// It will not carry the order out.
+    Refused,
+    /// No answer arrived, so the order may be carried out.
+    Lost,
+}
+
+/// The leader's knowledge of all engines.
+#[derive(Debug, Default)]
+pub struct EngineBook {
+    engines: IndexMap<EndpointId, EngineRecord>,
+}
+
+impl EngineBook {
+    /// Takes an entry of the list of endpoints.
+    pub fn listed(&mut self, entry: &EndpointEntry, now: Time) {
+        let live = entry.state == EndpointState::Live;
+        match self.engines.get_mut(&entry.id) {
+            Some(known) if known.run == entry.run => {
+                known.live = live;
+                if known.open.is_none() && now >= known.told + ENTRY_AGE {
+                    known.take(entry.holding.clone());
+                }
+            }
+            _ => {
+                let record = EngineRecord {
+                    service: entry.service.clone(),
+                    run: entry.run,
+                    live,
+                    held: entry.holding.models.keys().cloned().collect(),
+                    orders: None,
+                    holding: entry.holding.clone(),
+                    told: now,
+                    pending: IndexSet::new(),
+                    open: None,
+                    ask: Some(now),
+                };
+                self.engines.insert(entry.id.clone(), record);
+            }
+        }
+    }
+
+    /// Forgets engines that are no longer listed.
+    pub fn retain(&mut self, exists: impl Fn(&EndpointId) -> bool) {
+        self.engines.retain(|id, _| exists(id));
+    }
+
+    /// Returns whether an engine that holds the model is being given the adapter, or is making room for one.
+    pub fn makes_way(&self, service: &ServiceId, weights: &Weights) -> bool {
+        self.live(service).any(|(_, record)| match record.open.as_ref().map(|order| &order.action) {
+            Some(EngineAction::LoadAdapter(loading)) => loading == weights,
+            Some(EngineAction::UnloadAdapter(_)) => record.holding.models.contains_key(&weights.model),
+            Some(EngineAction::Load(_) | EngineAction::Unload(_)) | None => false,
+        })
+    }
+
+    /// Has the engines that should hold some weights asked for their state, since one of them does not.
+    pub fn doubt(&mut self, weights: &Weights, now: Time) {
+        for record in self.engines.values_mut() {
+            if record.holding.has(weights) && record.ask.is_none() {
+                record.ask = Some(now);
+            }
+        }
+    }
+
+    /// Forgets everything, since another leader gives the orders.
+    pub fn clear(&mut self) {
+        self.engines.clear();
+    }
+
+    /// Notes that an order is about to be sent.
+    pub fn ordered(&mut self, order: &EngineOrder) {
+        if let Some(record) = self.record(&order.endpoint, order.run) {
+            record.open = Some(order.clone());
+        }
+    }
+
+    /// Takes the answer to an order; returns whether the holding changed.
+    pub fn replied(&mut self, order: &EngineOrder, reply: OrderReply, now: Time) -> bool {
+        let Some(record) = self.record(&order.endpoint, order.run) else { return false };
+        if record.open.as_ref() != Some(order) {
+            return false;
+        }
+        match reply {
+            OrderReply::Accepted => record.accepted(order, now),
+            OrderReply::Done => {
+                record.open = None;
+                record.orders = Some(order.expected + u64::from(order.advances()));
+                record.told = now;
+                record.apply(&order.action);
+                true
+            }
+            OrderReply::Conflict | OrderReply::Refused => {
+                record.open = None;
+                record.ask = Some(now);
+                record.orders = None;
+                false
+            }
+            OrderReply::Lost => {
+                record.ask = Some(now + ASK_AFTER);
+                false
+            }
+        }
+    }
+
+    /// Takes the engine's own report; returns whether the holding changed.
+    pub fn reported(&mut self, id: &EndpointId, run: Incarnation, state: EngineState, now: Time) -> bool {
+        let Some(record) = self.record(id, run) else { return false };
+        record.ask = (state.busy || !state.pending.is_empty()).then_some(now + ASK_AFTER);
+        if record.orders.is_some_and(|known| state.orders < known) {
+            // The report is older than the last answer.
+            record.ask = Some(now + ASK_AFTER);
+            return false;
+        }
+        record.pending = state.pending;
+        record.orders = Some(state.orders);
+        record.told = now;
+        if !state.busy {
+            record.open = None;
+        }
+        let changed = record.holding != state.holding;
+        record.take(state.holding);
+        changed
+    }
+
+    /// Returns an engine.
+    pub fn get(&self, id: &EndpointId) -> Option<&EngineRecord> {
+        self.engines.get(id)
+    }
+
+    /// Returns all engines.
+    pub fn iter(&self) -> impl Iterator<Item = (&EndpointId, &EngineRecord)> {
+        self.engines.iter()
+    }
+
+    /// Returns the engines of a service that take work.
+    pub fn live<'a>(
+        &'a self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = (&'a EndpointId, &'a EngineRecord)> {
+        self.iter().filter(move |(_, record)| record.service == *service && record.live)
+    }
+
+    /// Returns the engines whose state should be asked for now, and puts off the next time.
+    pub fn due(&mut self, now: Time) -> Vec<(EndpointId, Incarnation)> {
+        let mut due = Vec::new();
+        for (id, record) in &mut self.engines {
+            if record.ask.is_some_and(|at| now >= at) {
+                record.ask = Some(now + ASK_AFTER);
+                due.push((id.clone(), record.run));
+            }
+        }
+        due
+    }
+
+    fn record(&mut self, id: &EndpointId, run: Incarnation) -> Option<&mut EngineRecord> {
+        self.engines.get_mut(id).filter(|record| record.run == run)
+    }
+}
+
+impl EngineRecord {
+    /// Returns the memory that is taken by what it holds and by what is on its way.
+    pub fn used(&self, spec: &EngineSpec) -> Bytes {
+        let models = self.holding.models.keys();
+        let weights: Bytes = models.filter_map(|model| spec.models.get(model)).map(|size| size.weights).sum();
+        let adapters: Bytes = self.adapter_set().map(|weights| adapter_size(spec, &weights.model)).sum();
+        weights + adapters
+    }
+
+    /// Returns the number of adapters that it holds or loads.
+    pub fn adapter_count(&self) -> usize {
+        self.adapter_set().count()
+    }
+
+    /// Returns whether it can be given an order now.
+    pub fn takes_orders(&self) -> bool {
+        self.live && self.open.is_none() && self.orders.is_some()
+    }
+
+    fn adapter_set(&self) -> impl Iterator<Item = Weights> {
+        let held = self.holding.models.iter().flat_map(|(model, adapters)| {
+            adapters.iter().map(|name| Weights { model: model.clone(), adapter: Some(name.clone()) })
+        });
+        let set: IndexSet<Weights> = held.chain(self.pending.iter().cloned()).collect();
+        set.into_iter()
+    }
+
+    fn accepted(&mut self, order: &EngineOrder, now: Time) -> bool {
+        self.orders = Some(order.expected + 1);
+        self.told = now;
+        match &order.action {
+            EngineAction::LoadAdapter(_) => {
+                // The load takes milliseconds; a request that comes earlier is declined and sent again.
+                self.open = None;
+                self.apply(&order.action);
+                true
+            }
+            EngineAction::UnloadAdapter(_) | EngineAction::Unload(_) => {
+                // Routing stops at once; the memory counts until the engine says that it is free.
+                self.ask = Some(now + ASK_AFTER);
+                true
+            }
+            EngineAction::Load(_) => {
+                self.ask = Some(now + ASK_AFTER);
+                false
+            }
+        }
+    }
+
+    /// Returns what callers' requests can use.
+    pub fn offered(&self) -> Holding {
+        let mut holding = self.holding.clone();
+        match self.open.as_ref().map(|order| &order.action) {
+            Some(EngineAction::Unload(model)) => {
+                holding.models.swap_remove(model);
+            }
+            Some(EngineAction::UnloadAdapter(weights)) => {
+                if let (Some(adapters), Some(name)) =
+                    (holding.models.get_mut(&weights.model), &weights.adapter)
+                {
+                    adapters.swap_remove(name);
+                }
+            }
+            _ => {}
+        }
+        holding
+    }
+
+    fn apply(&mut self, action: &EngineAction) {
+        let models = &mut self.holding.models;
+        match action {
+            EngineAction::Load(model) => {
+                models.entry(model.clone()).or_default();
+                self.held.insert(model.clone());
+            }
+            EngineAction::Unload(model) => {
+                models.swap_remove(model);
+            }
+            EngineAction::LoadAdapter(weights) => {
+                if let (Some(adapters), Some(name)) = (models.get_mut(&weights.model), &weights.adapter) {
+                    adapters.insert(name.clone());
+                }
+            }
+            EngineAction::UnloadAdapter(weights) => {
+                if let (Some(adapters), Some(name)) = (models.get_mut(&weights.model), &weights.adapter) {
+                    adapters.swap_remove(name);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, holding: Holding) {
+        self.held.extend(holding.models.keys().cloned());
+        self.holding = holding;
+    }
+}
+
+fn adapter_size(spec: &EngineSpec, model: &ModelId) -> Bytes {
+    spec.models.get(model).map_or(Bytes(0), |size| size.adapter)
+}
--- /dev/null
+++ b/crates/core/src/gateway/mod.rs
@@ -0,0 +1,56 @@
+//! Decisions of an instance that serves routes in front of plain services and model engines.
+//!
+//! A [`RouteTable`] says which service answers a request, a [`Roster`] which endpoints exist, a [`Balancer`] which of
+//! them runs it, [`next_step`] what follows a failed send, and a [`RetryShare`] how many sends may be repeated. The
+//! leader of the region gives orders to engines as [`plan_orders`] and its [`EngineBook`] say.
+
+mod balance;
+mod book;
+mod call;
+mod copies;
+mod demand;
+mod orders;
+mod retry;
+mod retry_share;
+mod roster;
+mod suspects;
+mod table;
+
+pub use balance::Balancer;
+pub use balance::Choice;
+pub use balance::Ticket;
+pub use balance::Verdict;
+pub use book::EngineBook;
+pub use book::EngineRecord;
+pub use book::EngineState;
+pub use book::OrderReply;
+pub use call::Call;
+pub use call::PromptPart;
+pub use call::Weights;
+pub use copies::wanted_copies;
+pub use demand::DemandSample;
+pub use demand::DemandTable;
+pub use orders::EngineAction;
+pub use orders::EngineOrder;
+pub use orders::LoadPace;
+pub use orders::plan_adapter;
+pub use orders::plan_orders;
+pub use retry::Failure;
+pub use retry::Progress;
+pub use retry::Step;
+pub use retry::next_step;
+pub use retry_share::RetryShare;
+pub use retry_share::RetryTerms;
+pub use roster::EndpointEntry;
+pub use roster::Holding;
+pub use roster::Listed;
+pub use roster::Roster;
+pub use suspects::SuspectTable;
+pub use table::CallerLimits;
+pub use table::EngineSpec;
+pub use table::ModelSize;
+pub use table::RouteKind;
+pub use table::RouteTable;
+pub use table::ServiceEntry;
+pub use table::ServiceRoute;
+pub use table::ServiceShare;
--- /dev/null
+++ b/crates/core/src/gateway/retry.rs
@@ -0,0 +1,85 @@
+use crate::gateway::RouteKind;
+use crate::gateway::ServiceRoute;
+
+/// Sends beyond a route's attempts that are allowed while no endpoint has run the request.
+const EXTRA_SENDS: u32 = 2;
+
+/// How a send ended without a whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte of the request was written.
+    Unsent,
+    /// The endpoint said that it did not run the request.
+    Declined,
+    /// The endpoint answered with a failure of its own; it may have run the request.
+    Failed,
+    /// The answer was lost, or was no answer to this request; it may have run.
+    Lost,
+}
+
+/// Sends of one attempt of a caller so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Sends, the last one included.
+    pub sends: u32,
+    /// Endpoints that may have run the request.
+    pub runs: u32,
+    /// Whether a part of the answer reached the caller.
+    pub shown: bool,
+}
+
+/// What follows a failed send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// Send it to another endpoint, if the retry budget allows.
+    Again,
+    /// Pass on the endpoint's own failure.
+    PassOn,
+    /// Refuse: the request has not run.
+    Refuse,
+    /// Answer that the outcome is unknown.
+    Unknown,
+    /// Break off the answer.
+    BreakOff,
+}
+
+impl Progress {
+    /// Counts a send and how it ended.
+    pub fn count(&mut self, failure: Failure) {
+        match failure {
+            Failure::Unsent => {}
+            Failure::Declined => self.sends += 1,
+            Failure::Failed | Failure::Lost => {
+                self.sends += 1;
+                self.runs += 1;
+            }
+        }
+    }
+}
+
+/// Returns what follows a failed send, which `progress` includes already.
+///
+/// A request that may have run is sent again only on a route that allows it, and a refusal is given only while it
+/// cannot have run.
+pub fn next_step(route: &ServiceRoute, failure: Failure, progress: Progress) -> Step {
+    let more = progress.sends < route.attempts + EXTRA_SENDS;
+    let rerun = route.may_rerun() && progress.runs < route.attempts;
+    match failure {
+        Failure::Unsent | Failure::Declined if more && (progress.runs == 0 || rerun) => Step::Again,
+        Failure::Failed | Failure::Lost if rerun && more => Step::Again,
+        _ if progress.shown => Step::BreakOff,
+        Failure::Unsent | Failure::Declined if progress.runs == 0 => Step::Refuse,
+        Failure::Failed => Step::PassOn,
+        _ => Step::Unknown,
+    }
+}
+
+impl RouteKind {
+    /// Returns whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        match self {
+            Self::Streaming => true,
+            Self::Idempotent | Self::NonIdempotent => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/retry_share.rs
@@ -0,0 +1,81 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use carobwick_derive::data;
+
+use crate::Time;
+
+/// Buckets into which a window is cut.
+const BUCKETS: u64 = 10;
+
+/// Bound on repeated sends to one service, over all instances.
+#[data]
+#[derive(Copy)]
+pub struct RetryTerms {
+    /// Repeated sends per request.
+    pub ratio: f64,
+    /// Span over which both are counted.
+    pub window: Duration,
+    /// Repeated sends that are allowed beyond the ratio.
+    pub slack: f64,
+}
+
+/// Part of the retry budget of one service that an instance may use without asking the others.
+///
+/// Each instance counts its own requests against the ratio and takes an equal part of the slack. The parts of all
+/// instances add up to the bound whatever the others do.
+#[derive(Debug)]
+pub struct RetryShare {
+    terms: RetryTerms,
+    instances: u32,
+    buckets: VecDeque<Bucket>,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    index: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+impl RetryShare {
+    /// Starts with no requests, as one of `instances`.
+    pub fn new(terms: RetryTerms, instances: u32) -> Self {
+        Self { terms, instances: instances.max(1), buckets: VecDeque::new() }
+    }
+
+    /// Sets the number of instances that share the slack.
+    pub fn set_instances(&mut self, instances: u32) {
+        self.instances = instances.max(1);
+    }
+
+    /// Counts a request of a caller.
+    pub fn request(&mut self, now: Time) {
+        self.bucket(now).requests += 1;
+    }
+
+    /// Takes one repeated send, and returns whether there was one left.
+    pub fn take(&mut self, now: Time) -> bool {
+        self.bucket(now);
+        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
+        let slack = (self.terms.slack / f64::from(self.instances)).floor();
+        let allowed = f64::from(repeats) + 1.0 <= f64::from(requests) * self.terms.ratio + slack;
+        if allowed {
+            self.bucket(now).repeats += 1;
+        }
+        allowed
+    }
+
+    fn bucket(&mut self, now: Time) -> &mut Bucket {
+        let length = (self.terms.window.as_micros() as u64 / BUCKETS).max(1);
+        let index = now.0 / length;
+        // One bucket more than the window holds, since the oldest one counts only in part.
+        self.buckets.retain(|bucket| bucket.index + BUCKETS >= index);
+        if self.buckets.back().is_none_or(|last| last.index < index) {
+            self.buckets.push_back(Bucket { index, requests: 0, repeats: 0 });
+        }
+        let last = self.buckets.len() - 1;
+        &mut self.buckets[last]
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/roster.rs
@@ -0,0 +1,240 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carobwick_derive::data;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::EndpointId;
+use crate::EndpointState;
+use crate::Incarnation;
+use crate::Millis;
+use crate::ModelId;
+use crate::ServiceId;
+use crate::Time;
+use crate::ZoneId;
+use crate::gateway::Weights;
+
+/// Time after the store's return in which entries that lapsed meanwhile come back.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// Time for which the leader's word on a residency stands against entries, which show a state of seconds ago.
+const LEADER_WORD: Duration = Duration::from_secs(3);
+
+/// What an endpoint says of itself in the list of endpoints.
+#[data]
+pub struct EndpointEntry {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Run of its process; a later run has a higher number.
+    pub run: Incarnation,
+    /// Number of the heartbeat that wrote the entry, within its run.
+    pub heartbeat: u64,
+    /// Its service.
+    pub service: ServiceId,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: EndpointState,
+    /// Time until it is taken away, if that is known.
+    pub remaining: Option<Millis>,
+    /// What it holds, if it is an engine.
+    pub holding: Holding,
+}
+
+/// Models and adapters of an engine.
+#[data]
+#[derive(Default)]
+pub struct Holding {
+    /// Adapters by model.
+    pub models: IndexMap<ModelId, IndexSet<ModelId>>,
+}
+
+/// News about one endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Listed {
+    /// Its entry was written.
+    Entry(EndpointEntry),
+    /// Its entry was removed.
+    Removed(EndpointId),
+}
+
+/// Endpoints that exist, as far as an instance knows.
+///
+/// What was learnt about a run that leaves is never unlearnt from an older entry, and entries that disappear while
+/// the store was away are kept until the store has been back for 2 s.
+#[derive(Debug, Default)]
+pub struct Roster {
+    entries: IndexMap<EndpointId, Known>,
+    /// Highest run seen of each endpoint.
+    runs: IndexMap<EndpointId, Incarnation>,
+    left: IndexSet<(EndpointId, Incarnation)>,
+    settled: Time,
+    doubtful: IndexSet<EndpointId>,
+}
+
+#[derive(Debug)]
+struct Known {
+    entry: EndpointEntry,
+    /// When the leader spoke about this run's residency.
+    told: Option<Time>,
+}
+
+impl Holding {
+    /// Returns whether a request for these weights can run.
+    pub fn has(&self, weights: &Weights) -> bool {
+        let Some(adapters) = self.models.get(&weights.model) else { return false };
+        weights.adapter.as_ref().is_none_or(|adapter| adapters.contains(adapter))
+    }
+
+    /// Returns the number of adapters of all models.
+    pub fn adapters(&self) -> usize {
+        self.models.values().map(IndexSet::len).sum()
+    }
+}
+
+impl Roster {
+    /// Takes the whole list.
+    pub fn replace(&mut self, entries: Vec<EndpointEntry>, now: Time) {
+        let present: IndexSet<EndpointId> = entries.iter().map(|entry| entry.id.clone()).collect();
+        for entry in entries {
+            self.update(entry, now);
+        }
+        let missing: Vec<EndpointId> =
+            self.entries.keys().filter(|id| !present.contains(*id)).cloned().collect();
+        for id in missing {
+            self.remove(&id, now);
+        }
+    }
+
+    /// Takes one change of the list.
+    pub fn change(&mut self, news: Listed, now: Time) {
+        match news {
+            Listed::Entry(entry) => self.update(entry, now),
+            Listed::Removed(id) => self.remove(&id, now),
+        }
+    }
+
+    /// Takes the leader's word on what an engine holds.
+    pub fn told(&mut self, id: &EndpointId, run: Incarnation, holding: &Holding, now: Time) {
+        if let Some(known) = self.entries.get_mut(id)
+            && known.entry.run == run
+        {
+            known.entry.holding = holding.clone();
+            known.told = Some(now);
+        }
+    }
+
+    /// Notes that the store answers again after it was away.
+    pub fn store_returned(&mut self, now: Time) {
+        self.settled = now + SETTLE;
+    }
+
+    /// Drops entries that did not come back in time and returns them.
+    pub fn settle(&mut self, now: Time) -> Vec<EndpointId> {
+        if now < self.settled || self.doubtful.is_empty() {
+            return Vec::new();
+        }
+        let gone: Vec<EndpointId> = self.doubtful.drain(..).collect();
+        for id in &gone {
+            self.forget(id);
+        }
+        gone
+    }
+
+    /// Notes that an endpoint refuses the given model or adapter, which its entry names.
+    pub fn missing(&mut self, id: &EndpointId, weights: &Weights) {
+        let Some(known) = self.entries.get_mut(id) else { return };
+        let models = &mut known.entry.holding.models;
+        match &weights.adapter {
+            Some(adapter) => {
+                if let Some(adapters) = models.get_mut(&weights.model) {
+                    adapters.swap_remove(adapter);
+                }
+            }
+            None => {
+                models.swap_remove(&weights.model);
+            }
+        }
+    }
+
+    /// Marks the run of an endpoint as leaving, as the endpoint itself said.
+    pub fn mark_leaving(&mut self, id: &EndpointId, run: Incarnation) {
+        self.left.insert((id.clone(), run));
+        if let Some(known) = self.entries.get_mut(id)
+            && known.entry.run == run
+        {
+            known.entry.state = EndpointState::Leaving;
+        }
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, id: &EndpointId) -> Option<&EndpointEntry> {
+        self.entries.get(id).map(|known| &known.entry)
+    }
+
+    /// Returns all endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = &EndpointEntry> {
+        self.entries.values().map(|known| &known.entry)
+    }
+
+    /// Returns the endpoints of a service that take new requests.
+    pub fn live<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a EndpointEntry> {
+        self.iter().filter(move |entry| entry.service == *service && entry.state == EndpointState::Live)
+    }
+
+    fn update(&mut self, mut entry: EndpointEntry, now: Time) {
+        let newest = self.runs.entry(entry.id.clone()).or_insert(entry.run);
+        if entry.run < *newest {
+            return;
+        }
+        *newest = entry.run;
+        let run = (entry.id.clone(), entry.run);
+        if entry.state == EndpointState::Leaving {
+            self.left.insert(run.clone());
+        }
+        if self.left.contains(&run) {
+            entry.state = EndpointState::Leaving;
+        }
+        self.doubtful.swap_remove(&entry.id);
+        match self.entries.get_mut(&entry.id) {
+            Some(known) if known.entry.run == entry.run && entry.heartbeat < known.entry.heartbeat => {
+                // A late write of an older heartbeat; it can only say that the run is leaving.
+                if entry.state == EndpointState::Leaving {
+                    known.entry.state = entry.state;
+                }
+            }
+            Some(known) if known.entry.run == entry.run => known.merge(entry, now),
+            _ => {
+                self.entries.insert(entry.id.clone(), Known { entry, told: None });
+            }
+        }
+    }
+
+    fn remove(&mut self, id: &EndpointId, now: Time) {
+        if now < self.settled {
+            self.doubtful.insert(id.clone());
+        } else {
+            self.forget(id);
+        }
+    }
+
+    fn forget(&mut self, id: &EndpointId) {
+        self.doubtful.swap_remove(id);
+        self.entries.shift_remove(id);
+    }
+}
+
+impl Known {
+    /// Takes a later entry of the same run.
+    fn merge(&mut self, mut entry: EndpointEntry, now: Time) {
+        if self.told.is_some_and(|at| now < at + LEADER_WORD) {
+            entry.holding = self.entry.holding.clone();
+        }
+        self.entry = entry;
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/table.rs
@@ -0,0 +1,180 @@
+use std::sync::Arc;
+
+use carobwick_derive::data;
+use carobwick_derive::key;
+use indexmap::IndexMap;
+
+use crate::Bytes;
+use crate::Millis;
+use crate::ModelId;
+use crate::Rate;
+use crate::ServiceId;
+use crate::Tokens;
+use crate::Version;
+
+/// Routes, services and limits of one version of the configuration.
+#[data]
+pub struct RouteTable {
+    /// Version of the configuration; a process never goes back to an older one.
+    pub version: Version,
+    /// Limits on what a caller may send.
+    pub limits: CallerLimits,
+    /// Services by name.
+    pub services: IndexMap<ServiceId, Arc<ServiceEntry>>,
+    /// Routes by host, longest prefix first.
+    hosts: IndexMap<String, Vec<Arc<ServiceRoute>>>,
+}
+
+/// A route: requests for a host whose path begins with a prefix.
+#[data]
+pub struct ServiceRoute {
+    /// Name of the route.
+    pub name: String,
+    /// Host in lower case, without a port.
+    pub host: String,
+    /// Beginning of the path.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time for the whole answer.
+    pub timeout: Millis,
+    /// Time to the answer, or to the first event of a stream, that callers expect.
+    pub target: Millis,
+    /// Rank among the routes, where 0 goes first.
+    pub rank: u8,
+    /// Services that answer, with their shares.
+    pub shares: Vec<ServiceShare>,
+    /// Endpoints on which one attempt of a caller may run.
+    pub attempts: u32,
+    /// Whether an interrupted stream may go on at another endpoint.
+    pub resumable: bool,
+}
+
+/// Share of a route's requests that a service answers.
+#[data]
+pub struct ServiceShare {
+    /// The service.
+    pub service: ServiceId,
+    /// Its weight among the route's services.
+    pub weight: u32,
+}
+
+/// What may be repeated on a route.
+#[key]
+#[derive(Copy)]
+pub enum RouteKind {
+    /// A request may run more than once.
+    Idempotent,
+    /// A request may run at most once per attempt of its caller.
+    NonIdempotent,
+    /// The answer is a stream of events; a request may run at most once, unless the stream is resumable.
+    Streaming,
+}
+
+/// A set of endpoints of one kind.
+#[data]
+pub struct ServiceEntry {
+    /// Name of the service.
+    pub id: ServiceId,
+    /// Connections that one endpoint accepts from all instances together.
+    pub connections: u32,
+    /// What its engines hold, if the service runs models.
+    pub engine: Option<EngineSpec>,
+}
+
+/// Capacity of the engines of a service and the models that they serve.
+#[data]
+pub struct EngineSpec {
+    /// Memory for weights of models and adapters.
+    pub memory: Bytes,
+    /// Adapters that one engine holds at a time.
+    pub adapters: u32,
+    /// Loads per second that the weight store allows over all engines.
+    pub loads: Rate,
+    /// Memory for prompts and generated tokens.
+    pub context: Tokens,
+    /// Models by name.
+    pub models: IndexMap<ModelId, ModelSize>,
+}
+
+/// Size of a model and the times of its loads.
+#[data]
+pub struct ModelSize {
+    /// Size of the weights.
+    pub weights: Bytes,
+    /// Size of one adapter.
+    pub adapter: Bytes,
+    /// Time of a load from the weight store.
+    pub load: Millis,
+}
+
+/// Limits on what a caller may send.
+#[data]
+pub struct CallerLimits {
+    /// Largest head of a request.
+    pub head: Bytes,
+    /// Largest body of a request.
+    pub body: Bytes,
+    /// Longest time for a head.
+    pub head_time: Millis,
+    /// Longest idle time of a connection.
+    pub idle: Millis,
+}
+
+impl RouteTable {
+    /// Builds a table from its routes.
+    pub fn new(
+        version: Version,
+        limits: CallerLimits,
+        services: IndexMap<ServiceId, Arc<ServiceEntry>>,
+        routes: Vec<ServiceRoute>,
+    ) -> Self {
+        let mut hosts: IndexMap<String, Vec<Arc<ServiceRoute>>> = IndexMap::new();
+        for route in routes {
+            hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self { version, limits, services, hosts }
+    }
+
+    /// Returns the route with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<ServiceRoute>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let routes = match self.hosts.get(name) {
+            Some(routes) => routes,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<ServiceRoute>> {
+        self.hosts.values().flatten()
+    }
+}
+
+impl ServiceRoute {
+    /// Returns the service for a draw in `0.0..1.0`.
+    pub fn pick(&self, draw: f64) -> Option<&ServiceId> {
+        let total: u32 = self.shares.iter().map(|share| share.weight).sum();
+        let mut left = draw * f64::from(total);
+        for share in &self.shares {
+            left -= f64::from(share.weight);
+            if left < 0.0 {
+                return Some(&share.service);
+            }
+        }
+        self.shares.iter().rfind(|share| share.weight > 0).map(|share| &share.service)
+    }
+
+    /// Returns whether a request may run a second time after it may have run.
+    pub fn may_rerun(&self) -> bool {
+        match self.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::NonIdempotent => false,
+            RouteKind::Streaming => self.resumable,
+        }
+    }
+}
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -14,6 +14,24 @@
 pub const DRIFT_MARGIN: Duration = Duration::from_secs(1);
 
 const KEEP_ALIVE: Duration = Duration::from_millis(1_500);
+
+/// Times of a lease.
+#[data]
+#[derive(Copy)]
+pub struct LeaseTerms {
+    /// Time to live at the store.
+    pub ttl: Duration,
+    /// Part of it in which the holder acts, counted from when its last renewal was sent.
+    pub usable: Duration,
+    /// Time between renewals.
+    pub renewal: Duration,
+}
+
+impl Default for LeaseTerms {
+    fn default() -> Self {
+        Self { ttl: LEASE_TTL, usable: LEASE_TTL.saturating_sub(DRIFT_MARGIN), renewal: KEEP_ALIVE }
+    }
+}
 const RETRY: Duration = Duration::from_millis(250);
 
 /// Election of a zone's leader, as one planner takes part in it.
@@ -47,6 +65,7 @@
     sent: Option<Time>,
     resigned: bool,
     interval: Duration,
+    terms: LeaseTerms,
 }
 
 /// Value of the key that names a zone's leader.
@@ -122,7 +141,13 @@
     /// Starts as a follower that looks for the leader immediately.
     pub fn new(instance: InstanceId) -> Self {
         let state = State::Follower { next: Time::ZERO };
-        Self { instance, state, sent: None, resigned: false, interval: Duration::from_secs(1) }
+        let terms = LeaseTerms::default();
+        Self { instance, state, sent: None, resigned: false, interval: Duration::from_secs(1), terms }
+    }
+
+    /// Sets the times of the lease.
+    pub fn set_terms(&mut self, terms: LeaseTerms) {
+        self.terms = terms;
     }
 
     /// Returns the value to write into the leader's key.
@@ -178,12 +203,12 @@
                 State::Creating { lease, granted: sent, write_id: WriteId::default(), read_back: false }
             }
             (State::Creating { lease, granted, .. }, LeaseEvent::Created(revision)) => {
-                holder(lease, revision, granted)
+                self.holder(lease, revision, granted)
             }
             (
                 State::Creating { lease, granted, write_id, .. },
                 LeaseEvent::Read(Some((record, revision))) | LeaseEvent::Exists(Some((record, revision))),
-            ) if record.write_id == write_id => holder(lease, revision, granted),
+            ) if record.write_id == write_id => self.holder(lease, revision, granted),
             // The create may still take effect; a repeated one with the same write id then finds it.
             (
                 State::Creating { lease, granted, write_id, .. },
@@ -193,7 +218,7 @@
                 State::Creating { lease, granted, write_id, read_back: true }
             }
             (State::Holder { lease, revision, until, .. }, LeaseEvent::Kept(true)) => {
-                let State::Holder { until: renewed, next, .. } = holder(lease, revision, sent) else {
+                let State::Holder { until: renewed, next, .. } = self.holder(lease, revision, sent) else {
                     unreachable!("holder builds a holder");
                 };
                 State::Holder { lease, revision, until: until.max(renewed), next }
@@ -210,7 +235,7 @@
         match &mut self.state {
             State::Follower { next } if now >= *next && !self.resigned => LeaseStep::Read,
             State::Granting => LeaseStep::Grant,
-            State::Creating { granted, .. } if now - *granted >= usable() => {
+            State::Creating { granted, .. } if now - *granted >= self.terms.usable => {
                 // The lease may have ended, so a key created now would be gone or unusable.
                 self.state = State::Follower { next: now };
                 LeaseStep::Wait
@@ -227,12 +252,8 @@
             State::Follower { .. } | State::Holder { .. } => LeaseStep::Wait,
         }
     }
-}
 
-fn holder(lease: u64, revision: u64, sent: Time) -> State {
-    State::Holder { lease, revision, until: sent + usable(), next: sent + KEEP_ALIVE }
-}
-
-fn usable() -> Duration {
-    LEASE_TTL.saturating_sub(DRIFT_MARGIN)
+    fn holder(&self, lease: u64, revision: u64, sent: Time) -> State {
+        State::Holder { lease, revision, until: sent + self.terms.usable, next: sent + self.terms.renewal }
+    }
 }
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,110 @@
+use std::fmt;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::LocalBoxStream;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header::CONNECTION;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+use http::header::TRANSFER_ENCODING;
+use http::header::UPGRADE;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+
+/// Headers that concern one connection only.
+static HOP_BY_HOP: [HeaderName; 3] = [CONNECTION, TRANSFER_ENCODING, UPGRADE];
+static MORE_HOP_BY_HOP: [&str; 5] = ["keep-alive", "proxy-connection", "te", "trailer", "proxy-authenticate"];
+
+/// Body of an answer to a caller.
+pub(crate) enum AnswerBody {
+    /// A whole body.
+    Whole(Option<Bytes>),
+    /// A body that is passed on as it arrives; an error breaks off the caller's connection.
+    Passed(LocalBoxStream<'static, Result<Bytes, BrokenOff>>),
+}
+
+/// The answer of an endpoint broke off, so the caller's connection is closed without an end of the body.
+#[derive(Debug, Clone)]
+pub(crate) struct BrokenOff(pub String);
+
+impl fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Passed(stream) => {
+                stream.as_mut().poll_next(cx).map(|next| next.map(|item| item.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.is_none(),
+            Self::Passed(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Passed(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Builds an answer of the instance itself.
+pub(crate) fn own(status: StatusCode, text: &str, retry: Option<Duration>) -> Response<AnswerBody> {
+    let body = Bytes::from(format!("{{\"error\":\"{text}\"}}"));
+    let mut response = Response::new(AnswerBody::Whole(Some(body)));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(retry) = retry {
+        let seconds = format!("{:.2}", retry.as_secs_f64());
+        headers.insert(RETRY_AFTER, HeaderValue::from_str(&seconds).expect("digits are a valid header"));
+    }
+    response
+}
+
+/// Removes the headers that concern one connection only.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    for name in MORE_HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/callers.rs
@@ -0,0 +1,229 @@
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use carobwick_core::Fingerprint;
+use carobwick_core::Time;
+use carobwick_core::gateway::CallerLimits;
+use carobwick_core::gateway::Progress;
+use carobwick_core::gateway::RouteTable;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONNECTION;
+use http::header::HOST;
+use http::header::TRANSFER_ENCODING;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::answer::AnswerBody;
+use crate::answer::own;
+use crate::clock::now;
+use crate::flight::Flight;
+use crate::link::tune;
+use crate::screen::HeadCheck;
+use crate::screen::HeadScreen;
+use crate::screen::Screened;
+use crate::state::State;
+
+/// Time beyond the configured idle time for which a connection is kept, so that a caller's last request is not cut off.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Idle time of a connection while there is no configuration.
+const FIRST_IDLE: Duration = Duration::from_secs(15);
+/// Longest head of a request while there is no configuration, in bytes.
+const FIRST_HEAD: usize = 16 << 10;
+/// Smallest buffer that the HTTP library takes, in bytes.
+const LEAST_BUFFER: usize = 8 << 10;
+/// Pause after a connection could not be accepted, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time after which a caller may come back to an instance that knows no configuration yet.
+const COME_BACK: Duration = Duration::from_millis(500);
+/// Longest time that a caller without a limit of its own waits.
+const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
+
+/// Accepts callers' connections until `closing` is cancelled.
+pub(crate) async fn accept(
+    state: Rc<State>,
+    listener: TcpListener,
+    closing: CancellationToken,
+    work: TaskTracker,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let connection = serve(Rc::clone(&state), stream, peer, closing.clone());
+                work.spawn_local(connection);
+            }
+            Err(err) => {
+                tracing::warn!("gateway: a connection was not accepted: {err}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(state: Rc<State>, stream: TcpStream, peer: SocketAddr, closing: CancellationToken) {
+    if let Err(err) = tune(&stream) {
+        tracing::debug!("gateway: caller {peer}: {err}");
+        return;
+    }
+    let screen = HeadScreen::default();
+    let io = TokioIo::new(Screened::new(stream, screen.clone()));
+    let (head, idle) = connection_limits(&state);
+    let service = service_fn(move |request| {
+        let (state, screen) = (Rc::clone(&state), screen.clone());
+        async move { Ok::<_, Infallible>(answer(state, screen, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .auto_date_header(false)
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle + IDLE_MARGIN)
+        .max_buf_size(head.max(LEAST_BUFFER))
+        .serve_connection(io, service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(err) = ended {
+        tracing::debug!("gateway: caller {peer}: {err}");
+    }
+}
+
+fn connection_limits(state: &State) -> (usize, Duration) {
+    match state.table.borrow().as_ref() {
+        Some(table) => (table.limits.head.0 as usize, table.limits.idle.duration()),
+        None => (FIRST_HEAD, FIRST_IDLE),
+    }
+}
+
+/// Answers one request.
+async fn answer(state: Rc<State>, screen: HeadScreen, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = now();
+    let check = screen.take();
+    let (parts, body) = request.into_parts();
+    let is_chunked = parts.headers.contains_key(TRANSFER_ENCODING);
+    let mut response = match check {
+        HeadCheck::Ambiguous => close(own(StatusCode::BAD_REQUEST, "the head has two meanings", None)),
+        HeadCheck::Clear | HeadCheck::Unseen => match read(&state, &screen, &parts, body, arrived).await {
+            Ok(flight) => flight.run().await,
+            Err(response) => response,
+        },
+    };
+    // Bytes after a body whose length was not looked at are never taken for a request.
+    let is_unsafe = check == HeadCheck::Unseen && is_chunked;
+    if is_unsafe || state.stopping.get() {
+        response = close(response);
+    }
+    response
+}
+
+/// Reads a request whole, or says why it is turned away.
+async fn read(
+    state: &Rc<State>,
+    screen: &HeadScreen,
+    parts: &Parts,
+    body: Incoming,
+    arrived: Time,
+) -> Result<Flight, Response<AnswerBody>> {
+    let Some(table) = state.table.borrow().clone() else {
+        return Err(own(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", Some(COME_BACK)));
+    };
+    let body = read_body(body, &table.limits).await?;
+    screen.body_read();
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let path = parts.uri.path();
+    let Some(route) = table.find(host, path).cloned() else {
+        tracing::info!("gateway: no route for {host}{path} in version {}", table.version);
+        return Err(own(StatusCode::NOT_FOUND, "no route", None));
+    };
+    let call = state.wire.call(&parts.headers).map_err(|err| {
+        tracing::info!("gateway: request on {} is turned away: {err}", route.name);
+        own(StatusCode::BAD_REQUEST, "the head can't be read", None)
+    })?;
+    let print = Fingerprint(xxh3_64_with_seed(&body, xxh3_64_with_seed(path.as_bytes(), 0)));
+    if state.suspects.borrow().refuses(print, now()) {
+        tracing::info!("gateway: request {} refused: it crashes endpoints", call.attempt);
+        return Err(own(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the request crashes endpoints",
+            Some(DEFAULT_DEADLINE),
+        ));
+    }
+    flight(state, &table, route, call, parts, body, print, arrived)
+}
+
+#[expect(clippy::too_many_arguments, reason = "parts of one request that are put together here")]
+fn flight(
+    state: &Rc<State>,
+    table: &Arc<RouteTable>,
+    route: Arc<carobwick_core::gateway::ServiceRoute>,
+    call: carobwick_core::gateway::Call,
+    parts: &Parts,
+    body: Bytes,
+    print: Fingerprint,
+    arrived: Time,
+) -> Result<Flight, Response<AnswerBody>> {
+    let Some(service) = route.pick(rand::random()).cloned() else {
+        return Err(own(StatusCode::SERVICE_UNAVAILABLE, "the route has no service", Some(COME_BACK)));
+    };
+    let limit = call.deadline.map_or(DEFAULT_DEADLINE, |millis| millis.duration());
+    Ok(Flight {
+        state: Rc::clone(state),
+        table: Arc::clone(table),
+        deadline: arrived + limit.min(route.timeout.duration()),
+        route,
+        service,
+        call,
+        method: parts.method.clone(),
+        uri: parts.uri.clone(),
+        headers: parts.headers.clone(),
+        body,
+        print,
+        arrived,
+        progress: Progress::default(),
+        tried: Vec::new(),
+    })
+}
+
+async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Response<AnswerBody>> {
+    match Limited::new(body, limits.body.0 as usize).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => {
+            Err(close(own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long", None)))
+        }
+        Err(err) => {
+            tracing::debug!("gateway: a body broke off: {err}");
+            Err(close(own(StatusCode::BAD_REQUEST, "the body broke off", None)))
+        }
+    }
+}
+
+fn close(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/elect.rs
@@ -0,0 +1,157 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use carobwick_core::Fence;
+use carobwick_core::Lease;
+use carobwick_core::LeaseEvent;
+use carobwick_core::LeaseStep;
+use carobwick_core::LeaseTerms;
+use carobwick_core::Standing;
+use carobwick_core::Time;
+use carobwick_core::WriteId;
+
+use crate::Claim;
+use crate::LeaderNote;
+use crate::Settings;
+use crate::Store;
+use crate::clock::now;
+
+/// How often a follower reads the leader's note.
+const LOOK: Duration = Duration::from_millis(700);
+/// How often the election looks at the clock.
+const TICK: Duration = Duration::from_millis(200);
+/// Times of the leader's lease. The holder acts only for a part of it, so that its last order is older than the next
+/// holder's lease by the difference, which shortens the wait of the next holder.
+const TERMS: LeaseTerms = LeaseTerms {
+    ttl: Duration::from_millis(3_000),
+    usable: Duration::from_millis(1_400),
+    renewal: Duration::from_millis(500),
+};
+/// Time by which the next holder's lease is younger than the last one's last order, less a margin for the clocks' rates.
+const ORDERS_END: Duration = Duration::from_millis(1_500);
+
+/// This instance's part in the election of the leader.
+#[derive(Debug)]
+pub(crate) struct Election {
+    lease: RefCell<Lease>,
+    /// The leader as last read from the store.
+    note: RefCell<Option<LeaderNote>>,
+    /// Since when this instance leads.
+    since: RefCell<Option<Time>>,
+}
+
+impl Election {
+    pub fn new(settings: &Settings) -> Self {
+        let mut lease = Lease::new(settings.instance.clone());
+        lease.set_interval(LOOK);
+        lease.set_terms(TERMS);
+        Self { lease: RefCell::new(lease), note: RefCell::default(), since: RefCell::default() }
+    }
+
+    /// Returns what this instance may do now.
+    pub fn standing(&self) -> Standing {
+        self.lease.borrow().standing(now())
+    }
+
+    /// Returns the fencing number if orders may be given, `handover` after those of the last leader.
+    pub fn authority(&self, handover: Duration) -> Option<Fence> {
+        let since = self.since()?;
+        match self.standing() {
+            Standing::Leader(fence) if now() >= since + handover.saturating_sub(ORDERS_END) => Some(fence),
+            _ => None,
+        }
+    }
+
+    /// Returns since when this instance leads.
+    pub fn since(&self) -> Option<Time> {
+        *self.since.borrow()
+    }
+
+    /// Returns the leader as last read.
+    pub fn leader(&self) -> Option<LeaderNote> {
+        self.note.borrow().clone()
+    }
+
+    /// Gives up the lease.
+    pub fn resign(&self) {
+        self.lease.borrow_mut().set_resigned(true);
+    }
+
+    /// Takes part in the election for as long as the process runs.
+    pub async fn run(self: Rc<Self>, settings: Rc<Settings>, store: Rc<dyn Store>) {
+        loop {
+            let write_id = WriteId(rand::random::<u64>() | 1);
+            let step = self.lease.borrow_mut().step(now(), write_id);
+            if step == LeaseStep::Wait {
+                self.note_standing();
+                tokio::time::sleep(TICK).await;
+                continue;
+            }
+            let event = self.perform(step, &settings, store.as_ref()).await;
+            self.lease.borrow_mut().on(now(), event);
+            self.note_standing();
+        }
+    }
+
+    async fn perform(&self, step: LeaseStep, settings: &Settings, store: &dyn Store) -> LeaseEvent {
+        let result = match step {
+            LeaseStep::Wait => return LeaseEvent::Failed,
+            LeaseStep::Read => store.leader().await.map(|found| {
+                self.see(found.as_ref());
+                LeaseEvent::Read(found.map(|(note, revision)| (note.record, revision)))
+            }),
+            LeaseStep::Grant => store.grant(TERMS.ttl).await.map(LeaseEvent::Granted),
+            LeaseStep::Create { lease, write_id } => {
+                let record = self.lease.borrow().record(write_id);
+                let note = LeaderNote { record, peers: settings.peers };
+                store.lead(lease, note.clone()).await.map(|claim| self.claimed(claim, note))
+            }
+            LeaseStep::KeepAlive(lease) => store.keep(lease).await.map(LeaseEvent::Kept),
+            LeaseStep::Revoke(lease) => store.revoke(lease).await.map(|()| LeaseEvent::Revoked),
+        };
+        result.unwrap_or_else(|err| {
+            tracing::info!("election: {step:?} failed: {err}");
+            LeaseEvent::Failed
+        })
+    }
+
+    fn claimed(&self, claim: Claim, own: LeaderNote) -> LeaseEvent {
+        match claim {
+            Claim::Won(revision) => {
+                *self.note.borrow_mut() = Some(own);
+                LeaseEvent::Created(revision)
+            }
+            Claim::Taken(found) => {
+                self.see(found.as_ref());
+                LeaseEvent::Exists(found.map(|(note, revision)| (note.record, revision)))
+            }
+        }
+    }
+
+    fn see(&self, found: Option<&(LeaderNote, u64)>) {
+        let note = found.map(|(note, _)| note.clone());
+        let mut known = self.note.borrow_mut();
+        if *known != note {
+            let name = note.as_ref().map_or("nobody", |note| note.record.instance.as_str());
+            tracing::info!("election: {name} leads");
+            *known = note;
+        }
+    }
+
+    fn note_standing(&self) {
+        let leads = matches!(self.standing(), Standing::Leader(_));
+        let mut since = self.since.borrow_mut();
+        match (leads, since.is_some()) {
+            (true, false) => {
+                tracing::info!("election: this instance leads");
+                *since = Some(now());
+            }
+            (false, true) => {
+                tracing::info!("election: this instance does not lead any more");
+                *since = None;
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,66 @@
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Longest event that is held until it is whole.
+const MAX_EVENT: usize = 1 << 20;
+
+/// Cuts a stream into whole events, so that one that was broken off in its middle never reaches the caller.
+#[derive(Debug, Default)]
+pub(crate) struct EventCutter {
+    partial: BytesMut,
+}
+
+/// Whole events of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Cut {
+    /// The events as they arrived.
+    pub bytes: Bytes,
+    /// Id of the last event that has one.
+    pub last: Option<String>,
+}
+
+impl EventCutter {
+    /// Takes a piece of the stream and returns the events that it completes.
+    pub fn push(&mut self, piece: &[u8]) -> Cut {
+        self.partial.extend_from_slice(piece);
+        let mut end = 0;
+        while let Some(length) = event_length(&self.partial[end..]) {
+            end += length;
+        }
+        if self.partial.len() - end > MAX_EVENT {
+            end = self.partial.len();
+        }
+        let bytes = self.partial.split_to(end).freeze();
+        let last = bytes.split(|byte| *byte == b'\n').rev().find_map(event_id);
+        Cut { bytes, last }
+    }
+
+    /// Returns whether a part of an event is held.
+    pub fn is_whole(&self) -> bool {
+        self.partial.is_empty()
+    }
+
+    /// Drops the part of an event that was broken off.
+    pub fn reset(&mut self) {
+        self.partial.clear();
+    }
+}
+
+/// Returns the length of the first event with the empty line that ends it.
+fn event_length(bytes: &[u8]) -> Option<usize> {
+    let mut from = 0;
+    while let Some(line) = bytes[from..].iter().position(|byte| *byte == b'\n') {
+        let next = from + line + 1;
+        match bytes.get(next..) {
+            Some([b'\n', ..]) => return Some(next + 1),
+            Some([b'\r', b'\n', ..]) => return Some(next + 2),
+            _ => from = next,
+        }
+    }
+    None
+}
+
+fn event_id(line: &[u8]) -> Option<String> {
+    let id = line.strip_prefix(b"id:")?.trim_ascii();
+    std::str::from_utf8(id).ok().map(str::to_owned)
+}
--- /dev/null
+++ b/crates/gateway/src/flight.rs
@@ -0,0 +1,431 @@
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use carobwick_core::EndpointId;
+use carobwick_core::Fingerprint;
+use carobwick_core::ServiceId;
+use carobwick_core::Time;
+use carobwick_core::gateway::Call;
+use carobwick_core::gateway::Choice;
+use carobwick_core::gateway::EndpointEntry;
+use carobwick_core::gateway::Failure;
+use carobwick_core::gateway::Progress;
+use carobwick_core::gateway::RouteTable;
+use carobwick_core::gateway::ServiceRoute;
+use carobwick_core::gateway::Step;
+use carobwick_core::gateway::Ticket;
+use carobwick_core::gateway::Verdict;
+use carobwick_core::gateway::next_step;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http::header::CONTENT_LENGTH;
+use http::header::EXPECT;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+
+use crate::Link;
+use crate::Outgoing;
+use crate::answer::AnswerBody;
+use crate::answer::own;
+use crate::answer::strip_hop_by_hop;
+use crate::clock::now;
+use crate::link::SendError;
+use crate::message::ToLeader;
+use crate::ports::AnswerHead;
+use crate::state::State;
+use crate::stream;
+
+/// Longest time to connect to an endpoint; one that does not take a connection in this time is passed over.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Time after which a caller may come back if no endpoint takes its request.
+const COME_BACK: Duration = Duration::from_millis(300);
+/// First pause before a request goes to an endpoint again that has just declined it.
+const DECLINED_PAUSE: Duration = Duration::from_millis(20);
+/// Time beyond a model's load for which a request waits for it.
+const LOAD_MARGIN: Duration = Duration::from_millis(1_000);
+/// Longest plain answer that is held until it is whole.
+const MAX_HELD: usize = 1 << 20;
+
+/// A request that was read whole, on its way to an answer.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    pub state: Rc<State>,
+    pub table: Arc<RouteTable>,
+    pub route: Arc<ServiceRoute>,
+    pub service: ServiceId,
+    pub call: Call,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub print: Fingerprint,
+    pub arrived: Time,
+    pub deadline: Time,
+    pub progress: Progress,
+    pub tried: Vec<EndpointId>,
+}
+
+/// A request at an endpoint; dropping it closes the connection, which ends the work there.
+#[derive(Debug)]
+pub(crate) struct Send {
+    state: Rc<State>,
+    print: Fingerprint,
+    pub choice: Choice,
+    ticket: Ticket,
+    link: Option<Link>,
+    verdict: Verdict,
+    keep: Option<Duration>,
+    reusable: bool,
+}
+
+/// An answer whose head has arrived.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub send: Send,
+    pub head: AnswerHead,
+    pub response: Response<Incoming>,
+}
+
+/// Where a request goes next.
+enum Placement {
+    Endpoint(Choice),
+    /// No endpoint can take it in time.
+    None {
+        reason: &'static str,
+        retry: Duration,
+    },
+}
+
+impl Flight {
+    /// Brings the request to its answer.
+    pub async fn run(mut self) -> Response<AnswerBody> {
+        self.state.count_request(&self.service);
+        self.state.count_demand(&self.service, &self.call);
+        loop {
+            let choice = match self.place().await {
+                Placement::Endpoint(choice) => choice,
+                Placement::None { reason, retry } => return self.refuse(reason, retry),
+            };
+            match self.attempt(&choice).await {
+                Ok(reply) => match self.finish(reply).await {
+                    Ok(response) => return response,
+                    Err(failure) => match self.after(failure, &choice) {
+                        Step::Again => {}
+                        step => return self.give_up(step, failure),
+                    },
+                },
+                Err(failure) => match self.after(failure, &choice) {
+                    Step::Again => {}
+                    step => return self.give_up(step, failure),
+                },
+            }
+        }
+    }
+
+    /// Returns the time that is left, or none if it is used up.
+    pub fn left(&self) -> Option<Duration> {
+        let left = self.deadline - now();
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Decides what follows a failure, and takes a repeated send from the budget if one is needed.
+    pub fn after(&mut self, failure: Failure, choice: &Choice) -> Step {
+        self.progress.count(failure);
+        self.tried.push(choice.id.clone());
+        let step = next_step(&self.route, failure, self.progress);
+        let repeats = self.progress.sends > 0;
+        if step != Step::Again || !repeats || self.left().is_some() && self.state.take_retry(&self.service) {
+            return step;
+        }
+        let spent = Progress { sends: u32::MAX, ..self.progress };
+        next_step(&self.route, failure, spent)
+    }
+
+    /// Sends the request to an endpoint and waits for the head of its answer.
+    pub async fn attempt(&mut self, choice: &Choice) -> Result<Reply, Failure> {
+        self.attempt_from(choice, None).await
+    }
+
+    /// Does so, and goes on after an event of an interrupted stream.
+    pub async fn attempt_from(&mut self, choice: &Choice, resume: Option<&str>) -> Result<Reply, Failure> {
+        let ticket = self.state.balancer.borrow_mut().sent(&self.call, choice, now());
+        let mut send = Send {
+            state: Rc::clone(&self.state),
+            print: self.print,
+            choice: choice.clone(),
+            ticket,
+            link: None,
+            verdict: Verdict::Neutral,
+            keep: None,
+            reusable: false,
+        };
+        let Some(left) = self.left() else { return Err(Failure::Unsent) };
+        match self.state.pool.take(choice, CONNECT.min(left)).await {
+            Ok(link) => send.link = Some(link),
+            Err(err) => {
+                tracing::info!(
+                    "gateway: request {} no connection to {}: {err}",
+                    self.call.attempt,
+                    choice.id
+                );
+                send.verdict = Verdict::Lost;
+                return Err(Failure::Unsent);
+            }
+        }
+        let response = self.exchange(&mut send, resume).await?;
+        self.read_head(send, response)
+    }
+
+    async fn exchange(&self, send: &mut Send, resume: Option<&str>) -> Result<Response<Incoming>, Failure> {
+        let Some(left) = self.left() else { return Err(Failure::Unsent) };
+        let request = self.request(&send.choice, left, resume);
+        let Some(link) = send.link.as_mut() else { return Err(Failure::Unsent) };
+        match tokio::time::timeout(left, link.send(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(SendError::Unsent(_))) => Err(Failure::Unsent),
+            Ok(Err(SendError::Lost(text))) => {
+                tracing::info!(
+                    "gateway: request {} lost at {} after {:?}: {text}",
+                    self.call.attempt,
+                    send.choice.id,
+                    now() - self.arrived,
+                );
+                send.broke_off();
+                Err(Failure::Lost)
+            }
+            Err(_) => {
+                tracing::info!("gateway: request {} timed out at {}", self.call.attempt, send.choice.id);
+                send.verdict = Verdict::Failed;
+                Err(Failure::Lost)
+            }
+        }
+    }
+
+    fn request(&self, choice: &Choice, left: Duration, resume: Option<&str>) -> Request<Full<Bytes>> {
+        let outgoing = Outgoing {
+            call: &self.call,
+            endpoint: &choice.id,
+            left,
+            rank: self.route.rank,
+            resume: resume.or(self.call.resume.as_deref()),
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let mut headers = self.headers.clone();
+        strip_hop_by_hop(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        headers.remove(EXPECT);
+        *request.headers_mut() = self.state.wire.outgoing(&headers, &outgoing);
+        request
+    }
+
+    fn read_head(&self, mut send: Send, response: Response<Incoming>) -> Result<Reply, Failure> {
+        let status = response.status();
+        let head = self.state.wire.answer(&self.call, status, response.headers());
+        send.keep = head.keep;
+        send.reusable = !head.closes;
+        let id = &send.choice.id;
+        if !head.own && !head.declined {
+            tracing::warn!("gateway: request {} got an answer of another from {id}", self.call.attempt);
+            send.verdict = Verdict::Failed;
+            send.reusable = false;
+            return Err(Failure::Lost);
+        }
+        if head.declined {
+            tracing::info!("gateway: request {} declined by {id} with {status}", self.call.attempt);
+            if head.misdirected
+                && let Some(weights) = &self.call.weights
+            {
+                self.state.roster.borrow_mut().missing(id, weights);
+            }
+            let mut balancer = self.state.balancer.borrow_mut();
+            balancer.answered(&send.choice, send.ticket, head.load, now());
+            send.verdict = Verdict::Declined;
+            return Err(Failure::Declined);
+        }
+        if status.is_success() && !head.signed {
+            tracing::warn!("gateway: request {} got an unsigned {status} from {id}", self.call.attempt);
+            send.verdict = Verdict::Failed;
+            send.reusable = false;
+            return Err(Failure::Lost);
+        }
+        Ok(Reply { send, head, response })
+    }
+
+    /// Turns a reply into the answer for the caller.
+    async fn finish(&mut self, mut reply: Reply) -> Result<Response<AnswerBody>, Failure> {
+        let status = reply.response.status();
+        let is_stream = self.route.kind.is_stream() && status.is_success();
+        if is_stream {
+            return Ok(stream::pass(self, reply));
+        }
+        reply.send.answered(reply.head.load);
+        let (mut parts, body) = reply.response.into_parts();
+        let Some(left) = self.left() else { return Err(Failure::Lost) };
+        let collected = tokio::time::timeout(left, Limited::new(body, MAX_HELD).collect()).await;
+        let Ok(Ok(collected)) = collected else {
+            tracing::info!(
+                "gateway: request {} answer broke off at {}",
+                self.call.attempt,
+                reply.send.choice.id
+            );
+            reply.send.broke_off();
+            return Err(Failure::Lost);
+        };
+        if status.is_server_error() {
+            reply.send.done(Verdict::Failed);
+            if self.would_repeat() {
+                return Err(Failure::Failed);
+            }
+        } else {
+            reply.send.completed();
+        }
+        strip_hop_by_hop(&mut parts.headers);
+        parts.headers.remove(CONTENT_LENGTH);
+        Ok(Response::from_parts(parts, AnswerBody::Whole(Some(collected.to_bytes()))))
+    }
+
+    /// Returns whether a failure of an endpoint would be followed by another send.
+    fn would_repeat(&self) -> bool {
+        let mut progress = self.progress;
+        progress.count(Failure::Failed);
+        next_step(&self.route, Failure::Failed, progress) == Step::Again
+    }
+
+    /// Chooses the endpoint, or waits for one that gets the model.
+    async fn place(&mut self) -> Placement {
+        let started = now();
+        let mut asked = false;
+        loop {
+            let changed = self.state.changed.notified();
+            if self.left().is_none() {
+                return Placement::None { reason: "the time is used up", retry: COME_BACK };
+            }
+            match self.choose() {
+                Some(choice) if self.tried.contains(&choice.id) => {
+                    // No other endpoint has what the request needs, and this one has just declined it.
+                    tokio::time::sleep(DECLINED_PAUSE * (1 << self.tried.len().min(4))).await;
+                    self.tried.clear();
+                    continue;
+                }
+                Some(choice) => return Placement::Endpoint(choice),
+                None => {}
+            }
+            let Some(weights) = self.call.weights.clone() else {
+                return Placement::None { reason: "no endpoint takes the request", retry: COME_BACK };
+            };
+            let Some(patience) = self.patience() else {
+                return Placement::None { reason: "the model is not served", retry: COME_BACK };
+            };
+            let waited = now() - started;
+            if !self.state.has_leader() || waited >= patience {
+                return Placement::None { reason: "no endpoint holds the model", retry: COME_BACK };
+            }
+            if !asked {
+                asked = true;
+                let want = ToLeader::Want { service: self.service.clone(), weights };
+                self.state.tell_leader(want);
+            }
+            if tokio::time::timeout(patience - waited, changed).await.is_err() {
+                tracing::info!("gateway: request {} waited {patience:?} for its model", self.call.attempt);
+            }
+        }
+    }
+
+    pub fn choose(&self) -> Option<Choice> {
+        let roster = self.state.roster.borrow();
+        let holds = |entry: &&EndpointEntry| {
+            self.call.weights.as_ref().is_none_or(|weights| entry.holding.has(weights))
+        };
+        let balancer = self.state.balancer.borrow();
+        let fresh = roster.live(&self.service).filter(holds).filter(|entry| !self.tried.contains(&entry.id));
+        let chosen = balancer.choose(&self.call, fresh, now());
+        chosen.or_else(|| balancer.choose(&self.call, roster.live(&self.service).filter(holds), now()))
+    }
+
+    /// Returns how long a request waits for its model to be loaded, and none if the service does not have it.
+    fn patience(&self) -> Option<Duration> {
+        let spec = self.table.services.get(&self.service)?.engine.as_ref()?;
+        let size = spec.models.get(&self.call.weights.as_ref()?.model)?;
+        let left = self.deadline - self.arrived;
+        Some((size.load.duration() + LOAD_MARGIN).min(left / 2))
+    }
+
+    fn refuse(&self, reason: &'static str, retry: Duration) -> Response<AnswerBody> {
+        tracing::info!(
+            "gateway: request {} on {} refused after {:?}: {reason}",
+            self.call.attempt,
+            self.route.name,
+            now() - self.arrived,
+        );
+        if self.progress.runs > 0 {
+            return self.give_up(Step::Unknown, Failure::Lost);
+        }
+        own(StatusCode::SERVICE_UNAVAILABLE, reason, Some(retry))
+    }
+
+    fn give_up(&self, step: Step, failure: Failure) -> Response<AnswerBody> {
+        tracing::info!(
+            "gateway: request {} on {} given up after {:?}: {step:?}, {failure:?}, {:?}",
+            self.call.attempt,
+            self.route.name,
+            now() - self.arrived,
+            self.progress,
+        );
+        match step {
+            Step::Refuse | Step::Again => {
+                own(StatusCode::SERVICE_UNAVAILABLE, "no endpoint took the request", Some(COME_BACK))
+            }
+            Step::PassOn | Step::Unknown | Step::BreakOff if self.left().is_none() => {
+                own(StatusCode::GATEWAY_TIMEOUT, "the time is used up", None)
+            }
+            Step::PassOn | Step::Unknown | Step::BreakOff => {
+                own(StatusCode::BAD_GATEWAY, "the outcome of the request is unknown", None)
+            }
+        }
+    }
+}
+
+impl Send {
+    /// Notes the first event, or the head of a plain answer.
+    pub fn answered(&self, load: Option<carobwick_core::LoadReport>) {
+        self.state.balancer.borrow_mut().answered(&self.choice, self.ticket, load, now());
+    }
+
+    /// Notes the end of the answer and keeps the connection for the next request.
+    pub fn done(&mut self, verdict: Verdict) {
+        self.verdict = verdict;
+        if let Some(link) = self.link.take_if(|_| self.reusable) {
+            self.state.pool.put(&self.choice, link, self.keep);
+        }
+    }
+
+    /// Notes that the endpoint broke off the answer.
+    pub fn broke_off(&mut self) {
+        self.verdict = Verdict::Lost;
+        self.link = None;
+        self.state.note_loss(self.print, &self.choice.id, self.choice.run);
+    }
+
+    /// Notes that a request whose answer was passed on ended well.
+    pub fn completed(&mut self) {
+        self.state.suspects.borrow_mut().cleared(self.print);
+        self.done(Verdict::Good);
+    }
+}
+
+impl Drop for Send {
+    fn drop(&mut self) {
+        let mut balancer = self.state.balancer.borrow_mut();
+        balancer.finished(&self.choice, self.ticket, self.verdict, now());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,98 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::Category;
+use crate::Error;
+use crate::Result;
+use crate::Settings;
+use crate::Store;
+use crate::Wire;
+use crate::callers;
+use crate::elect::Election;
+use crate::follow;
+use crate::lead::Desk;
+use crate::peers;
+use crate::ready;
+use crate::state::State;
+
+/// Time for which a stopping instance still takes connections, until the balancer has noticed that it is not ready.
+const NOTICE: Duration = Duration::from_millis(2_500);
+/// Part of the grace time after which requests in flight are cut off, so that the process ends by itself.
+const CUT_OFF: f64 = 0.95;
+
+/// A running instance; dropping it ends its tasks without waiting.
+#[derive(Debug)]
+pub struct Gateway {
+    state: Rc<State>,
+    election: Rc<Election>,
+    closing: CancellationToken,
+    work: TaskTracker,
+    tasks: JoinSet<()>,
+}
+
+impl Gateway {
+    /// Binds the addresses and starts to serve; must run within a [`tokio::task::LocalSet`].
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Category::Start`] if an address can't be bound.
+    pub async fn bind(settings: Settings, wire: Box<dyn Wire>, store: Rc<dyn Store>) -> Result<Self> {
+        let callers = listen("callers", settings.callers).await?;
+        let ready = listen("ready", settings.ready).await?;
+        let peers = listen("peers", settings.peers).await?;
+        let shared = Rc::new(settings.clone());
+        let state = Rc::new(State::new(settings, wire));
+        let election = Rc::new(Election::new(&shared));
+        let desk = Rc::new(Desk::new(Rc::clone(&state), Rc::clone(&election)));
+        let (closing, work) = (CancellationToken::new(), TaskTracker::new());
+        let mut tasks = JoinSet::new();
+        tasks.spawn_local(callers::accept(Rc::clone(&state), callers, closing.clone(), work.clone()));
+        tasks.spawn_local(ready::serve(Rc::clone(&state), ready));
+        tasks.spawn_local(follow::config(Rc::clone(&state), Rc::clone(&store)));
+        tasks.spawn_local(follow::endpoints(Rc::clone(&state), Rc::clone(&store), Rc::clone(&desk)));
+        tasks.spawn_local(Rc::clone(&election).run(Rc::clone(&shared), store));
+        tasks.spawn_local(peers::accept(Rc::clone(&state), Rc::clone(&desk), Rc::clone(&election), peers));
+        tasks.spawn_local(peers::follow(Rc::clone(&state), Rc::clone(&desk), Rc::clone(&election)));
+        tasks.spawn_local(desk.work());
+        tracing::info!("gateway: {} serves callers at {}", shared.instance, shared.callers);
+        Ok(Self { state, election, closing, work, tasks })
+    }
+
+    /// Waits until a task ends, which it does only by a defect.
+    pub async fn failed(&mut self) -> Error {
+        // The callers' task ends when a stop closes it.
+        match self.tasks.join_next().await {
+            Some(Err(err)) => Error::new(Category::Start, format!("a task failed: {err}")),
+            Some(Ok(())) | None => Error::new(Category::Start, "a task ended"),
+        }
+    }
+
+    /// Stops: readiness goes first, then new connections, then the requests in flight finish.
+    pub async fn shutdown(self) {
+        let grace = self.state.settings.grace.mul_f64(CUT_OFF);
+        tracing::info!("gateway: stopping with {} connections", self.work.len());
+        self.state.stopping.set(true);
+        self.election.resign();
+        let finish = async {
+            tokio::time::sleep(NOTICE).await;
+            self.closing.cancel();
+            self.work.close();
+            self.work.wait().await;
+        };
+        if tokio::time::timeout(grace, finish).await.is_err() {
+            tracing::warn!("gateway: {} connections are cut off", self.work.len());
+        }
+        tracing::info!("gateway: stopped");
+    }
+}
+
+async fn listen(name: &'static str, addr: SocketAddr) -> Result<TcpListener> {
+    let bound = TcpListener::bind(addr).await;
+    bound.map_err(|err| Error::new(Category::Start, format!("{name}: {addr}: {err}")))
+}
--- /dev/null
+++ b/crates/gateway/src/lead.rs
@@ -0,0 +1,316 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use carobwick_core::EndpointId;
+use carobwick_core::Fence;
+use carobwick_core::Incarnation;
+use carobwick_core::InstanceId;
+use carobwick_core::ServiceId;
+use carobwick_core::Time;
+use carobwick_core::gateway::Choice;
+use carobwick_core::gateway::DemandTable;
+use carobwick_core::gateway::EngineBook;
+use carobwick_core::gateway::EngineOrder;
+use carobwick_core::gateway::LoadPace;
+use carobwick_core::gateway::OrderReply;
+use carobwick_core::gateway::Roster;
+use carobwick_core::gateway::Weights;
+use carobwick_core::gateway::plan_adapter;
+use carobwick_core::gateway::plan_orders;
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+
+use crate::clock::now;
+use crate::elect::Election;
+use crate::message::FromLeader;
+use crate::message::ToLeader;
+use crate::state::State;
+
+/// How often the leader looks for orders to give.
+const TICK: Duration = Duration::from_millis(200);
+/// Longest time for an engine's answer to an order or a question.
+const ANSWER: Duration = Duration::from_secs(1);
+const CONNECT: Duration = Duration::from_millis(500);
+/// Time for which an adapter that was asked for is tried to be loaded.
+const WANTED: Duration = Duration::from_secs(3);
+/// Time for which the leader learns the demand before it moves models for it.
+const LEARN: Duration = Duration::from_secs(2);
+
+/// The leader's work: it keeps the engines' states and gives them orders.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    state: Rc<State>,
+    election: Rc<Election>,
+    book: RefCell<EngineBook>,
+    demand: RefCell<DemandTable>,
+    first: RefCell<Option<Time>>,
+    paces: RefCell<IndexMap<ServiceId, LoadPace>>,
+    wants: RefCell<IndexMap<(ServiceId, Weights), Time>>,
+    followers: RefCell<IndexMap<InstanceId, mpsc::UnboundedSender<FromLeader>>>,
+    wake: Notify,
+}
+
+impl Desk {
+    pub fn new(state: Rc<State>, election: Rc<Election>) -> Self {
+        Self {
+            state,
+            election,
+            book: RefCell::default(),
+            demand: RefCell::default(),
+            first: RefCell::default(),
+            paces: RefCell::default(),
+            wants: RefCell::default(),
+            followers: RefCell::default(),
+            wake: Notify::new(),
+        }
+    }
+
+    /// Returns the fencing number if orders may be given now.
+    pub fn authority(&self) -> Option<Fence> {
+        self.election.authority(self.state.settings.handover)
+    }
+
+    /// Takes the list of endpoints.
+    pub fn listed(&self, roster: &Roster) {
+        let table = self.state.table.borrow();
+        let mut book = self.book.borrow_mut();
+        book.retain(|id| roster.get(id).is_some());
+        for entry in roster.iter() {
+            let service = table.as_ref().and_then(|table| table.services.get(&entry.service));
+            if service.is_some_and(|service| service.engine.is_some()) {
+                book.listed(entry, now());
+            }
+        }
+    }
+
+    /// Adds an instance that follows this leader and returns what it has to know.
+    pub fn join(&self, instance: InstanceId, to: mpsc::UnboundedSender<FromLeader>) {
+        let book = self.book.borrow();
+        for (id, record) in book.iter() {
+            let holding = record.offered();
+            // A closed channel shows at the next message.
+            let _closed = to.send(FromLeader::Engine { endpoint: id.clone(), run: record.run, holding });
+        }
+        self.followers.borrow_mut().insert(instance, to);
+        self.count();
+    }
+
+    /// Tells all instances how many they are.
+    pub fn count(&self) {
+        let mut followers = self.followers.borrow_mut();
+        followers.retain(|_, to| !to.is_closed());
+        let instances = followers.len() as u32 + 1;
+        self.state.set_instances(instances);
+        for to in followers.values() {
+            let _closed = to.send(FromLeader::Instances(instances));
+        }
+    }
+
+    /// Takes a message of an instance.
+    pub fn take(&self, from: &InstanceId, message: ToLeader) {
+        match message {
+            ToLeader::Hello { .. } => {}
+            ToLeader::Demand(samples) => {
+                self.first.borrow_mut().get_or_insert_with(now);
+                let mut demand = self.demand.borrow_mut();
+                for sample in &samples {
+                    demand.add(sample, now());
+                }
+            }
+            ToLeader::Want { service, weights } => self.want(service, weights),
+            ToLeader::Loss { print, endpoint, run } => {
+                self.state.suspects.borrow_mut().lost(print, &endpoint, run, now());
+                let news = FromLeader::Loss { print, endpoint, run };
+                let followers = self.followers.borrow();
+                for (_, to) in followers.iter().filter(|(instance, _)| *instance != from) {
+                    let _closed = to.send(news.clone());
+                }
+            }
+        }
+    }
+
+    /// Gives orders for as long as the process runs.
+    pub async fn work(self: Rc<Self>) {
+        loop {
+            // A wake that comes too early is no harm.
+            let _elapsed = tokio::time::timeout(TICK, self.wake.notified()).await;
+            if self.election.since().is_none() {
+                self.idle();
+                continue;
+            }
+            if self.authority().is_some() {
+                Rc::clone(&self).ask_engines();
+                Rc::clone(&self).load_adapters();
+                Rc::clone(&self).move_models();
+            }
+        }
+    }
+
+    fn idle(&self) {
+        if !self.followers.borrow().is_empty() {
+            self.followers.borrow_mut().clear();
+        }
+        if self.first.borrow_mut().take().is_some() {
+            *self.demand.borrow_mut() = DemandTable::default();
+            self.wants.borrow_mut().clear();
+            self.book.borrow_mut().clear();
+            self.listed(&self.state.roster.borrow());
+        }
+    }
+
+    fn want(&self, service: ServiceId, weights: Weights) {
+        let mut book = self.book.borrow_mut();
+        if book.live(&service).any(|(_, record)| record.offered().has(&weights)) {
+            book.doubt(&weights, now());
+        }
+        drop(book);
+        if weights.adapter.is_some() {
+            self.wants.borrow_mut().insert((service, weights), now());
+        }
+        self.wake.notify_one();
+    }
+
+    fn load_adapters(self: Rc<Self>) {
+        let now = now();
+        self.wants.borrow_mut().retain(|_, since| now < *since + WANTED);
+        let wants: Vec<(ServiceId, Weights)> = self.wants.borrow().keys().cloned().collect();
+        for (service, weights) in wants {
+            if self.book.borrow().live(&service).any(|(_, record)| record.offered().has(&weights)) {
+                self.wants.borrow_mut().swap_remove(&(service, weights));
+                continue;
+            }
+            if self.book.borrow().makes_way(&service, &weights) {
+                continue;
+            }
+            let order = self.with_spec(&service, |spec| {
+                plan_adapter(&service, spec, &self.book.borrow(), &self.demand.borrow(), &weights, now)
+            });
+            if let Some(Some(order)) = order {
+                Rc::clone(&self).give(order);
+            }
+        }
+    }
+
+    fn move_models(self: Rc<Self>) {
+        let now = now();
+        if self.first.borrow().is_none_or(|first| now < first + LEARN) {
+            return;
+        }
+        let services: Vec<ServiceId> = match self.state.table.borrow().as_ref() {
+            Some(table) => table.services.keys().cloned().collect(),
+            None => return,
+        };
+        for service in services {
+            let orders = self.with_spec(&service, |spec| {
+                let mut paces = self.paces.borrow_mut();
+                let pace = paces.entry(service.clone()).or_default();
+                plan_orders(&service, spec, &self.book.borrow(), &self.demand.borrow(), pace, now)
+            });
+            for order in orders.into_iter().flatten() {
+                Rc::clone(&self).give(order);
+            }
+        }
+    }
+
+    fn with_spec<T>(
+        &self,
+        service: &ServiceId,
+        act: impl FnOnce(&carobwick_core::gateway::EngineSpec) -> T,
+    ) -> Option<T> {
+        let table = self.state.table.borrow().clone()?;
+        table.services.get(service)?.engine.as_ref().map(act)
+    }
+
+    /// Sends an order.
+    fn give(self: Rc<Self>, order: EngineOrder) {
+        self.book.borrow_mut().ordered(&order);
+        self.publish(&order.endpoint);
+        tokio::task::spawn_local(async move {
+            let reply = self.send_order(&order).await;
+            tracing::info!(
+                "leader: order {:?} to {} after {} orders: {reply:?}",
+                order.action,
+                order.endpoint,
+                order.expected,
+            );
+            self.book.borrow_mut().replied(&order, reply, now());
+            self.publish(&order.endpoint);
+            self.wake.notify_one();
+        });
+    }
+
+    async fn send_order(&self, order: &EngineOrder) -> OrderReply {
+        let Some(choice) = self.choice(&order.endpoint, order.run) else { return OrderReply::Refused };
+        let mut link = match self.state.pool.take(&choice, CONNECT).await {
+            Ok(link) => link,
+            Err(err) => {
+                tracing::info!("leader: no connection to {}: {err}", order.endpoint);
+                return OrderReply::Refused;
+            }
+        };
+        // The lease may have ended while the connection was made.
+        let Some(fence) = self.authority() else { return OrderReply::Refused };
+        let request = self.state.wire.order(order, &self.state.settings.instance, fence);
+        match link.exchange(request, ANSWER).await {
+            Ok(response) => {
+                self.state.pool.put(&choice, link, None);
+                self.state.wire.order_reply(response.status())
+            }
+            Err(err) => {
+                tracing::info!("leader: order to {} has no answer: {err}", order.endpoint);
+                OrderReply::Lost
+            }
+        }
+    }
+
+    fn ask_engines(self: Rc<Self>) {
+        let due = self.book.borrow_mut().due(now());
+        for (id, run) in due {
+            let desk = Rc::clone(&self);
+            tokio::task::spawn_local(async move { desk.ask(id, run).await });
+        }
+    }
+
+    async fn ask(self: Rc<Self>, id: EndpointId, run: Incarnation) {
+        let Some(choice) = self.choice(&id, run) else { return };
+        let request = self.state.wire.report_request(&id);
+        let exchange = async {
+            let mut link = self.state.pool.take(&choice, CONNECT).await?;
+            let response = link.exchange(request, ANSWER).await?;
+            self.state.pool.put(&choice, link, None);
+            self.state.wire.report(response.body())
+        };
+        match exchange.await {
+            Ok(report) if report.run.is_none_or(|reported| reported == run) => {
+                let mut book = self.book.borrow_mut();
+                book.reported(&id, run, report.state, now());
+                drop(book);
+                self.publish(&id);
+                self.wake.notify_one();
+            }
+            Ok(report) => tracing::info!("leader: {id} is another run: {:?}", report.run),
+            Err(err) => tracing::info!("leader: {id} did not report: {err}"),
+        }
+    }
+
+    /// Tells all instances what an engine offers.
+    fn publish(&self, id: &EndpointId) {
+        let book = self.book.borrow();
+        let Some(record) = book.get(id) else { return };
+        let holding = record.offered();
+        self.state.roster.borrow_mut().told(id, record.run, &holding, now());
+        self.state.changed.notify_waiters();
+        let news = FromLeader::Engine { endpoint: id.clone(), run: record.run, holding };
+        for to in self.followers.borrow().values() {
+            let _closed = to.send(news.clone());
+        }
+    }
+
+    fn choice(&self, id: &EndpointId, run: Incarnation) -> Option<Choice> {
+        let roster = self.state.roster.borrow();
+        let entry = roster.get(id).filter(|entry| entry.run == run)?;
+        Some(Choice { id: id.clone(), run, addr: entry.addr, cost: 0.0 })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,51 @@
+//! The gateway: one process per instance that serves routes in front of plain services and model engines.
+//!
+//! # Tour
+//!
+//! [`Gateway::bind`] starts everything. Callers' connections are read in `callers`; each request becomes a `Flight`,
+//! which is placed at an endpoint, sent over a pooled [`Link`], and answered whole or, for streams, as events arrive.
+//! `follow` keeps the routes and the list of endpoints, `elect` the lease of the region's leader, and `lead` is the
+//! leader's work: it gives orders to engines and tells the other instances over `peers`. The decisions are those of
+//! [`carobwick_core::gateway`].
+//!
+//! What the platform speaks is behind two traits: [`Wire`] for requests, answers and orders, and [`Store`] for what
+//! lasts. All tasks of a process run on one thread.
+
+mod answer;
+mod callers;
+mod clock;
+mod elect;
+mod error;
+mod events;
+mod flight;
+mod follow;
+mod gateway;
+mod lead;
+mod link;
+mod message;
+mod peers;
+mod pool;
+mod ports;
+mod ready;
+mod screen;
+mod settings;
+mod state;
+mod stream;
+
+pub use clock::now;
+pub use error::Category;
+pub use error::Error;
+pub use error::Result;
+pub use gateway::Gateway;
+pub use link::Link;
+pub use link::SendError;
+pub use ports::AnswerHead;
+pub use ports::Claim;
+pub use ports::EngineReport;
+pub use ports::LeaderNote;
+pub use ports::Outgoing;
+pub use ports::Revision;
+pub use ports::Snapshot;
+pub use ports::Store;
+pub use ports::Wire;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/gateway/src/link.rs
@@ -0,0 +1,130 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::Category;
+use crate::Error;
+use crate::Result;
+
+/// Time after which unacknowledged bytes end a connection; a network path that lost its state sends no reset.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+/// Time between keep-alive probes of a connection without traffic.
+const PROBE: Duration = Duration::from_secs(1);
+const PROBES: u32 = 2;
+/// Largest body that [`Link::exchange`] reads.
+const MAX_BODY: usize = 8 << 20;
+
+/// An HTTP/1.1 connection to an endpoint or the store; dropping it closes the connection.
+#[derive(Debug)]
+pub struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    _task: AbortOnDropHandle<()>,
+}
+
+/// Why a request got no head of an answer.
+#[derive(Debug)]
+pub enum SendError {
+    /// No byte of it was written.
+    Unsent(String),
+    /// It may have arrived.
+    Lost(String),
+}
+
+impl Link {
+    /// Connects.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Category::Connect`] if there is no connection within `timeout`.
+    pub async fn connect(addr: SocketAddr, timeout: Duration) -> Result<Self> {
+        let failed = |err: String| Error::new(Category::Connect, format!("{addr}: {err}"));
+        let stream = match tokio::time::timeout(timeout, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(err)) => return Err(failed(err.to_string())),
+            Err(_) => return Err(failed(format!("no connection in {timeout:?}"))),
+        };
+        tune(&stream).map_err(|err| failed(err.to_string()))?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|err| failed(err.to_string()))?;
+        let task = tokio::task::spawn_local(async move {
+            if let Err(err) = connection.await {
+                tracing::debug!("link: {addr}: {err}");
+            }
+        });
+        Ok(Self { sender, _task: AbortOnDropHandle::new(task) })
+    }
+
+    /// Returns whether the connection can't be used any more.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Waits until the last answer has ended.
+    pub async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection broke off before that.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> std::result::Result<Response<Incoming>, SendError> {
+        self.sender.try_send_request(request).await.map_err(|mut err| {
+            let unsent = err.take_message().is_some();
+            let text = err.into_error().to_string();
+            if unsent { SendError::Unsent(text) } else { SendError::Lost(text) }
+        })
+    }
+
+    /// Sends a request and returns the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is not there within `timeout`; the connection is of no use then.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>> {
+        let exchange = async {
+            let response = match self.send(request).await {
+                Ok(response) => response,
+                Err(SendError::Unsent(text)) => return Err(Error::new(Category::Connect, text)),
+                Err(SendError::Lost(text)) => return Err(Error::new(Category::Lost, text)),
+            };
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, MAX_BODY).collect().await;
+            let body = body.map_err(|err| Error::new(Category::Lost, err.to_string()))?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        };
+        let lost = || Error::new(Category::Lost, format!("no answer in {timeout:?}"));
+        tokio::time::timeout(timeout, exchange).await.map_err(|_elapsed| lost())?
+    }
+}
+
+/// Sets the options by which a silent connection ends.
+pub(crate) fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let probes = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)
+}
--- /dev/null
+++ b/crates/gateway/src/message.rs
@@ -0,0 +1,73 @@
+use carobwick_core::EndpointId;
+use carobwick_core::Fingerprint;
+use carobwick_core::Incarnation;
+use carobwick_core::InstanceId;
+use carobwick_core::ServiceId;
+use carobwick_core::gateway::DemandSample;
+use carobwick_core::gateway::Holding;
+use carobwick_core::gateway::Weights;
+use carobwick_derive::data;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt;
+
+use crate::Category;
+use crate::Error;
+use crate::Result;
+
+/// Largest frame between instances, in bytes.
+const MAX_FRAME: usize = 4 << 20;
+
+/// Message of an instance to the leader.
+#[data]
+pub(crate) enum ToLeader {
+    /// The first message of a connection.
+    Hello { instance: InstanceId },
+    /// Demand since the last report; also a sign of life.
+    Demand(Vec<DemandSample>),
+    /// A request waits for a model or adapter that no endpoint offers.
+    Want { service: ServiceId, weights: Weights },
+    /// An endpoint broke off under a request.
+    Loss { print: Fingerprint, endpoint: EndpointId, run: Incarnation },
+}
+
+/// Message of the leader to an instance.
+#[data]
+pub(crate) enum FromLeader {
+    /// Instances that share the retry budget; also a sign of life.
+    Instances(u32),
+    /// What an engine offers.
+    Engine { endpoint: EndpointId, run: Incarnation, holding: Holding },
+    /// An endpoint broke off under a request of another instance.
+    Loss { print: Fingerprint, endpoint: EndpointId, run: Incarnation },
+}
+
+/// Writes a message as a frame: its length in four bytes, then its bytes.
+pub(crate) async fn write_frame<M: serde::Serialize>(
+    to: &mut (impl AsyncWrite + Unpin),
+    message: &M,
+) -> Result<()> {
+    let mut frame = vec![0; 4];
+    let body = bincode::serde::encode_to_vec(message, bincode::config::standard());
+    frame.extend(body.map_err(|err| Error::new(Category::Codec, err.to_string()))?);
+    let length = (frame.len() - 4) as u32;
+    frame[..4].copy_from_slice(&length.to_be_bytes());
+    to.write_all(&frame).await.map_err(|err| Error::new(Category::Lost, err.to_string()))
+}
+
+/// Reads the next message.
+pub(crate) async fn read_frame<M: serde::de::DeserializeOwned>(
+    from: &mut (impl AsyncRead + Unpin),
+) -> Result<M> {
+    let lost = |err: std::io::Error| Error::new(Category::Lost, err.to_string());
+    let codec = |text: String| Error::new(Category::Codec, text);
+    let length = from.read_u32().await.map_err(lost)? as usize;
+    if length > MAX_FRAME {
+        return Err(codec(format!("a frame of {length} bytes is longer than {MAX_FRAME}")));
+    }
+    let mut frame = vec![0; length];
+    from.read_exact(&mut frame).await.map_err(lost)?;
+    let decoded = bincode::serde::decode_from_slice(&frame, bincode::config::standard());
+    decoded.map(|(message, _)| message).map_err(|err| codec(err.to_string()))
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,169 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use carobwick_core::InstanceId;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::Category;
+use crate::Error;
+use crate::Result;
+use crate::clock::now;
+use crate::elect::Election;
+use crate::lead::Desk;
+use crate::link::tune;
+use crate::message::FromLeader;
+use crate::message::ToLeader;
+use crate::message::read_frame;
+use crate::message::write_frame;
+use crate::state::State;
+
+/// How often an instance reports its demand, and the leader the number of instances.
+const REPORT: Duration = Duration::from_millis(500);
+/// Silence after which a connection between instances is given up.
+const SILENCE: Duration = Duration::from_millis(2_500);
+const CONNECT: Duration = Duration::from_millis(500);
+/// Pause before another try to reach the leader.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Takes the connections of the other instances.
+pub(crate) async fn accept(state: Rc<State>, desk: Rc<Desk>, election: Rc<Election>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let (desk, election) = (Rc::clone(&desk), Rc::clone(&election));
+                tokio::task::spawn_local(async move {
+                    if let Err(err) = serve(desk, election, stream).await {
+                        tracing::debug!("peers: {peer}: {err}");
+                    }
+                });
+            }
+            Err(err) => {
+                tracing::warn!("peers: {} did not accept: {err}", state.settings.peers);
+                tokio::time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Serves one instance that follows this leader.
+async fn serve(desk: Rc<Desk>, election: Rc<Election>, stream: TcpStream) -> Result<()> {
+    tune(&stream).map_err(|err| Error::new(Category::Lost, err.to_string()))?;
+    let (mut from, mut to) = stream.into_split();
+    let ToLeader::Hello { instance } = read(&mut from).await? else {
+        return Err(Error::new(Category::Codec, "the first message is no greeting"));
+    };
+    if election.since().is_none() {
+        return Ok(());
+    }
+    let (sender, mut receiver) = mpsc::unbounded_channel::<FromLeader>();
+    desk.join(instance.clone(), sender);
+    let writer = async {
+        while let Some(message) = receiver.recv().await {
+            write_frame(&mut to, &message).await?;
+        }
+        Ok(())
+    };
+    let reader = async {
+        loop {
+            let message = read(&mut from).await?;
+            desk.take(&instance, message);
+        }
+    };
+    tokio::select! {
+        ended = writer => ended,
+        ended = reader => ended,
+    }
+}
+
+/// Keeps the connection to the leader, or stands in for it on the leader itself.
+pub(crate) async fn follow(state: Rc<State>, desk: Rc<Desk>, election: Rc<Election>) {
+    loop {
+        if election.since().is_some() {
+            lead(&state, &desk, &election).await;
+        } else if let Some(note) = election.leader()
+            && note.record.instance != state.settings.instance
+            && let Err(err) = connect(&state, &election, note.peers, &note.record.instance).await
+        {
+            tracing::info!("peers: leader {} is not reached: {err}", note.record.instance);
+        }
+        state.set_leader(None);
+        tokio::time::sleep(RETRY).await;
+    }
+}
+
+/// Takes the messages of this instance for as long as it leads.
+async fn lead(state: &State, desk: &Desk, election: &Election) {
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    state.set_leader(Some(sender));
+    let mut next = now() + REPORT;
+    while election.since().is_some() {
+        match timeout(next - now(), receiver.recv()).await {
+            Ok(Some(message)) => desk.take(&state.settings.instance, message),
+            Ok(None) => return,
+            Err(_) => {
+                next = now() + REPORT;
+                desk.take(&state.settings.instance, ToLeader::Demand(state.take_demand()));
+                desk.count();
+            }
+        }
+    }
+}
+
+/// Follows a leader until the connection ends or another one leads.
+async fn connect(state: &State, election: &Election, addr: SocketAddr, leader: &InstanceId) -> Result<()> {
+    let lost = |err: std::io::Error| Error::new(Category::Connect, err.to_string());
+    let connected = timeout(CONNECT, TcpStream::connect(addr)).await;
+    let stream =
+        connected.map_err(|_elapsed| Error::new(Category::Connect, "no connection"))?.map_err(lost)?;
+    tune(&stream).map_err(lost)?;
+    let (mut from, mut to) = stream.into_split();
+    write_frame(&mut to, &ToLeader::Hello { instance: state.settings.instance.clone() }).await?;
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    state.set_leader(Some(sender));
+    tracing::info!("peers: follows {leader}");
+    let writer = async {
+        let mut next = now() + REPORT;
+        loop {
+            match timeout(next - now(), receiver.recv()).await {
+                Ok(Some(message)) => write_frame(&mut to, &message).await?,
+                Ok(None) => return Ok(()),
+                Err(_) => {
+                    next = now() + REPORT;
+                    write_frame(&mut to, &ToLeader::Demand(state.take_demand())).await?;
+                }
+            }
+        }
+    };
+    let reader = async {
+        while election.since().is_none() {
+            take(state, read(&mut from).await?);
+        }
+        Ok(())
+    };
+    tokio::select! {
+        ended = writer => ended,
+        ended = reader => ended,
+    }
+}
+
+fn take(state: &State, message: FromLeader) {
+    match message {
+        FromLeader::Instances(instances) => state.set_instances(instances),
+        FromLeader::Engine { endpoint, run, holding } => {
+            state.roster.borrow_mut().told(&endpoint, run, &holding, now());
+            state.changed.notify_waiters();
+        }
+        FromLeader::Loss { print, endpoint, run } => {
+            state.suspects.borrow_mut().lost(print, &endpoint, run, now());
+        }
+    }
+}
+
+async fn read<M: serde::de::DeserializeOwned>(from: &mut (impl tokio::io::AsyncRead + Unpin)) -> Result<M> {
+    let silent = |_elapsed| Error::new(Category::Lost, format!("silent for {SILENCE:?}"));
+    timeout(SILENCE, read_frame(from)).await.map_err(silent)?
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,151 @@
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::sync::Arc;
+
+use carobwick_core::EndpointId;
+use carobwick_core::Fingerprint;
+use carobwick_core::Incarnation;
+use carobwick_core::ServiceId;
+use carobwick_core::gateway::Balancer;
+use carobwick_core::gateway::Call;
+use carobwick_core::gateway::DemandSample;
+use carobwick_core::gateway::RetryShare;
+use carobwick_core::gateway::Roster;
+use carobwick_core::gateway::RouteTable;
+use carobwick_core::gateway::SuspectTable;
+use carobwick_core::gateway::Weights;
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+
+use crate::Settings;
+use crate::Wire;
+use crate::clock::now;
+use crate::message::ToLeader;
+use crate::pool::Pool;
+
+/// Instances assumed before the leader has said how many share the retry budget.
+const ASSUMED_INSTANCES: u32 = 16;
+
+/// What the tasks of one instance share; all of them run on one thread.
+pub(crate) struct State {
+    pub settings: Settings,
+    pub wire: Box<dyn Wire>,
+    pub table: RefCell<Option<Arc<RouteTable>>>,
+    pub roster: RefCell<Roster>,
+    /// Whether the list of endpoints was read.
+    pub listed: Cell<bool>,
+    pub balancer: RefCell<Balancer>,
+    pub suspects: RefCell<SuspectTable>,
+    pub pool: Pool,
+    /// Wakes requests that wait for an endpoint.
+    pub changed: Notify,
+    pub stopping: Cell<bool>,
+    shares: RefCell<IndexMap<ServiceId, RetryShare>>,
+    instances: Cell<u32>,
+    samples: RefCell<IndexMap<(ServiceId, Weights), DemandSample>>,
+    leader: RefCell<Option<mpsc::UnboundedSender<ToLeader>>>,
+}
+
+impl std::fmt::Debug for State {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("State").field("instance", &self.settings.instance).finish_non_exhaustive()
+    }
+}
+
+impl State {
+    pub fn new(settings: Settings, wire: Box<dyn Wire>) -> Self {
+        let balancer = Balancer::new(settings.zone.clone());
+        Self {
+            settings,
+            wire,
+            table: RefCell::default(),
+            roster: RefCell::default(),
+            listed: Cell::new(false),
+            balancer: RefCell::new(balancer),
+            suspects: RefCell::default(),
+            pool: Pool::default(),
+            changed: Notify::new(),
+            stopping: Cell::new(false),
+            shares: RefCell::default(),
+            instances: Cell::new(ASSUMED_INSTANCES),
+            samples: RefCell::default(),
+            leader: RefCell::default(),
+        }
+    }
+
+    /// Returns whether the instance takes new connections.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.listed.get() && self.table.borrow().is_some()
+    }
+
+    /// Counts a request against the retry budget of its service.
+    pub fn count_request(&self, service: &ServiceId) {
+        self.with_share(service, |share| share.request(now()));
+    }
+
+    /// Takes one repeated send from the budget of a service.
+    pub fn take_retry(&self, service: &ServiceId) -> bool {
+        self.with_share(service, |share| share.take(now()))
+    }
+
+    /// Sets the number of instances that share the retry budget.
+    pub fn set_instances(&self, instances: u32) {
+        self.instances.set(instances);
+        for share in self.shares.borrow_mut().values_mut() {
+            share.set_instances(instances);
+        }
+    }
+
+    /// Counts the demand of a request.
+    pub fn count_demand(&self, service: &ServiceId, call: &Call) {
+        let Some(weights) = &call.weights else { return };
+        let mut samples = self.samples.borrow_mut();
+        let key = (service.clone(), weights.clone());
+        let sample = samples.entry(key).or_insert_with(|| DemandSample {
+            service: service.clone(),
+            weights: weights.clone(),
+            requests: 0,
+            work: 0,
+        });
+        sample.requests += 1;
+        sample.work += call.work();
+    }
+
+    /// Returns the demand since the last call.
+    pub fn take_demand(&self) -> Vec<DemandSample> {
+        std::mem::take(&mut *self.samples.borrow_mut()).into_values().collect()
+    }
+
+    /// Sets where messages for the leader go, if there is a connection to it.
+    pub fn set_leader(&self, leader: Option<mpsc::UnboundedSender<ToLeader>>) {
+        *self.leader.borrow_mut() = leader;
+        self.changed.notify_waiters();
+    }
+
+    /// Returns whether the leader can be reached.
+    pub fn has_leader(&self) -> bool {
+        self.leader.borrow().is_some()
+    }
+
+    /// Sends a message to the leader; returns whether there is one.
+    pub fn tell_leader(&self, message: ToLeader) -> bool {
+        let leader = self.leader.borrow();
+        leader.as_ref().is_some_and(|leader| leader.send(message).is_ok())
+    }
+
+    /// Notes that an endpoint broke off under a request, and tells the others.
+    pub fn note_loss(&self, print: Fingerprint, id: &EndpointId, run: Incarnation) {
+        if self.suspects.borrow_mut().lost(print, id, run, now()) {
+            self.tell_leader(ToLeader::Loss { print, endpoint: id.clone(), run });
+        }
+    }
+
+    fn with_share<T>(&self, service: &ServiceId, act: impl FnOnce(&mut RetryShare) -> T) -> T {
+        let mut shares = self.shares.borrow_mut();
+        let share = shares
+            .entry(service.clone())
+            .or_insert_with(|| RetryShare::new(self.settings.retry, self.instances.get()));
+        act(share)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,200 @@
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use carobwick_core::gateway::Failure;
+use carobwick_core::gateway::Step;
+use futures_util::StreamExt;
+use futures_util::stream;
+use futures_util::stream::LocalBoxStream;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Sleep;
+
+use crate::answer::AnswerBody;
+use crate::answer::BrokenOff;
+use crate::answer::strip_hop_by_hop;
+use crate::clock::now;
+use crate::events::EventCutter;
+use crate::flight::Flight;
+use crate::flight::Reply;
+use crate::flight::Send;
+
+/// Passes the events of a reply on to the caller as they arrive.
+pub(crate) fn pass(flight: &Flight, reply: Reply) -> Response<AnswerBody> {
+    let Reply { send, head, response } = reply;
+    let (mut parts, body) = response.into_parts();
+    strip_hop_by_hop(&mut parts.headers);
+    let timer = Box::pin(tokio::time::sleep(flight.deadline - now()));
+    let source = Source { body, send, head_load: head.load, timer, started: false };
+    let events = if flight.route.resumable {
+        resumable(source, flight.again())
+    } else {
+        stream::unfold(Some(source), next_piece).boxed_local()
+    };
+    Response::from_parts(parts, AnswerBody::Passed(events))
+}
+
+/// The body of one endpoint's answer.
+struct Source {
+    body: Incoming,
+    send: Send,
+    head_load: Option<carobwick_core::LoadReport>,
+    timer: Pin<Box<Sleep>>,
+    started: bool,
+}
+
+/// What comes next from a source.
+enum Piece {
+    Data(Bytes),
+    End,
+    /// The endpoint broke off.
+    Broken(String),
+    /// The request's time is used up.
+    TimedOut,
+}
+
+impl Source {
+    async fn next(&mut self) -> Piece {
+        let frame = tokio::select! {
+            biased;
+            frame = self.body.frame() => frame,
+            () = &mut self.timer => return Piece::TimedOut,
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                if !self.started {
+                    self.started = true;
+                    self.send.answered(self.head_load);
+                }
+                // Trailers have no meaning here.
+                Piece::Data(frame.into_data().unwrap_or_default())
+            }
+            Some(Err(err)) => Piece::Broken(err.to_string()),
+            None => Piece::End,
+        }
+    }
+}
+
+async fn next_piece(source: Option<Source>) -> Option<(Result<Bytes, BrokenOff>, Option<Source>)> {
+    let mut source = source?;
+    match source.next().await {
+        Piece::Data(bytes) => Some((Ok(bytes), Some(source))),
+        Piece::End => {
+            source.send.completed();
+            None
+        }
+        Piece::Broken(text) => {
+            source.send.broke_off();
+            tracing::info!("gateway: stream broke off at {}: {text}", source.send.choice.id);
+            Some((Err(BrokenOff(text)), None))
+        }
+        Piece::TimedOut => Some((Err(BrokenOff("the time is used up".to_owned())), None)),
+    }
+}
+
+/// A stream that goes on at another endpoint if one breaks off.
+struct Resumed {
+    source: Source,
+    flight: Flight,
+    cutter: EventCutter,
+    last: Option<String>,
+}
+
+fn resumable(source: Source, flight: Flight) -> LocalBoxStream<'static, Result<Bytes, BrokenOff>> {
+    let last = flight.call.resume.clone();
+    let resumed = Resumed { source, flight, cutter: EventCutter::default(), last };
+    stream::unfold(Some(resumed), next_events).boxed_local()
+}
+
+async fn next_events(resumed: Option<Resumed>) -> Option<(Result<Bytes, BrokenOff>, Option<Resumed>)> {
+    let mut resumed = resumed?;
+    loop {
+        match resumed.source.next().await {
+            Piece::Data(piece) => {
+                let cut = resumed.cutter.push(&piece);
+                if cut.bytes.is_empty() {
+                    continue;
+                }
+                resumed.flight.progress.shown = true;
+                resumed.last = cut.last.or(resumed.last);
+                return Some((Ok(cut.bytes), Some(resumed)));
+            }
+            Piece::End if resumed.cutter.is_whole() => {
+                resumed.source.send.completed();
+                return None;
+            }
+            Piece::End => {
+                if let Err(err) = resumed.resume("the answer ended within an event").await {
+                    return Some((Err(err), None));
+                }
+            }
+            Piece::Broken(text) => {
+                if let Err(err) = resumed.resume(&text).await {
+                    return Some((Err(err), None));
+                }
+            }
+            Piece::TimedOut => {
+                return Some((Err(BrokenOff("the time is used up".to_owned())), None));
+            }
+        }
+    }
+}
+
+impl Resumed {
+    /// Asks another endpoint for the rest of the stream.
+    async fn resume(&mut self, reason: &str) -> Result<(), BrokenOff> {
+        let lost = self.source.send.choice.clone();
+        self.source.send.broke_off();
+        self.cutter.reset();
+        let mut failed = (Failure::Lost, lost);
+        loop {
+            let (failure, choice) = &failed;
+            if self.flight.after(*failure, choice) != Step::Again {
+                return Err(BrokenOff(reason.to_owned()));
+            }
+            let Some(choice) = self.flight.choose() else { return Err(BrokenOff(reason.to_owned())) };
+            let last = self.last.clone();
+            match self.flight.attempt_from(&choice, last.as_deref()).await {
+                Ok(reply) if reply.response.status().is_success() => {
+                    tracing::info!(
+                        "gateway: request {} resumed at {} after event {last:?}: {reason}",
+                        self.flight.call.attempt,
+                        choice.id,
+                    );
+                    let timer = Box::pin(tokio::time::sleep(self.flight.left().unwrap_or(Duration::ZERO)));
+                    let body = reply.response.into_body();
+                    self.source =
+                        Source { body, send: reply.send, head_load: reply.head.load, timer, started: false };
+                    return Ok(());
+                }
+                Ok(_) => failed = (Failure::Failed, choice),
+                Err(failure) => failed = (failure, choice),
+            }
+        }
+    }
+}
+
+impl Flight {
+    /// Returns the request as it is needed to go on with it elsewhere.
+    fn again(&self) -> Self {
+        Self {
+            state: Rc::clone(&self.state),
+            table: self.table.clone(),
+            route: self.route.clone(),
+            service: self.service.clone(),
+            call: self.call.clone(),
+            method: self.method.clone(),
+            uri: self.uri.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            print: self.print,
+            arrived: self.arrived,
+            deadline: self.deadline,
+            progress: self.progress,
+            tried: self.tried.clone(),
+        }
+    }
+}
