Engines: no orders while one is busy, fresh adapters stay, the engine's own word goes before the list

Ruled out: late orders, which the expected count fences off. Change: after an engine has answered, only its answers count; a busy engine gets no order; a refused order waits for a later report; a waiting request counts as demand.

--- a/crates/core/src/gateway/book.rs
+++ b/crates/core/src/gateway/book.rs
@@ -21,9 +21,6 @@
 /// Time after which an order without an answer is settled by asking the engine.
 const ASK_AFTER: Duration = Duration::from_millis(300);
 
-/// Age that an entry of the list may have; what an order or a report told later than that goes before it.
-const ENTRY_AGE: Duration = Duration::from_secs(3);
-
 /// What the leader knows of one run of an engine.
 #[data]
 pub struct EngineRecord {
@@ -37,12 +34,12 @@
     pub orders: Option<u64>,
     /// What it holds.
     pub holding: Holding,
-    /// When an order or a report told what it holds.
-    pub told: Time,
     /// Adapters on their way.
     pub pending: IndexSet<Weights>,
     /// The order that is being carried out or has no answer yet.
     pub open: Option<EngineOrder>,
+    /// Whether it carries out an order on a model; it refuses others meanwhile.
+    pub busy: bool,
     /// When the engine should be asked for its state next.
     pub ask: Option<Time>,
     /// Models that it held in this run; they load faster.
@@ -90,7 +87,9 @@
         match self.engines.get_mut(&entry.id) {
             Some(known) if known.run == entry.run => {
                 known.live = live;
-                if known.open.is_none() && now >= known.told + ENTRY_AGE {
+                // An entry can be any time old while the store is disturbed. Once the engine itself has answered, only its
+                // answers count, or its memory would be promised twice.
+                if known.orders.is_none() && known.open.is_none() {
                     known.take(entry.holding.clone());
                 }
             }
@@ -102,9 +101,9 @@
                     held: entry.holding.models.keys().cloned().collect(),
                     orders: None,
                     holding: entry.holding.clone(),
-                    told: now,
                     pending: IndexSet::new(),
                     open: None,
+                    busy: false,
                     ask: Some(now),
                 };
                 self.engines.insert(entry.id.clone(), record);
@@ -158,13 +157,13 @@
             OrderReply::Done => {
                 record.open = None;
                 record.orders = Some(order.expected + u64::from(order.advances()));
-                record.told = now;
                 record.apply(&order.action);
                 true
             }
             OrderReply::Conflict | OrderReply::Refused => {
                 record.open = None;
-                record.ask = Some(now);
+                // A report made before the refusal would lead to the same order again.
+                record.ask = Some(now + ASK_AFTER);
                 record.orders = None;
                 false
             }
@@ -186,7 +185,7 @@
         }
         record.pending = state.pending;
         record.orders = Some(state.orders);
-        record.told = now;
+        record.busy = state.busy;
         if !state.busy {
             record.open = None;
         }
@@ -246,7 +245,7 @@
 
     /// Returns whether it can be given an order now.
     pub fn takes_orders(&self) -> bool {
-        self.live && self.open.is_none() && self.orders.is_some()
+        self.live && self.open.is_none() && !self.busy && self.orders.is_some()
     }
 
     fn adapter_set(&self) -> impl Iterator<Item = Weights> {
@@ -259,7 +258,6 @@
 
     fn accepted(&mut self, order: &EngineOrder, now: Time) -> bool {
         self.orders = Some(order.expected + 1);
-        self.told = now;
         match &order.action {
             EngineAction::LoadAdapter(_) => {
                 // The load takes milliseconds; a request that comes earlier is declined and sent again.
--- a/crates/core/src/gateway/demand.rs
+++ b/crates/core/src/gateway/demand.rs
@@ -51,6 +51,13 @@
         *row = Row { work: row.decayed(now) + sample.work as f64, at: now, last: now };
     }
 
+    /// Notes that a request waits for a model or adapter, before its instance reports it.
+    pub fn touch(&mut self, service: &ServiceId, weights: &Weights, now: Time) {
+        let key = (service.clone(), weights.clone());
+        let row = self.rows.entry(key).or_insert(Row { work: 0.0, at: now, last: now });
+        row.last = now;
+    }
+
     /// Returns the recent work for a model with all its adapters.
     pub fn model(&self, service: &ServiceId, model: &crate::ModelId, now: Time) -> f64 {
         let rows = self.rows.iter().filter(|((of, weights), _)| of == service && weights.model == *model);
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -166,6 +166,7 @@
             book.doubt(&weights, now());
         }
         drop(book);
+        self.demand.borrow_mut().touch(&service, &weights, now());
         if weights.adapter.is_some() {
             self.wants.borrow_mut().insert((service, weights), now());
         }
