Placement: 1.4 copies per engine are shared out by demand

Cause: with fewer copies than engines each burst of a model fell on its own engines alone, while others were idle. Change: 0.9 becomes 1.4.

--- a/crates/core/src/gateway/copies.rs
+++ b/crates/core/src/gateway/copies.rs
@@ -2,8 +2,8 @@
 
 use crate::ModelId;
 
-/// Part of the engines that is shared out by demand; the rest stays room for a change.
-const SHARED_OUT: f64 = 0.9;
+/// Copies per engine that are shared out by demand; above one, engines hold several busy models, which evens out bursts.
+const SHARED_OUT: f64 = 1.4;
 
 /// Returns how many engines should hold each model: in proportion to its demand, and one at least.
 pub fn wanted_copies(demand: &IndexMap<ModelId, f64>, engines: usize) -> IndexMap<ModelId, usize> {
