Placement: copies spread over zones, adapters also in the zone that asks

Ruled out: a leader in each zone, since orders of two holders may reach one engine. Change: a new copy goes to the zone with the fewest; an adapter that only other zones hold is asked for, and loaded where a place is free.

--- a/crates/core/src/gateway/book.rs
+++ b/crates/core/src/gateway/book.rs
@@ -11,6 +11,7 @@
 use crate::ModelId;
 use crate::ServiceId;
 use crate::Time;
+use crate::ZoneId;
 use crate::gateway::EndpointEntry;
 use crate::gateway::EngineAction;
 use crate::gateway::EngineOrder;
@@ -26,6 +27,8 @@
 pub struct EngineRecord {
     /// Its service.
     pub service: ServiceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
     /// Run of its process.
     pub run: Incarnation,
     /// Whether it takes work.
@@ -96,6 +99,7 @@
             _ => {
                 let record = EngineRecord {
                     service: entry.service.clone(),
+                    zone: entry.zone.clone(),
                     run: entry.run,
                     live,
                     held: entry.holding.models.keys().chain(&entry.holding.kept).cloned().collect(),
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub use copies::wanted_copies;
 pub use demand::DemandSample;
 pub use demand::DemandTable;
+pub use orders::AdapterWant;
 pub use orders::EngineAction;
 pub use orders::EngineOrder;
 pub use orders::LoadPace;
--- a/crates/core/src/gateway/orders.rs
+++ b/crates/core/src/gateway/orders.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use carobwick_derive::data;
+use carobwick_derive::key;
 use indexmap::IndexMap;
 
 use crate::Bytes;
@@ -11,6 +12,7 @@
 use crate::Rate;
 use crate::ServiceId;
 use crate::Time;
+use crate::ZoneId;
 use crate::gateway::DemandTable;
 use crate::gateway::EngineBook;
 use crate::gateway::EngineRecord;
@@ -52,6 +54,15 @@
     UnloadAdapter(Weights),
 }
 
+/// An adapter that an availability zone asks for.
+#[key]
+pub struct AdapterWant {
+    /// The adapter.
+    pub weights: Weights,
+    /// The zone.
+    pub zone: ZoneId,
+}
+
 /// Spreads loads from the weight store over time.
 #[derive(Debug, Clone, Copy)]
 pub struct LoadPace {
@@ -182,14 +193,12 @@
 
     /// Counts the engines that hold a model or load it, less those that unload it.
     fn copies(&self, model: &ModelId) -> usize {
-        let expected = self.book.live(self.service).filter(|(_, record)| {
-            match record.open.as_ref().map(|order| &order.action) {
-                Some(EngineAction::Load(loading)) if loading == model => true,
-                Some(EngineAction::Unload(leaving)) if leaving == model => false,
-                _ => record.holding.models.contains_key(model),
-            }
-        });
-        expected.count()
+        self.book.live(self.service).filter(|(_, record)| record.will_hold(model)).count()
+    }
+
+    fn zone_copies(&self, model: &ModelId, zone: &ZoneId) -> usize {
+        let live = self.book.live(self.service);
+        live.filter(|(_, record)| record.zone == *zone && record.will_hold(model)).count()
     }
 
     /// Returns a load of a model on an engine that has room; without `store`, only from an engine's own copy.
@@ -202,7 +211,9 @@
         });
         let best = fits.min_by(|(_, a), (_, b)| {
             let cold = (!a.held.contains(model)).cmp(&!b.held.contains(model));
-            cold.then(self.pressure(a).total_cmp(&self.pressure(b)))
+            // A zone that is cut off serves only what its own engines hold.
+            let zone = self.zone_copies(model, &a.zone).cmp(&self.zone_copies(model, &b.zone));
+            zone.then(cold).then(self.pressure(a).total_cmp(&self.pressure(b)))
         });
         best.map(|(id, record)| EngineOrder::new(id, record, EngineAction::Load(model.clone())))
     }
@@ -273,16 +284,17 @@
 
 /// Returns the order that brings an adapter to an engine which holds its model.
 ///
-/// The engine with the most free places is taken; if all places are taken, the adapter that was asked for longest ago
-/// makes room.
+/// An engine of the zone that asks is taken if one has a free place, and the one with the most free places of them. If no
+/// engine has the adapter and all places are taken, the adapter that was asked for longest ago makes room.
 pub fn plan_adapter(
     service: &ServiceId,
     spec: &EngineSpec,
     book: &EngineBook,
     demand: &DemandTable,
-    wanted: &Weights,
+    want: &AdapterWant,
     now: Time,
 ) -> Option<EngineOrder> {
+    let wanted = &want.weights;
     let size = spec.models.get(&wanted.model)?.adapter;
     let hosts = || {
         let hosts = book.live(service);
@@ -291,11 +303,15 @@
     let has_room = |record: &EngineRecord| {
         record.adapter_count() < spec.adapters as usize && record.used(spec) + size <= spec.memory
     };
-    let open =
-        hosts().filter(|(_, record)| has_room(record)).min_by_key(|(_, record)| record.adapter_count());
+    let is_held = book.live(service).any(|(_, record)| record.offered().has(wanted));
+    let open = hosts().filter(|(_, record)| has_room(record) && (!is_held || record.zone == want.zone));
+    let open = open.min_by_key(|(_, record)| (record.zone != want.zone, record.adapter_count()));
     if let Some((id, record)) = open {
         return Some(EngineOrder::new(id, record, EngineAction::LoadAdapter(wanted.clone())));
     }
+    if is_held {
+        return None;
+    }
     let mut oldest: Option<(Time, &EndpointId, &EngineRecord, Weights)> = None;
     for (id, record) in hosts() {
         for (model, adapters) in &record.holding.models {
@@ -314,6 +330,15 @@
 }
 
 impl EngineRecord {
+    /// Returns whether a model is on the engine once its open order is carried out.
+    fn will_hold(&self, model: &ModelId) -> bool {
+        match self.open.as_ref().map(|order| &order.action) {
+            Some(EngineAction::Load(loading)) if loading == model => true,
+            Some(EngineAction::Unload(leaving)) if leaving == model => false,
+            _ => self.holding.models.contains_key(model),
+        }
+    }
+
     /// Returns whether an order on an adapter of this model can be given now.
     ///
     /// Adapters of one engine may be loaded one after the other without waiting for the report in between.
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -38,7 +38,6 @@
 use crate::answer::strip_hop_by_hop;
 use crate::clock::now;
 use crate::link::SendError;
-use crate::message::ToLeader;
 use crate::ports::AnswerHead;
 use crate::state::State;
 use crate::stream;
@@ -317,7 +316,10 @@
                     self.tried.clear();
                     continue;
                 }
-                Some(choice) => return Placement::Endpoint(choice),
+                Some(choice) => {
+                    self.want_near(&choice);
+                    return Placement::Endpoint(choice);
+                }
                 None => {}
             }
             let Some(weights) = self.call.weights.clone() else {
@@ -332,8 +334,7 @@
             }
             if !asked {
                 asked = true;
-                let want = ToLeader::Want { service: self.service.clone(), weights };
-                self.state.tell_leader(want);
+                self.state.want(&self.service, weights);
             }
             if tokio::time::timeout(patience - waited, changed).await.is_err() {
                 tracing::info!("gateway: request {} waited {patience:?} for its model", self.call.attempt);
@@ -341,6 +342,23 @@
         }
     }
 
+    /// Asks for an adapter that only other zones hold, so that a cut between the zones does not take it away.
+    fn want_near(&self, choice: &Choice) {
+        let Some(weights) = self.call.weights.as_ref().filter(|weights| weights.adapter.is_some()) else {
+            return;
+        };
+        let roster = self.state.roster.borrow();
+        let zone = &self.state.settings.zone;
+        let is_near = |entry: &EndpointEntry| entry.zone == *zone;
+        if roster.get(&choice.id).is_some_and(is_near) {
+            return;
+        }
+        let mut near = roster.live(&self.service).filter(|entry| is_near(entry));
+        if !near.any(|entry| entry.holding.has(weights)) && self.state.is_want_due(weights) {
+            self.state.want(&self.service, weights.clone());
+        }
+    }
+
     pub fn choose(&self) -> Option<Choice> {
         let roster = self.state.roster.borrow();
         let holds = |entry: &&EndpointEntry| {
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -8,6 +8,8 @@
 use carobwick_core::InstanceId;
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
+use carobwick_core::ZoneId;
+use carobwick_core::gateway::AdapterWant;
 use carobwick_core::gateway::Choice;
 use carobwick_core::gateway::DemandTable;
 use carobwick_core::gateway::EngineBook;
@@ -47,7 +49,7 @@
     demand: RefCell<DemandTable>,
     first: RefCell<Option<Time>>,
     paces: RefCell<IndexMap<ServiceId, LoadPace>>,
-    wants: RefCell<IndexMap<(ServiceId, Weights), Time>>,
+    wants: RefCell<IndexMap<(ServiceId, AdapterWant), Time>>,
     followers: RefCell<IndexMap<InstanceId, mpsc::UnboundedSender<FromLeader>>>,
     wake: Notify,
 }
@@ -119,7 +121,7 @@
                     demand.add(sample, now());
                 }
             }
-            ToLeader::Want { service, weights } => self.want(service, weights),
+            ToLeader::Want { service, weights, zone } => self.want(service, AdapterWant { weights, zone }),
             ToLeader::Loss { print, endpoint, run } => {
                 self.state.suspects.borrow_mut().lost(print, &endpoint, run, now());
                 let news = FromLeader::Loss { print, endpoint, run };
@@ -160,33 +162,39 @@
         }
     }
 
-    fn want(&self, service: ServiceId, weights: Weights) {
-        let mut book = self.book.borrow_mut();
-        if book.live(&service).any(|(_, record)| record.offered().has(&weights)) {
-            book.doubt(&weights, now());
+    fn want(&self, service: ServiceId, want: AdapterWant) {
+        let weights = &want.weights;
+        if self.offers(&service, weights, None) {
+            self.book.borrow_mut().doubt(weights, now());
         }
-        drop(book);
-        self.demand.borrow_mut().touch(&service, &weights, now());
+        self.demand.borrow_mut().touch(&service, weights, now());
         if weights.adapter.is_some() {
-            self.wants.borrow_mut().insert((service, weights), now());
+            self.wants.borrow_mut().insert((service, want), now());
         }
         self.wake.notify_one();
     }
 
+    /// Returns whether an engine offers a model or adapter, in a zone or anywhere.
+    fn offers(&self, service: &ServiceId, weights: &Weights, zone: Option<&ZoneId>) -> bool {
+        let book = self.book.borrow();
+        let mut live = book.live(service).filter(|(_, record)| zone.is_none_or(|zone| record.zone == *zone));
+        live.any(|(_, record)| record.offered().has(weights))
+    }
+
     fn load_adapters(self: Rc<Self>) {
         let now = now();
         self.wants.borrow_mut().retain(|_, since| now < *since + WANTED);
-        let wants: Vec<(ServiceId, Weights)> = self.wants.borrow().keys().cloned().collect();
-        for (service, weights) in wants {
-            if self.book.borrow().live(&service).any(|(_, record)| record.offered().has(&weights)) {
-                self.wants.borrow_mut().swap_remove(&(service, weights));
+        let wants: Vec<(ServiceId, AdapterWant)> = self.wants.borrow().keys().cloned().collect();
+        for (service, want) in wants {
+            if self.offers(&service, &want.weights, Some(&want.zone)) {
+                self.wants.borrow_mut().swap_remove(&(service, want));
                 continue;
             }
-            if self.book.borrow().makes_way(&service, &weights) {
+            if self.book.borrow().makes_way(&service, &want.weights) {
                 continue;
             }
             let order = self.with_spec(&service, |spec| {
-                plan_adapter(&service, spec, &self.book.borrow(), &self.demand.borrow(), &weights, now)
+                plan_adapter(&service, spec, &self.book.borrow(), &self.demand.borrow(), &want, now)
             });
             if let Some(Some(order)) = order {
                 Rc::clone(&self).give(order);
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,6 +3,7 @@
 use carobwick_core::Incarnation;
 use carobwick_core::InstanceId;
 use carobwick_core::ServiceId;
+use carobwick_core::ZoneId;
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::Holding;
 use carobwick_core::gateway::Weights;
@@ -26,8 +27,8 @@
     Hello { instance: InstanceId },
     /// Demand since the last report; also a sign of life.
     Demand(Vec<DemandSample>),
-    /// A request waits for a model or adapter that no endpoint offers.
-    Want { service: ServiceId, weights: Weights },
+    /// A request needs a model or adapter that no endpoint offers, or none in the instance's zone.
+    Want { service: ServiceId, weights: Weights, zone: ZoneId },
     /// An endpoint broke off under a request.
     Loss { print: Fingerprint, endpoint: EndpointId, run: Incarnation },
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,11 +1,13 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::sync::Arc;
+use std::time::Duration;
 
 use carobwick_core::EndpointId;
 use carobwick_core::Fingerprint;
 use carobwick_core::Incarnation;
 use carobwick_core::ServiceId;
+use carobwick_core::Time;
 use carobwick_core::gateway::Balancer;
 use carobwick_core::gateway::Call;
 use carobwick_core::gateway::DemandSample;
@@ -26,6 +28,8 @@
 
 /// Instances assumed before the leader has said how many share the retry budget.
 const ASSUMED_INSTANCES: u32 = 16;
+/// Time between two wishes for an adapter that other zones hold already.
+const WANT_AGAIN: Duration = Duration::from_secs(3);
 
 /// What the tasks of one instance share; all of them run on one thread.
 pub(crate) struct State {
@@ -45,6 +49,8 @@
     instances: Cell<u32>,
     samples: RefCell<IndexMap<(ServiceId, Weights), DemandSample>>,
     leader: RefCell<Option<mpsc::UnboundedSender<ToLeader>>>,
+    /// When an adapter was asked for that other zones hold.
+    asked: RefCell<IndexMap<Weights, Time>>,
 }
 
 impl std::fmt::Debug for State {
@@ -71,6 +77,7 @@
             instances: Cell::new(ASSUMED_INSTANCES),
             samples: RefCell::default(),
             leader: RefCell::default(),
+            asked: RefCell::default(),
         }
     }
 
@@ -134,6 +141,22 @@
         leader.as_ref().is_some_and(|leader| leader.send(message).is_ok())
     }
 
+    /// Asks the leader for a model or adapter.
+    pub fn want(&self, service: &ServiceId, weights: Weights) {
+        let zone = self.settings.zone.clone();
+        self.tell_leader(ToLeader::Want { service: service.clone(), weights, zone });
+    }
+
+    /// Returns whether an adapter for the own zone was not asked for just before.
+    pub fn is_want_due(&self, weights: &Weights) -> bool {
+        let mut asked = self.asked.borrow_mut();
+        let is_due = asked.get(weights).is_none_or(|at| now() >= *at + WANT_AGAIN);
+        if is_due {
+            asked.insert(weights.clone(), now());
+        }
+        is_due
+    }
+
     /// Notes that an endpoint broke off under a request, and tells the others.
     pub fn note_loss(&self, print: Fingerprint, id: &EndpointId, run: Incarnation) {
         if self.suspects.borrow_mut().lost(print, id, run, now()) {
