Placement: only copies that an engine reports count as near; a new leader starts without spare loads

Ruled out: late orders. Change: only copies in the last report count; two loads to spare, none for a new leader.

--- a/crates/core/src/gateway/book.rs
+++ b/crates/core/src/gateway/book.rs
@@ -45,8 +45,6 @@
     pub busy: bool,
     /// When the engine should be asked for its state next.
     pub ask: Option<Time>,
-    /// Models that it held before or keeps a copy of; they load faster.
-    pub held: IndexSet<ModelId>,
 }
 
 /// State of an engine as it reports it, some hundred milliseconds late.
@@ -102,7 +100,6 @@
                     zone: entry.zone.clone(),
                     run: entry.run,
                     live,
-                    held: entry.holding.models.keys().chain(&entry.holding.kept).cloned().collect(),
                     orders: None,
                     holding: entry.holding.clone(),
                     pending: IndexSet::new(),
@@ -305,7 +302,6 @@
         match action {
             EngineAction::Load(model) => {
                 models.entry(model.clone()).or_default();
-                self.held.insert(model.clone());
             }
             EngineAction::Unload(model) => {
                 models.swap_remove(model);
@@ -324,7 +320,6 @@
     }
 
     fn take(&mut self, holding: Holding) {
-        self.held.extend(holding.models.keys().chain(&holding.kept).cloned());
         self.holding = holding;
     }
 }
--- a/crates/core/src/gateway/orders.rs
+++ b/crates/core/src/gateway/orders.rs
@@ -21,7 +21,7 @@
 use crate::gateway::wanted_copies;
 
 /// Loads that may start in a row before the weight store's rate binds.
-const BURST: f64 = 3.0;
+const BURST: f64 = 2.0;
 /// Copies by which a model must fall short before another model makes room for it, so that small changes of demand
 /// move nothing.
 const SHORTFALL: usize = 2;
@@ -70,13 +70,12 @@
     at: Time,
 }
 
-impl Default for LoadPace {
-    fn default() -> Self {
-        Self { tokens: BURST, at: Time::ZERO }
+impl LoadPace {
+    /// Starts as if loads had just been started, since another leader may have started some.
+    pub fn new(now: Time) -> Self {
+        Self { tokens: 0.0, at: now }
     }
-}
 
-impl LoadPace {
     /// Returns whether a load may start now.
     pub fn allows(&mut self, rate: Rate, now: Time) -> bool {
         self.tokens = (self.tokens + (now - self.at).as_secs_f64() * rate.0).min(BURST);
@@ -188,7 +187,7 @@
     /// Returns whether an order loads a model from the weight store.
     fn is_cold(&self, order: &EngineOrder) -> bool {
         let EngineAction::Load(model) = &order.action else { return false };
-        self.book.get(&order.endpoint).is_none_or(|record| !record.held.contains(model))
+        self.book.get(&order.endpoint).is_none_or(|record| !record.holding.kept.contains(model))
     }
 
     /// Counts the engines that hold a model or load it, less those that unload it.
@@ -207,10 +206,10 @@
         let fits = self.open(busy).filter(|(_, record)| {
             !record.holding.models.contains_key(model)
                 && self.free(record) >= size
-                && (store || record.held.contains(model))
+                && (store || record.holding.kept.contains(model))
         });
         let best = fits.min_by(|(_, a), (_, b)| {
-            let cold = (!a.held.contains(model)).cmp(&!b.held.contains(model));
+            let cold = (!a.holding.kept.contains(model)).cmp(&!b.holding.kept.contains(model));
             // A zone that is cut off serves only what its own engines hold.
             let zone = self.zone_copies(model, &a.zone).cmp(&self.zone_copies(model, &b.zone));
             zone.then(cold).then(self.pressure(a).total_cmp(&self.pressure(b)))
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -157,6 +157,7 @@
         if self.first.borrow_mut().take().is_some() {
             *self.demand.borrow_mut() = DemandTable::default();
             self.wants.borrow_mut().clear();
+            self.paces.borrow_mut().clear();
             self.book.borrow_mut().clear();
             self.listed(&self.state.roster.borrow());
         }
@@ -214,7 +215,7 @@
         for service in services {
             let orders = self.with_spec(&service, |spec| {
                 let mut paces = self.paces.borrow_mut();
-                let pace = paces.entry(service.clone()).or_default();
+                let pace = paces.entry(service.clone()).or_insert_with(|| LoadPace::new(now));
                 plan_orders(&service, spec, &self.book.borrow(), &self.demand.borrow(), pace, now)
             });
             for order in orders.into_iter().flatten() {
