--- /dev/null
+++ b/crates/core/tests/engine_orders.rs
@@ -0,0 +1,330 @@
+//! Orders to engines: seeded runs against engines whose answers are lost, whose reports lag and which apply orders late.
+
+use std::time::Duration;
+
+use carobwick_core::Bytes;
+use carobwick_core::EndpointId;
+use carobwick_core::EndpointState;
+use carobwick_core::Incarnation;
+use carobwick_core::Millis;
+use carobwick_core::ModelId;
+use carobwick_core::Rate;
+use carobwick_core::ServiceId;
+use carobwick_core::Time;
+use carobwick_core::Tokens;
+use carobwick_core::gateway::AdapterWant;
+use carobwick_core::gateway::DemandSample;
+use carobwick_core::gateway::DemandTable;
+use carobwick_core::gateway::EndpointEntry;
+use carobwick_core::gateway::EngineAction;
+use carobwick_core::gateway::EngineBook;
+use carobwick_core::gateway::EngineOrder;
+use carobwick_core::gateway::EngineSpec;
+use carobwick_core::gateway::EngineState;
+use carobwick_core::gateway::Holding;
+use carobwick_core::gateway::LoadPace;
+use carobwick_core::gateway::ModelSize;
+use carobwick_core::gateway::OrderReply;
+use carobwick_core::gateway::Weights;
+use carobwick_core::gateway::plan_adapter;
+use carobwick_core::gateway::plan_orders;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+const ENGINES: usize = 6;
+const MODELS: usize = 8;
+const ADAPTERS: usize = 12;
+/// Span and bound of the weight store's ceiling, as the operators state it.
+const WINDOW: Duration = Duration::from_secs(5);
+const CEILING: f64 = 1.4 * 5.0 * 1.1 + 3.0;
+/// Age of an engine's report.
+const LAG: u64 = 200;
+
+/// An engine as it is, which the leader sees late or not at all.
+#[derive(Clone, Default)]
+struct Engine {
+    state: Actual,
+    past: Vec<(u64, Actual)>,
+    /// The order on a model that is carried out, and when it ends.
+    busy: Option<(u64, EngineAction)>,
+    late: Vec<(u64, EngineOrder)>,
+}
+
+#[derive(Clone, Default)]
+struct Actual {
+    orders: u64,
+    busy: bool,
+    holding: Holding,
+}
+
+struct World {
+    random: ChaCha8Rng,
+    spec: EngineSpec,
+    service: ServiceId,
+    engines: IndexMap<EndpointId, Engine>,
+    book: EngineBook,
+    demand: DemandTable,
+    pace: LoadPace,
+    loads: Vec<Time>,
+    hot: usize,
+}
+
+fn time(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+fn model(index: usize) -> ModelId {
+    format!("m{index}").parse().unwrap()
+}
+
+fn spec() -> EngineSpec {
+    let size = |index: usize| ModelSize {
+        weights: Bytes(60 + 5 * (index as u64 % 3)),
+        adapter: Bytes(1),
+        load: Millis(1_200),
+    };
+    EngineSpec {
+        memory: Bytes(200),
+        adapters: 4,
+        loads: Rate(1.4),
+        context: Tokens(100_000),
+        models: (0..MODELS).map(|index| (model(index), size(index))).collect(),
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let engines = (0..ENGINES).map(|index| {
+            let mut engine = Engine::default();
+            engine.state.holding.models.insert(model(index), IndexSet::new());
+            (format!("e{index}").parse().unwrap(), engine)
+        });
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            spec: spec(),
+            service: "s".parse().unwrap(),
+            engines: engines.collect(),
+            book: EngineBook::default(),
+            demand: DemandTable::default(),
+            pace: LoadPace::new(Time::ZERO),
+            loads: Vec::new(),
+            hot: 0,
+        }
+    }
+
+    fn run(&mut self, end: u64) {
+        for now in (0..end).step_by(50) {
+            self.advance(now);
+            if now % 1_200 == 0 {
+                self.list(now);
+            }
+            if now % 5_000 == 0 {
+                self.hot = self.random.random_range(0..MODELS);
+            }
+            if now % 200 == 0 {
+                self.lead(now);
+            }
+        }
+    }
+
+    /// Carries out what is due on the engines.
+    fn advance(&mut self, now: u64) {
+        for id in self.engines.keys().cloned().collect::<Vec<_>>() {
+            let engine = &mut self.engines[&id];
+            if let Some((_, action)) = engine.busy.take_if(|(end, _)| now >= *end) {
+                engine.state.busy = false;
+                apply(&mut engine.state.holding, &action);
+            }
+            let due: Vec<EngineOrder> =
+                engine.late.extract_if(.., |(at, _)| now >= *at).map(|(_, order)| order).collect();
+            for order in due {
+                self.accept(&order, now);
+            }
+            let engine = &mut self.engines[&id];
+            engine.past.push((now, engine.state.clone()));
+        }
+    }
+
+    /// Gives an order to an engine, which refuses it unless it expects that many orders.
+    fn accept(&mut self, order: &EngineOrder, now: u64) -> OrderReply {
+        let engine = &mut self.engines[&order.endpoint];
+        if engine.state.orders != order.expected || engine.state.busy {
+            return OrderReply::Conflict;
+        }
+        engine.state.orders += 1;
+        match &order.action {
+            EngineAction::Load(model) => {
+                self.loads.push(time(now));
+                let used = used(&self.spec, &engine.state.holding) + self.spec.models[model].weights;
+                assert!(used <= self.spec.memory, "{} is told to load {model} at {now} ms", order.endpoint);
+                engine.state.busy = true;
+                engine.busy = Some((now + 1_200, order.action.clone()));
+            }
+            EngineAction::Unload(_) => {
+                engine.state.busy = true;
+                engine.busy = Some((now + 600, order.action.clone()));
+            }
+            EngineAction::LoadAdapter(_) => {
+                apply(&mut engine.state.holding, &order.action);
+                let adapters = engine.state.holding.adapters();
+                assert!(adapters <= self.spec.adapters as usize, "{adapters} adapters on {}", order.endpoint);
+                assert!(used(&self.spec, &engine.state.holding) <= self.spec.memory, "{}", order.endpoint);
+            }
+            EngineAction::UnloadAdapter(_) => {
+                apply(&mut engine.state.holding, &order.action);
+                return OrderReply::Done;
+            }
+        }
+        OrderReply::Accepted
+    }
+
+    /// Shows the leader list entries of up to 5 s ago, as after an outage of the store.
+    fn list(&mut self, now: u64) {
+        for (index, (id, engine)) in self.engines.iter().enumerate() {
+            let age = self.random.random_range(0..5_000);
+            let seen = engine.past.iter().rfind(|(at, _)| at + age <= now).or(engine.past.first());
+            let entry = EndpointEntry {
+                id: id.clone(),
+                run: Incarnation(1),
+                heartbeat: now,
+                service: self.service.clone(),
+                addr: "127.0.0.1:1".parse().unwrap(),
+                zone: format!("z{}", index % 3).parse().unwrap(),
+                slots: 8,
+                state: EndpointState::Live,
+                remaining: None,
+                holding: seen.map(|(_, state)| state.holding.clone()).unwrap_or_default(),
+            };
+            self.book.listed(&entry, time(now));
+        }
+    }
+
+    fn lead(&mut self, now: u64) {
+        for (id, run) in self.book.due(time(now)) {
+            let past = &self.engines[&id].past;
+            let Some((_, seen)) = past.iter().rfind(|(at, _)| at + LAG <= now) else { continue };
+            let state = EngineState {
+                orders: seen.orders,
+                holding: seen.holding.clone(),
+                pending: IndexSet::new(),
+                busy: seen.busy,
+            };
+            self.book.reported(&id, run, state, time(now));
+        }
+        let weights = Weights { model: model(self.hot), adapter: None };
+        let sample = DemandSample { service: self.service.clone(), weights, requests: 9, work: 1_000 };
+        self.demand.add(&sample, time(now));
+        let adapter = format!("a{}", self.random.random_range(0..ADAPTERS)).parse().unwrap();
+        let weights = Weights { model: model(self.hot), adapter: Some(adapter) };
+        let want = AdapterWant { weights, zone: "z1".parse().unwrap() };
+        let order = plan_adapter(&self.service, &self.spec, &self.book, &self.demand, &want, time(now));
+        let mut orders: Vec<EngineOrder> = order.into_iter().collect();
+        for order in orders.drain(..) {
+            self.give(&order, now);
+        }
+        let orders =
+            plan_orders(&self.service, &self.spec, &self.book, &self.demand, &mut self.pace, time(now));
+        for order in orders {
+            self.give(&order, now);
+        }
+    }
+
+    /// Sends an order; its answer may be lost, and then it is carried out now, later or never.
+    fn give(&mut self, order: &EngineOrder, now: u64) {
+        self.book.ordered(order);
+        let reply = match self.random.random_range(0..10) {
+            0 => {
+                self.accept(order, now);
+                OrderReply::Lost
+            }
+            1 => {
+                let at = now + self.random.random_range(2_000..12_000);
+                self.engines[&order.endpoint].late.push((at, order.clone()));
+                OrderReply::Lost
+            }
+            2 => OrderReply::Lost,
+            _ => self.accept(order, now),
+        };
+        self.book.replied(order, reply, time(now));
+    }
+}
+
+fn apply(holding: &mut Holding, action: &EngineAction) {
+    match action {
+        EngineAction::Load(model) => {
+            holding.models.insert(model.clone(), IndexSet::new());
+        }
+        EngineAction::Unload(model) => {
+            holding.models.swap_remove(model);
+        }
+        EngineAction::LoadAdapter(weights) => {
+            if let Some(adapters) = holding.models.get_mut(&weights.model) {
+                adapters.extend(weights.adapter.clone());
+            }
+        }
+        EngineAction::UnloadAdapter(weights) => {
+            if let (Some(adapters), Some(name)) = (holding.models.get_mut(&weights.model), &weights.adapter) {
+                adapters.swap_remove(name);
+            }
+        }
+    }
+}
+
+fn used(spec: &EngineSpec, holding: &Holding) -> Bytes {
+    let sizes = holding.models.iter().map(|(model, adapters)| {
+        let size = &spec.models[model];
+        Bytes(size.weights.0 + size.adapter.0 * adapters.len() as u64)
+    });
+    sizes.sum()
+}
+
+/// Guards against memory or places that are promised twice, while orders get lost, come late and the list is old.
+#[test]
+fn engines_are_never_told_to_hold_more_than_fits() {
+    for seed in 0..40 {
+        World::new(seed).run(60_000);
+    }
+}
+
+/// Guards against more loads from the weight store than its ceiling, over any span of 5 s.
+///
+/// Orders that are carried out late are the operators' own fault and are left out.
+#[test]
+fn loads_stay_under_the_ceiling() {
+    for seed in 100..120 {
+        let mut pace = LoadPace::new(Time::ZERO);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut loads: Vec<Time> = Vec::new();
+        for now in (0..60_000).step_by(20) {
+            if random.random_bool(0.7) && pace.allows(Rate(1.4), time(now)) {
+                pace.take();
+                loads.push(time(now));
+            }
+        }
+        for first in &loads {
+            let window = loads.iter().filter(|load| **load >= *first && **load < *first + WINDOW).count();
+            assert!(window as f64 <= CEILING, "seed {seed}: {window} loads");
+        }
+    }
+}
+
+/// Guards against a rising model that stays on one engine, and against a model that no engine holds any more.
+#[test_case(1)]
+#[test_case(2)]
+fn a_rising_model_spreads_and_no_model_is_lost(seed: u64) {
+    let mut world = World::new(seed);
+    world.run(4_900);
+    let hot = model(world.hot);
+    let holds = |world: &World, model: &ModelId| {
+        world.engines.values().filter(|engine| engine.state.holding.models.contains_key(model)).count()
+    };
+    assert!(holds(&world, &hot) >= 2, "{hot} is on {} engines", holds(&world, &hot));
+    world.run(60_000);
+    for index in 0..MODELS {
+        assert!(holds(&world, &model(index)) > 0, "m{index} is nowhere");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/gateway.rs
@@ -0,0 +1,316 @@
+//! Decisions of the gateway: routes, the list of endpoints, choice of endpoint, retries and suspects.
+
+use std::time::Duration;
+
+use carobwick_core::Bytes;
+use carobwick_core::EndpointId;
+use carobwick_core::EndpointState;
+use carobwick_core::Fingerprint;
+use carobwick_core::Incarnation;
+use carobwick_core::Millis;
+use carobwick_core::Time;
+use carobwick_core::Version;
+use carobwick_core::gateway::Balancer;
+use carobwick_core::gateway::Call;
+use carobwick_core::gateway::CallerLimits;
+use carobwick_core::gateway::EndpointEntry;
+use carobwick_core::gateway::Failure;
+use carobwick_core::gateway::Holding;
+use carobwick_core::gateway::Listed;
+use carobwick_core::gateway::Progress;
+use carobwick_core::gateway::PromptPart;
+use carobwick_core::gateway::RetryShare;
+use carobwick_core::gateway::RetryTerms;
+use carobwick_core::gateway::Roster;
+use carobwick_core::gateway::RouteKind;
+use carobwick_core::gateway::RouteTable;
+use carobwick_core::gateway::ServiceRoute;
+use carobwick_core::gateway::ServiceShare;
+use carobwick_core::gateway::Step;
+use carobwick_core::gateway::SuspectTable;
+use carobwick_core::gateway::Verdict;
+use carobwick_core::gateway::Weights;
+use carobwick_core::gateway::next_step;
+use indexmap::IndexSet;
+use test_case::test_case;
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+fn route(kind: RouteKind, resumable: bool, attempts: u32) -> ServiceRoute {
+    let share = |service: &str, weight| ServiceShare { service: service.parse().unwrap(), weight };
+    ServiceRoute {
+        name: "r".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/x/".to_owned(),
+        kind,
+        timeout: Millis(1_000),
+        target: Millis(100),
+        rank: 0,
+        shares: vec![share("one", 90), share("two", 10)],
+        attempts,
+        resumable,
+    }
+}
+
+fn table(prefixes: &[&str]) -> RouteTable {
+    let limits = CallerLimits { head: Bytes(1), body: Bytes(1), head_time: Millis(1), idle: Millis(1) };
+    let routes = prefixes.iter().map(|prefix| ServiceRoute {
+        name: (*prefix).to_owned(),
+        prefix: (*prefix).to_owned(),
+        ..route(RouteKind::Idempotent, false, 1)
+    });
+    RouteTable::new(Version(1), limits, indexmap::IndexMap::new(), routes.collect())
+}
+
+fn entry(id: &str, run: u64, heartbeat: u64, state: EndpointState) -> EndpointEntry {
+    let mut holding = Holding::default();
+    holding.models.insert("m".parse().unwrap(), IndexSet::new());
+    EndpointEntry {
+        id: id.parse().unwrap(),
+        run: Incarnation(run),
+        heartbeat,
+        service: "s".parse().unwrap(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        zone: "z".parse().unwrap(),
+        slots: 8,
+        state,
+        remaining: None,
+        holding,
+    }
+}
+
+fn live(roster: &Roster) -> Vec<String> {
+    roster.live(&"s".parse().unwrap()).map(|entry| entry.id.to_string()).collect()
+}
+
+fn call(shared: u64, own: u64) -> Call {
+    let weights = Weights { model: "m".parse().unwrap(), adapter: None };
+    let prompt = vec![PromptPart { id: shared, tokens: 4_000 }, PromptPart { id: own, tokens: 500 }];
+    Call { weights: Some(weights), prompt, tokens: 4_500, output: 50, ..Call::default() }
+}
+
+/// Guards against a short prefix hiding the route of a longer one.
+#[test_case("/x/y/z", Some("/x/y/"))]
+#[test_case("/x/yy", Some("/x/"))]
+#[test_case("/xx", None)]
+fn longest_prefix_wins(path: &str, expected: Option<&str>) {
+    let table = table(&["/x/", "/x/y/"]);
+    let found = table.find("A.example:80", path);
+    assert_eq!(found.map(|route| route.prefix.as_str()), expected);
+}
+
+/// Guards against a split that sends to a service more or less than its share.
+#[test]
+fn split_follows_the_weights() {
+    let route = route(RouteKind::Idempotent, false, 1);
+    let two = (0..1_000).filter(|n| route.pick(f64::from(*n) / 1_000.0).unwrap().as_str() == "two").count();
+    assert_eq!(two, 100);
+    assert_eq!(route.pick(1.0).unwrap().as_str(), "two");
+}
+
+/// Guards against new work for an endpoint that said it leaves, when an older heartbeat is written late.
+#[test]
+fn leaving_is_never_unlearnt() {
+    let mut roster = Roster::default();
+    roster.replace(vec![entry("a", 1, 5, EndpointState::Live)], at(0));
+    roster.change(Listed::Entry(entry("a", 1, 6, EndpointState::Leaving)), at(10));
+    roster.change(Listed::Entry(entry("a", 1, 5, EndpointState::Live)), at(20));
+    assert!(live(&roster).is_empty());
+    roster.change(Listed::Removed("a".parse().unwrap()), at(30));
+    roster.change(Listed::Entry(entry("a", 1, 7, EndpointState::Live)), at(40));
+    assert!(live(&roster).is_empty());
+    roster.change(Listed::Entry(entry("a", 2, 1, EndpointState::Live)), at(50));
+    assert_eq!(live(&roster), ["a"]);
+}
+
+/// Guards against requests for a run of an endpoint that was replaced.
+#[test]
+fn an_older_run_does_not_come_back() {
+    let mut roster = Roster::default();
+    roster.replace(vec![entry("a", 9, 1, EndpointState::Live)], at(0));
+    roster.change(Listed::Entry(entry("a", 8, 70, EndpointState::Live)), at(10));
+    assert_eq!(roster.get(&"a".parse().unwrap()).unwrap().run, Incarnation(9));
+}
+
+/// Guards against dropping all endpoints whose entries lapsed during an outage, and against keeping those that died.
+#[test]
+fn lapsed_entries_have_two_seconds_to_come_back() {
+    let mut roster = Roster::default();
+    let all = || vec![entry("a", 1, 1, EndpointState::Live), entry("b", 1, 1, EndpointState::Live)];
+    roster.replace(all(), at(0));
+    roster.store_returned(at(10_000));
+    roster.replace(Vec::new(), at(10_000));
+    roster.change(Listed::Entry(entry("b", 1, 2, EndpointState::Live)), at(11_000));
+    assert!(roster.settle(at(11_900)).is_empty());
+    assert_eq!(live(&roster), ["a", "b"]);
+    let a: EndpointId = "a".parse().unwrap();
+    assert_eq!(roster.settle(at(12_000)), [a]);
+    assert_eq!(live(&roster), ["b"]);
+}
+
+/// Guards against a heartbeat of seconds ago taking back what the leader has just told.
+#[test]
+fn the_leaders_word_stands_against_older_entries() {
+    let mut roster = Roster::default();
+    roster.replace(vec![entry("a", 1, 1, EndpointState::Live)], at(0));
+    let id: EndpointId = "a".parse().unwrap();
+    roster.told(&id, Incarnation(1), &Holding::default(), at(100));
+    roster.change(Listed::Entry(entry("a", 1, 2, EndpointState::Live)), at(1_000));
+    assert!(roster.get(&id).unwrap().holding.models.is_empty());
+    roster.change(Listed::Entry(entry("a", 1, 3, EndpointState::Live)), at(4_000));
+    assert_eq!(roster.get(&id).unwrap().holding.models.len(), 1);
+}
+
+/// Guards against a second run of a request that must not repeat, and against a refusal of one that may have run.
+#[test_case(RouteKind::NonIdempotent, false)]
+#[test_case(RouteKind::Streaming, false)]
+#[test_case(RouteKind::Streaming, true)]
+#[test_case(RouteKind::Idempotent, false)]
+fn reruns_and_refusals_keep_their_promise(kind: RouteKind, resumable: bool) {
+    let failures = [Failure::Unsent, Failure::Declined, Failure::Failed, Failure::Lost];
+    for attempts in 1..4 {
+        let route = route(kind, resumable, attempts);
+        let mut open = vec![Progress::default()];
+        while let Some(progress) = open.pop() {
+            for failure in failures {
+                let mut after = progress;
+                after.count(failure);
+                match next_step(&route, failure, after) {
+                    Step::Again => {
+                        assert!(after.runs == 0 || route.may_rerun(), "{route:?} {after:?}");
+                        assert!(after.runs < attempts || after.runs == 0, "{after:?}");
+                        // Unsent requests do not count; time ends them.
+                        if failure != Failure::Unsent {
+                            open.push(after);
+                        }
+                    }
+                    Step::Refuse => assert_eq!(after.runs, 0, "{after:?}"),
+                    Step::PassOn | Step::Unknown | Step::BreakOff => assert!(after.runs > 0, "{after:?}"),
+                }
+            }
+        }
+    }
+}
+
+/// Guards against instances that together repeat more than the service's budget.
+#[test]
+fn shares_add_up_to_the_budget() {
+    let terms = RetryTerms { ratio: 0.2, window: Duration::from_secs(10), slack: 58.0 };
+    let mut shares: Vec<RetryShare> = (0..9).map(|_| RetryShare::new(terms, 9)).collect();
+    let (mut requests, mut repeats) = (0, 0);
+    for tick in 0..1_000 {
+        for (index, share) in shares.iter_mut().enumerate() {
+            if tick % (index + 1) == 0 {
+                share.request(at(tick as u64 * 10));
+                requests += 1;
+            }
+            repeats += u32::from(share.take(at(tick as u64 * 10)));
+        }
+    }
+    assert!(f64::from(repeats) <= 0.2 * f64::from(requests) + 58.0, "{repeats} of {requests}");
+    assert!(repeats > requests / 6, "{repeats} of {requests}");
+}
+
+/// Guards against a request that crashes endpoints going on to crash them, and against a harmless one being refused.
+#[test]
+fn three_lost_endpoints_convict_a_request() {
+    let mut suspects = SuspectTable::default();
+    let (bad, good) = (Fingerprint(1), Fingerprint(2));
+    for (index, id) in ["a", "b", "c"].iter().enumerate() {
+        assert!(!suspects.refuses(bad, at(0)));
+        let id: EndpointId = id.parse().unwrap();
+        assert!(suspects.lost(bad, &id, Incarnation(1), at(index as u64)));
+        assert!(!suspects.lost(bad, &id, Incarnation(1), at(index as u64)), "one crash counts once");
+        if index < 2 {
+            suspects.lost(good, &id, Incarnation(1), at(index as u64));
+        }
+    }
+    suspects.cleared(good);
+    assert!(suspects.refuses(bad, at(1_000)));
+    assert!(!suspects.refuses(good, at(1_000)));
+    assert!(!suspects.refuses(bad, at(600_000)));
+}
+
+struct Scene {
+    balancer: Balancer,
+    entries: Vec<EndpointEntry>,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let entries = ["a", "b", "c", "d"].iter().map(|id| entry(id, 1, 1, EndpointState::Live)).collect();
+        Self { balancer: Balancer::new("z".parse().unwrap()), entries }
+    }
+
+    /// Sends a request and ends it with a verdict; returns the endpoint.
+    fn request(&mut self, call: &Call, now: u64, took: u64, verdict: Verdict) -> String {
+        let choice = self.balancer.choose(call, self.entries.iter(), at(now)).unwrap();
+        let ticket = self.balancer.sent(call, &choice, at(now));
+        if verdict == Verdict::Good {
+            self.balancer.answered(&choice, ticket, None, at(now + took));
+        }
+        self.balancer.finished(&choice, ticket, verdict, at(now + took));
+        choice.id.to_string()
+    }
+}
+
+/// Guards against requests with a shared prompt being spread over engines that each read it anew.
+#[test]
+fn a_shared_prompt_goes_to_one_engine() {
+    let mut scene = Scene::new();
+    let mut used: Vec<String> =
+        (0..20).map(|n| scene.request(&call(7, 100 + n), n * 500, 50, Verdict::Good)).collect();
+    used.dedup();
+    assert_eq!(used.len(), 1);
+}
+
+/// Guards against instances that disagree on where a shared prompt is kept.
+#[test]
+fn instances_agree_on_the_engine_of_a_shared_prompt() {
+    for shared in 0..20 {
+        let choice = |()| Scene::new().request(&call(shared, 1), 0, 50, Verdict::Good);
+        assert_eq!(choice(()), choice(()));
+    }
+}
+
+/// Guards against a queue at one engine while the others are idle.
+#[test]
+fn a_burst_spreads_over_the_engines() {
+    let mut scene = Scene::new();
+    let mut used = IndexSet::new();
+    for own in 0..12 {
+        let call = call(7, 100 + own);
+        let choice = scene.balancer.choose(&call, scene.entries.iter(), at(0)).unwrap();
+        scene.balancer.sent(&call, &choice, at(0));
+        used.insert(choice.id.to_string());
+    }
+    assert_eq!(used.len(), 4);
+}
+
+/// Guards against sending on to an endpoint that refuses connections.
+#[test]
+fn a_lost_endpoint_is_passed_over() {
+    let mut scene = Scene::new();
+    let first = scene.request(&call(7, 0), 0, 1, Verdict::Lost);
+    for own in 1..4 {
+        scene.request(&call(7, own), own, 1, Verdict::Lost);
+    }
+    let next = scene.request(&call(7, 9), 20, 50, Verdict::Good);
+    assert_ne!(next, first);
+}
+
+/// Guards against an endpoint that accepts requests and stays silent, which no error shows.
+#[test]
+fn a_silent_endpoint_is_passed_over_before_its_requests_time_out() {
+    let mut scene = Scene::new();
+    for n in 0..40 {
+        scene.request(&call(n, n), n * 100, 50, Verdict::Good);
+    }
+    let call = call(7, 500);
+    let silent = scene.balancer.choose(&call, scene.entries.iter(), at(10_000)).unwrap();
+    scene.balancer.sent(&call, &silent, at(10_000));
+    let next = scene.balancer.choose(&call, scene.entries.iter(), at(12_000)).unwrap();
+    assert_ne!(next.id, silent.id);
+}
