--- a/crates/core/src/gateway/roster.rs
+++ b/crates/core/src/gateway/roster.rs
@@ -60,7 +60,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Listed {
     /// Its entry was written.
-    Entry(EndpointEntry),
+    Entry(Box<EndpointEntry>),
     /// Its entry was removed.
     Removed(EndpointId),
 }
@@ -116,7 +116,7 @@
     /// Takes one change of the list.
     pub fn change(&mut self, news: Listed, now: Time) {
         match news {
-            Listed::Entry(entry) => self.update(entry, now),
+            Listed::Entry(entry) => self.update(*entry, now),
             Listed::Removed(id) => self.remove(&id, now),
         }
     }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -75,18 +75,45 @@
     }
 }
 
-/// Builds an answer of the instance itself.
-pub(crate) fn own(status: StatusCode, text: &str, retry: Option<Duration>) -> Response<AnswerBody> {
-    let body = Bytes::from(format!("{{\"error\":\"{text}\"}}"));
-    let mut response = Response::new(AnswerBody::Whole(Some(body)));
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(retry) = retry {
-        let seconds = format!("{:.2}", retry.as_secs_f64());
-        headers.insert(RETRY_AFTER, HeaderValue::from_str(&seconds).expect("digits are a valid header"));
+/// An answer of the instance itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct OwnAnswer {
+    pub status: StatusCode,
+    pub text: &'static str,
+    /// Time after which the caller may come back.
+    pub retry: Option<Duration>,
+    /// Whether the connection can't be used any more.
+    pub closes: bool,
+}
+
+impl OwnAnswer {
+    pub fn new(status: StatusCode, text: &'static str) -> Self {
+        Self { status, text, retry: None, closes: false }
+    }
+
+    pub fn after(self, retry: Duration) -> Self {
+        Self { retry: Some(retry), ..self }
+    }
+
+    pub fn closing(self) -> Self {
+        Self { closes: true, ..self }
+    }
+
+    pub fn response(self) -> Response<AnswerBody> {
+        let body = Bytes::from(format!("{{\"error\":\"{}\"}}", self.text));
+        let mut response = Response::new(AnswerBody::Whole(Some(body)));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(retry) = self.retry {
+            let seconds = format!("{:.2}", retry.as_secs_f64());
+            headers.insert(RETRY_AFTER, HeaderValue::from_str(&seconds).expect("digits are a valid header"));
+        }
+        if self.closes {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
     }
-    response
 }
 
 /// Removes the headers that concern one connection only.
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -6,10 +6,12 @@
 
 use bytes::Bytes;
 use carobwick_core::Fingerprint;
+use carobwick_core::Millis;
 use carobwick_core::Time;
 use carobwick_core::gateway::CallerLimits;
 use carobwick_core::gateway::Progress;
 use carobwick_core::gateway::RouteTable;
+use carobwick_core::gateway::ServiceRoute;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -33,7 +35,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::answer::AnswerBody;
-use crate::answer::own;
+use crate::answer::OwnAnswer;
 use crate::clock::now;
 use crate::flight::Flight;
 use crate::link::tune;
@@ -54,6 +56,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time after which a caller may come back to an instance that knows no configuration yet.
 const COME_BACK: Duration = Duration::from_millis(500);
+/// Time after which a caller may come back with a request that crashes endpoints.
+const SUSPECT_PAUSE: Duration = Duration::from_mins(1);
 /// Longest time that a caller without a limit of its own waits.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
 
@@ -127,16 +131,18 @@
     let (parts, body) = request.into_parts();
     let is_chunked = parts.headers.contains_key(TRANSFER_ENCODING);
     let mut response = match check {
-        HeadCheck::Ambiguous => close(own(StatusCode::BAD_REQUEST, "the head has two meanings", None)),
-        HeadCheck::Clear | HeadCheck::Unseen => match read(&state, &screen, &parts, body, arrived).await {
+        HeadCheck::Ambiguous => {
+            OwnAnswer::new(StatusCode::BAD_REQUEST, "the head has two meanings").closing().response()
+        }
+        HeadCheck::Clear | HeadCheck::Unseen => match read(&state, &screen, parts, body, arrived).await {
             Ok(flight) => flight.run().await,
-            Err(response) => response,
+            Err(own) => own.response(),
         },
     };
     // Bytes after a body whose length was not looked at are never taken for a request.
     let is_unsafe = check == HeadCheck::Unseen && is_chunked;
     if is_unsafe || state.stopping.get() {
-        response = close(response);
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
@@ -145,63 +151,38 @@
 async fn read(
     state: &Rc<State>,
     screen: &HeadScreen,
-    parts: &Parts,
+    parts: Parts,
     body: Incoming,
     arrived: Time,
-) -> Result<Flight, Response<AnswerBody>> {
-    let Some(table) = state.table.borrow().clone() else {
-        return Err(own(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", Some(COME_BACK)));
-    };
+) -> Result<Flight, OwnAnswer> {
+    let unavailable = |text| OwnAnswer::new(StatusCode::SERVICE_UNAVAILABLE, text);
+    let table = state.table.borrow().clone();
+    let table = table.ok_or_else(|| unavailable("no configuration yet").after(COME_BACK))?;
     let body = read_body(body, &table.limits).await?;
     screen.body_read();
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let path = parts.uri.path();
-    let Some(route) = table.find(host, path).cloned() else {
-        tracing::info!("gateway: no route for {host}{path} in version {}", table.version);
-        return Err(own(StatusCode::NOT_FOUND, "no route", None));
-    };
+    let route = find_route(&table, &parts)?;
     let call = state.wire.call(&parts.headers).map_err(|err| {
         tracing::info!("gateway: request on {} is turned away: {err}", route.name);
-        own(StatusCode::BAD_REQUEST, "the head can't be read", None)
+        OwnAnswer::new(StatusCode::BAD_REQUEST, "the head can't be read")
     })?;
-    let print = Fingerprint(xxh3_64_with_seed(&body, xxh3_64_with_seed(path.as_bytes(), 0)));
+    let print = Fingerprint(xxh3_64_with_seed(&body, xxh3_64_with_seed(parts.uri.path().as_bytes(), 0)));
     if state.suspects.borrow().refuses(print, now()) {
         tracing::info!("gateway: request {} refused: it crashes endpoints", call.attempt);
-        return Err(own(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the request crashes endpoints",
-            Some(DEFAULT_DEADLINE),
-        ));
+        return Err(unavailable("the request crashes endpoints").after(SUSPECT_PAUSE));
     }
-    flight(state, &table, route, call, parts, body, print, arrived)
-}
-
-#[expect(clippy::too_many_arguments, reason = "parts of one request that are put together here")]
-fn flight(
-    state: &Rc<State>,
-    table: &Arc<RouteTable>,
-    route: Arc<carobwick_core::gateway::ServiceRoute>,
-    call: carobwick_core::gateway::Call,
-    parts: &Parts,
-    body: Bytes,
-    print: Fingerprint,
-    arrived: Time,
-) -> Result<Flight, Response<AnswerBody>> {
-    let Some(service) = route.pick(rand::random()).cloned() else {
-        return Err(own(StatusCode::SERVICE_UNAVAILABLE, "the route has no service", Some(COME_BACK)));
-    };
-    let limit = call.deadline.map_or(DEFAULT_DEADLINE, |millis| millis.duration());
+    let service = route.pick(rand::random()).cloned();
+    let service = service.ok_or_else(|| unavailable("the route has no service").after(COME_BACK))?;
+    let limit = call.deadline.map_or(DEFAULT_DEADLINE, Millis::duration);
     Ok(Flight {
         state: Rc::clone(state),
-        table: Arc::clone(table),
+        table,
         deadline: arrived + limit.min(route.timeout.duration()),
         route,
         service,
         call,
-        method: parts.method.clone(),
-        uri: parts.uri.clone(),
-        headers: parts.headers.clone(),
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
         body,
         print,
         arrived,
@@ -210,20 +191,25 @@
     })
 }
 
-async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, Response<AnswerBody>> {
+fn find_route(table: &RouteTable, parts: &Parts) -> Result<Arc<ServiceRoute>, OwnAnswer> {
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let path = parts.uri.path();
+    table.find(host, path).cloned().ok_or_else(|| {
+        tracing::info!("gateway: no route for {host}{path} in version {}", table.version);
+        OwnAnswer::new(StatusCode::NOT_FOUND, "no route")
+    })
+}
+
+async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, OwnAnswer> {
     match Limited::new(body, limits.body.0 as usize).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(err) if err.is::<LengthLimitError>() => {
-            Err(close(own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long", None)))
+            Err(OwnAnswer::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long").closing())
         }
         Err(err) => {
             tracing::debug!("gateway: a body broke off: {err}");
-            Err(close(own(StatusCode::BAD_REQUEST, "the body broke off", None)))
+            Err(OwnAnswer::new(StatusCode::BAD_REQUEST, "the body broke off").closing())
         }
     }
 }
-
-fn close(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    response
-}
--- a/crates/gateway/src/elect.rs
+++ b/crates/gateway/src/elect.rs
@@ -24,7 +24,7 @@
 /// Times of the leader's lease. The holder acts only for a part of it, so that its last order is older than the next
 /// holder's lease by the difference, which shortens the wait of the next holder.
 const TERMS: LeaseTerms = LeaseTerms {
-    ttl: Duration::from_millis(3_000),
+    ttl: Duration::from_secs(3),
     usable: Duration::from_millis(1_400),
     renewal: Duration::from_millis(500),
 };
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -34,11 +34,12 @@
 use crate::Link;
 use crate::Outgoing;
 use crate::answer::AnswerBody;
-use crate::answer::own;
+use crate::answer::OwnAnswer;
 use crate::answer::strip_hop_by_hop;
 use crate::clock::now;
 use crate::link::SendError;
 use crate::ports::AnswerHead;
+use crate::ports::AnswerKind;
 use crate::state::State;
 use crate::stream;
 
@@ -49,7 +50,7 @@
 /// First pause before a request goes to an endpoint again that has just declined it.
 const DECLINED_PAUSE: Duration = Duration::from_millis(20);
 /// Time beyond a model's load for which a request waits for it.
-const LOAD_MARGIN: Duration = Duration::from_millis(1_000);
+const LOAD_MARGIN: Duration = Duration::from_secs(1);
 /// Longest plain answer that is held until it is whole.
 const MAX_HELD: usize = 1 << 20;
 
@@ -233,23 +234,25 @@
         send.keep = head.keep;
         send.reusable = !head.closes;
         let id = &send.choice.id;
-        if !head.own && !head.declined {
-            tracing::warn!("gateway: request {} got an answer of another from {id}", self.call.attempt);
-            send.verdict = Verdict::Failed;
-            send.reusable = false;
-            return Err(Failure::Lost);
-        }
-        if head.declined {
-            tracing::info!("gateway: request {} declined by {id} with {status}", self.call.attempt);
-            if head.misdirected
-                && let Some(weights) = &self.call.weights
-            {
-                self.state.roster.borrow_mut().missing(id, weights);
+        match head.kind {
+            AnswerKind::Own => {}
+            AnswerKind::Foreign => {
+                tracing::warn!("gateway: request {} got an answer of another from {id}", self.call.attempt);
+                send.verdict = Verdict::Failed;
+                send.reusable = false;
+                return Err(Failure::Lost);
+            }
+            AnswerKind::Declined | AnswerKind::Misdirected => {
+                tracing::info!("gateway: request {} declined by {id} with {status}", self.call.attempt);
+                if head.kind == AnswerKind::Misdirected
+                    && let Some(weights) = &self.call.weights
+                {
+                    self.state.roster.borrow_mut().missing(id, weights);
+                }
+                send.answered(head.load);
+                send.verdict = Verdict::Declined;
+                return Err(Failure::Declined);
             }
-            let mut balancer = self.state.balancer.borrow_mut();
-            balancer.answered(&send.choice, send.ticket, head.load, now());
-            send.verdict = Verdict::Declined;
-            return Err(Failure::Declined);
         }
         if status.is_success() && !head.signed {
             tracing::warn!("gateway: request {} got an unsigned {status} from {id}", self.call.attempt);
@@ -336,7 +339,7 @@
                 asked = true;
                 self.state.want(&self.service, weights);
             }
-            if tokio::time::timeout(patience - waited, changed).await.is_err() {
+            if tokio::time::timeout(patience.saturating_sub(waited), changed).await.is_err() {
                 tracing::info!("gateway: request {} waited {patience:?} for its model", self.call.attempt);
             }
         }
@@ -388,7 +391,7 @@
         if self.progress.runs > 0 {
             return self.give_up(Step::Unknown, Failure::Lost);
         }
-        own(StatusCode::SERVICE_UNAVAILABLE, reason, Some(retry))
+        OwnAnswer::new(StatusCode::SERVICE_UNAVAILABLE, reason).after(retry).response()
     }
 
     fn give_up(&self, step: Step, failure: Failure) -> Response<AnswerBody> {
@@ -401,13 +404,15 @@
         );
         match step {
             Step::Refuse | Step::Again => {
-                own(StatusCode::SERVICE_UNAVAILABLE, "no endpoint took the request", Some(COME_BACK))
+                OwnAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "no endpoint took the request")
+                    .after(COME_BACK)
+                    .response()
             }
             Step::PassOn | Step::Unknown | Step::BreakOff if self.left().is_none() => {
-                own(StatusCode::GATEWAY_TIMEOUT, "the time is used up", None)
+                OwnAnswer::new(StatusCode::GATEWAY_TIMEOUT, "the time is used up").response()
             }
             Step::PassOn | Step::Unknown | Step::BreakOff => {
-                own(StatusCode::BAD_GATEWAY, "the outcome of the request is unknown", None)
+                OwnAnswer::new(StatusCode::BAD_GATEWAY, "the outcome of the request is unknown").response()
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub use link::Link;
 pub use link::SendError;
 pub use ports::AnswerHead;
+pub use ports::AnswerKind;
 pub use ports::Claim;
 pub use ports::EngineReport;
 pub use ports::LeaderNote;
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -75,15 +75,25 @@
     pub resume: Option<&'a str>,
 }
 
+/// What an answer is to the request on whose connection it arrived.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum AnswerKind {
+    /// The endpoint ran the request and this is its answer.
+    Own,
+    /// The endpoint did not run the request.
+    Declined,
+    /// The endpoint did not run the request: it is another one than expected, or lacks the model.
+    Misdirected,
+    /// It belongs to another request.
+    #[default]
+    Foreign,
+}
+
 /// What the head of an answer says.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerHead {
-    /// Whether it belongs to the request.
-    pub own: bool,
-    /// Whether the endpoint says that it did not run the request.
-    pub declined: bool,
-    /// Whether the endpoint is another one than expected, or lacks the model.
-    pub misdirected: bool,
+    /// What the answer is to the request.
+    pub kind: AnswerKind,
     /// Whether it bears the endpoint's signature.
     pub signed: bool,
     /// Load of the endpoint.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -146,10 +146,10 @@
 impl Resumed {
     /// Asks another endpoint for the rest of the stream.
     async fn resume(&mut self, reason: &str) -> Result<(), BrokenOff> {
-        let lost = self.source.send.choice.clone();
+        let first = self.source.send.choice.clone();
         self.source.send.broke_off();
         self.cutter.reset();
-        let mut failed = (Failure::Lost, lost);
+        let mut failed = (Failure::Lost, first);
         loop {
             let (failure, choice) = &failed;
             if self.flight.after(*failure, choice) != Step::Again {
