Leader: an order without an answer no longer holds up an adapter

Ruled out: the choice of places (other engines had some free). Change: answers are awaited for 0.4 s, and another engine gets the adapter while one has not answered; refusals name the model.

--- a/crates/core/src/gateway/book.rs
+++ b/crates/core/src/gateway/book.rs
@@ -41,6 +41,8 @@
     pub pending: IndexSet<Weights>,
     /// The order that is being carried out or has no answer yet.
     pub open: Option<EngineOrder>,
+    /// Whether the open order got no answer.
+    pub unanswered: bool,
     /// Whether it carries out an order on a model; it refuses others meanwhile.
     pub busy: bool,
     /// When the engine should be asked for its state next.
@@ -104,6 +106,7 @@
                     holding: entry.holding.clone(),
                     pending: IndexSet::new(),
                     open: None,
+                    unanswered: false,
                     busy: false,
                     ask: Some(now),
                 };
@@ -118,8 +121,11 @@
     }
 
     /// Returns whether an engine that holds the model is being given the adapter, or is making room for one.
+    ///
+    /// An order without an answer may come to nothing, so another engine may be given the adapter meanwhile.
     pub fn makes_way(&self, service: &ServiceId, weights: &Weights) -> bool {
-        self.live(service).any(|(_, record)| match record.open.as_ref().map(|order| &order.action) {
+        let answered = self.live(service).filter(|(_, record)| !record.unanswered);
+        answered.map(|(_, record)| record).any(|record| match record.open.as_ref().map(|order| &order.action) {
             Some(EngineAction::LoadAdapter(loading)) => loading == weights,
             Some(EngineAction::UnloadAdapter(_)) => record.holding.models.contains_key(&weights.model),
             Some(EngineAction::Load(_) | EngineAction::Unload(_)) | None => false,
@@ -144,6 +150,7 @@
     pub fn ordered(&mut self, order: &EngineOrder) {
         if let Some(record) = self.record(&order.endpoint, order.run) {
             record.open = Some(order.clone());
+            record.unanswered = false;
         }
     }
 
@@ -169,6 +176,7 @@
                 false
             }
             OrderReply::Lost => {
+                record.unanswered = true;
                 record.ask = Some(now + ASK_AFTER);
                 false
             }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -383,10 +383,11 @@
 
     fn refuse(&self, reason: &'static str, retry: Duration) -> Response<AnswerBody> {
         tracing::info!(
-            "gateway: request {} on {} refused after {:?}: {reason}",
+            "gateway: request {} on {} refused after {:?}: {reason} {}",
             self.call.attempt,
             self.route.name,
             now() - self.arrived,
+            self.call.weights.as_ref().map(ToString::to_string).unwrap_or_default(),
         );
         if self.progress.runs > 0 {
             return self.give_up(Step::Unknown, Failure::Lost);
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -32,9 +32,10 @@
 
 /// How often the leader looks for orders to give.
 const TICK: Duration = Duration::from_millis(200);
-/// Longest time for an engine's answer to an order or a question.
-const ANSWER: Duration = Duration::from_secs(1);
-const CONNECT: Duration = Duration::from_millis(500);
+/// Longest time for an engine's answer to an order or a question; engines answer within a few milliseconds, and a
+/// request may be waiting for the order.
+const ANSWER: Duration = Duration::from_millis(400);
+const CONNECT: Duration = Duration::from_millis(400);
 /// Time for which an adapter that was asked for is tried to be loaded.
 const WANTED: Duration = Duration::from_secs(3);
 /// Time for which the leader learns the demand before it moves models for it.
