--- a/crates/core/src/gateway/book.rs
+++ b/crates/core/src/gateway/book.rs
@@ -125,10 +125,12 @@
     /// An order without an answer may come to nothing, so another engine may be given the adapter meanwhile.
     pub fn makes_way(&self, service: &ServiceId, weights: &Weights) -> bool {
         let answered = self.live(service).filter(|(_, record)| !record.unanswered);
-        answered.map(|(_, record)| record).any(|record| match record.open.as_ref().map(|order| &order.action) {
-            Some(EngineAction::LoadAdapter(loading)) => loading == weights,
-            Some(EngineAction::UnloadAdapter(_)) => record.holding.models.contains_key(&weights.model),
-            Some(EngineAction::Load(_) | EngineAction::Unload(_)) | None => false,
+        answered.map(|(_, record)| record).any(|record| {
+            match record.open.as_ref().map(|order| &order.action) {
+                Some(EngineAction::LoadAdapter(loading)) => loading == weights,
+                Some(EngineAction::UnloadAdapter(_)) => record.holding.models.contains_key(&weights.model),
+                Some(EngineAction::Load(_) | EngineAction::Unload(_)) | None => false,
+            }
         })
     }
 
--- a/crates/core/src/gateway/orders.rs
+++ b/crates/core/src/gateway/orders.rs
@@ -140,10 +140,17 @@
 impl Planner<'_> {
     fn run(&self, pace: &mut LoadPace, now: Time) -> Vec<EngineOrder> {
         let mut orders: Vec<EngineOrder> = Vec::new();
-        for (model, missing) in self.short() {
+        let short = self.short();
+        let lacking = short.iter().map(|(_, missing)| missing).sum();
+        for (model, missing) in short {
             let rested = pace.allows(self.spec.loads, now);
             let busy: Vec<&EndpointId> = orders.iter().map(|order| &order.endpoint).collect();
-            let order = self.load(&model, &busy, rested).or_else(|| self.make_room(&model, missing, &busy));
+            // A second unload in one pass could take the copy that the first one relied on.
+            let unloads = orders.iter().any(|order| matches!(order.action, EngineAction::Unload(_)));
+            let mut order = self.load(&model, &busy, rested);
+            if order.is_none() && !unloads {
+                order = self.make_room(&model, missing, lacking, &busy);
+            }
             let Some(order) = order else { continue };
             if self.is_cold(&order) {
                 pace.take();
@@ -217,17 +224,26 @@
         best.map(|(id, record)| EngineOrder::new(id, record, EngineAction::Load(model.clone())))
     }
 
+    /// Counts the engines that carry out an unload.
+    fn emptying(&self) -> usize {
+        let open = self.book.live(self.service).filter_map(|(_, record)| record.open.as_ref());
+        open.filter(|order| matches!(order.action, EngineAction::Unload(_))).count()
+    }
+
     /// Unloads the model that is needed least, on an engine where that makes enough room.
-    fn make_room(&self, model: &ModelId, missing: usize, busy: &[&EndpointId]) -> Option<EngineOrder> {
+    fn make_room(
+        &self,
+        model: &ModelId,
+        missing: usize,
+        lacking: usize,
+        busy: &[&EndpointId],
+    ) -> Option<EngineOrder> {
         if missing < SHORTFALL && self.copies(model) > 1 {
             return None;
         }
         let size = self.spec.models.get(model)?.weights;
-        // While an engine is being emptied for it, the model waits for that room.
-        if self.book.live(self.service).any(|(_, record)| {
-            matches!(record.open.as_ref().map(|order| &order.action), Some(EngineAction::Unload(_)))
-                && !record.holding.models.contains_key(model)
-        }) {
+        // Each engine that is being emptied will take one of the missing copies.
+        if self.emptying() >= lacking {
             return None;
         }
         let mut best: Option<(f64, &EndpointId, &EngineRecord, &ModelId)> = None;
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -39,7 +39,7 @@
 /// Time for which an adapter that was asked for is tried to be loaded.
 const WANTED: Duration = Duration::from_secs(3);
 /// Time for which the leader learns the demand before it moves models for it.
-const LEARN: Duration = Duration::from_secs(2);
+const LEARN: Duration = Duration::from_secs(1);
 
 /// The leader's work: it keeps the engines' states and gives them orders.
 #[derive(Debug)]
