--- a/crates/core/src/gateway/orders.rs
+++ b/crates/core/src/gateway/orders.rs
@@ -256,7 +256,9 @@
                 if !self.is_spare(other) || self.free(record) + freed < size {
                     continue;
                 }
-                let worth = self.demand.get(other).copied().unwrap_or(0.0) / self.copies(other).max(1) as f64;
+                // Without demand the model with most copies goes first.
+                let demand = self.demand.get(other).copied().unwrap_or(0.0) + 1.0;
+                let worth = demand / self.copies(other).max(1) as f64;
                 if best.as_ref().is_none_or(|(least, ..)| worth < *least) {
                     best = Some((worth, id, record, other));
                 }
--- a/crates/core/src/gateway/retry_share.rs
+++ b/crates/core/src/gateway/retry_share.rs
@@ -44,6 +44,11 @@
         Self { terms, instances: instances.max(1), buckets: VecDeque::new() }
     }
 
+    /// Sets another bound.
+    pub fn set_terms(&mut self, terms: RetryTerms) {
+        self.terms = terms;
+    }
+
     /// Sets the number of instances that share the slack.
     pub fn set_instances(&mut self, instances: u32) {
         self.instances = instances.max(1);
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,6 +2,7 @@
 
 use carobwick_entry::Entry;
 use carobwick_entry::settings;
+use carobwick_runtime::LogOutput;
 use carobwick_runtime::start_logs;
 use mimalloc::MiMalloc;
 use tokio::signal::unix::SignalKind;
@@ -17,7 +18,7 @@
     if settings.check {
         return Ok(());
     }
-    start_logs(&settings.log)?;
+    start_logs(&settings.log, LogOutput::Stdout)?;
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let mut entry = Entry::bind(settings).await?;
     tokio::select! {
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -5,6 +6,7 @@
 use bytes::Bytes;
 use carobwick_core::EndpointId;
 use carobwick_core::Fingerprint;
+use carobwick_core::LoadReport;
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
 use carobwick_core::gateway::Call;
@@ -78,6 +80,9 @@
 pub(crate) struct Send {
     state: Rc<State>,
     print: Fingerprint,
+    attempt: String,
+    sent: Time,
+    first: Cell<Option<Time>>,
     pub choice: Choice,
     ticket: Ticket,
     link: Option<Link>,
@@ -160,6 +165,9 @@
         let mut send = Send {
             state: Rc::clone(&self.state),
             print: self.print,
+            attempt: self.call.attempt.clone(),
+            sent: now(),
+            first: Cell::default(),
             choice: choice.clone(),
             ticket,
             link: None,
@@ -421,7 +429,8 @@
 
 impl Send {
     /// Notes the first event, or the head of a plain answer.
-    pub fn answered(&self, load: Option<carobwick_core::LoadReport>) {
+    pub fn answered(&self, load: Option<LoadReport>) {
+        self.first.set(Some(now()));
         self.state.balancer.borrow_mut().answered(&self.choice, self.ticket, load, now());
     }
 
@@ -440,6 +449,22 @@
         self.state.note_loss(self.print, &self.choice.id, self.choice.run);
     }
 
+    /// Logs how the request ended here; successes only in detailed logs, since they are most of the volume.
+    fn log(&self) {
+        let first = self.first.get().map(|first| (first - self.sent).as_millis());
+        let (end, cost) = ((now() - self.sent).as_millis(), self.choice.cost);
+        let (request, endpoint, verdict) = (&self.attempt, &self.choice.id, self.verdict);
+        if verdict == Verdict::Good {
+            tracing::debug!(
+                "gateway: request {request} at {endpoint}: cost {cost:.0}, first ms {first:?}, end ms {end}"
+            );
+        } else {
+            tracing::info!(
+                "gateway: request {request} at {endpoint}: {verdict:?}, cost {cost:.0}, first ms {first:?}, end ms {end}"
+            );
+        }
+    }
+
     /// Notes that a request whose answer was passed on ended well.
     pub fn completed(&mut self) {
         self.state.suspects.borrow_mut().cleared(self.print);
@@ -449,6 +474,7 @@
 
 impl Drop for Send {
     fn drop(&mut self) {
+        self.log();
         let mut balancer = self.state.balancer.borrow_mut();
         balancer.finished(&self.choice, self.ticket, self.verdict, now());
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -105,7 +105,7 @@
                 backoff.reset();
                 after = Some(at);
                 updated(&state, &desk);
-                tokio::time::sleep(state.settings.drain / LIST_PART).await;
+                tokio::time::sleep(state.terms.get().drain / LIST_PART).await;
             }
             Err(err) => {
                 away |= err.category() != Category::Compacted;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -73,9 +73,21 @@
         }
     }
 
+    /// Takes over the settings that may change while the instance runs; the others need a restart.
+    pub fn reload(&self, settings: &Settings) {
+        let started = Settings { terms: settings.terms, ..self.state.settings.clone() };
+        if started != *settings {
+            tracing::warn!("gateway: changed names and addresses are taken over at the next start");
+        }
+        if self.state.terms.get() != settings.terms {
+            tracing::info!("gateway: takes over {:?}", settings.terms);
+            self.state.set_terms(settings.terms);
+        }
+    }
+
     /// Stops: readiness goes first, then new connections, then the requests in flight finish.
     pub async fn shutdown(self) {
-        let grace = self.state.settings.grace.mul_f64(CUT_OFF);
+        let grace = self.state.terms.get().grace.mul_f64(CUT_OFF);
         tracing::info!("gateway: stopping with {} connections", self.work.len());
         self.state.stopping.set(true);
         self.election.resign();
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -72,7 +72,7 @@
 
     /// Returns the fencing number if orders may be given now.
     pub fn authority(&self) -> Option<Fence> {
-        self.election.authority(self.state.settings.handover)
+        self.election.authority(self.state.terms.get().handover)
     }
 
     /// Takes the list of endpoints.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,3 +50,4 @@
 pub use ports::Store;
 pub use ports::Wire;
 pub use settings::Settings;
+pub use settings::Terms;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,12 +21,18 @@
     pub peers: SocketAddr,
     /// Address of the store.
     pub store: SocketAddr,
+    /// What may change while the instance runs.
+    pub terms: Terms,
+}
+
+/// Settings that are taken over while the instance runs.
+#[data]
+#[derive(Copy)]
+pub struct Terms {
     /// Time between the signal to stop and the end of the process.
     pub grace: Duration,
     /// Time in which a leaving endpoint must get no more requests.
     pub drain: Duration,
-    /// Time in which a new configuration must be in force.
-    pub apply: Duration,
     /// Time for which a new leader gives no orders, so that those of the last one have arrived.
     pub handover: Duration,
     /// Bound on repeated sends.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use tokio::sync::mpsc;
 
 use crate::Settings;
+use crate::Terms;
 use crate::Wire;
 use crate::clock::now;
 use crate::message::ToLeader;
@@ -34,6 +35,8 @@
 /// What the tasks of one instance share; all of them run on one thread.
 pub(crate) struct State {
     pub settings: Settings,
+    /// The terms in force, which may be others than at the start.
+    pub terms: Cell<Terms>,
     pub wire: Box<dyn Wire>,
     pub table: RefCell<Option<Arc<RouteTable>>>,
     pub roster: RefCell<Roster>,
@@ -63,6 +66,7 @@
     pub fn new(settings: Settings, wire: Box<dyn Wire>) -> Self {
         let balancer = Balancer::new(settings.zone.clone());
         Self {
+            terms: Cell::new(settings.terms),
             settings,
             wire,
             table: RefCell::default(),
@@ -86,6 +90,14 @@
         !self.stopping.get() && self.listed.get() && self.table.borrow().is_some()
     }
 
+    /// Takes over changed terms.
+    pub fn set_terms(&self, terms: Terms) {
+        self.terms.set(terms);
+        for share in self.shares.borrow_mut().values_mut() {
+            share.set_terms(terms.retry);
+        }
+    }
+
     /// Counts a request against the retry budget of its service.
     pub fn count_request(&self, service: &ServiceId) {
         self.with_share(service, |share| share.request(now()));
@@ -168,7 +180,7 @@
         let mut shares = self.shares.borrow_mut();
         let share = shares
             .entry(service.clone())
-            .or_insert_with(|| RetryShare::new(self.settings.retry, self.instances.get()));
+            .or_insert_with(|| RetryShare::new(self.terms.get().retry, self.instances.get()));
         act(share)
     }
 }
