Logs: the last lines are written before a process ends

Ruled out: waiting for the thread without a limit, since a reader that does not read would hold the process. Change: start_logs returns a guard that waits up to 0.5 s for the queue; the test reads standard output and asserts the same lines.

--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -18,7 +18,7 @@
     if settings.check {
         return Ok(());
     }
-    start_logs(&settings.log, LogOutput::Stdout)?;
+    let _logs = start_logs(&settings.log, LogOutput::Stdout)?;
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let mut entry = Entry::bind(settings).await?;
     tokio::select! {
--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -22,7 +22,7 @@
     if settings.check {
         return Ok(ExitCode::SUCCESS);
     }
-    carobwick_runtime::start_logs(&settings.log, carobwick_runtime::LogOutput::Stdout)?;
+    let _logs = carobwick_runtime::start_logs(&settings.log, carobwick_runtime::LogOutput::Stdout)?;
     run(settings)
 }
 
--- a/crates/planner/tests/settings.rs
+++ b/crates/planner/tests/settings.rs
@@ -64,8 +64,8 @@
         let bound = name == "--peer" || name == "--operators";
         command.arg(name).arg(if bound { "127.0.0.1:0" } else { valid });
     }
-    let mut child = command.env("NO_COLOR", "1").stderr(Stdio::piped()).spawn().unwrap();
-    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let mut child = command.env("NO_COLOR", "1").stdout(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
     assert!(lines.any(|line| line.unwrap().contains("serves peers on")));
     let kill = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status().unwrap();
     assert!(kill.success());
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -38,6 +38,7 @@
 pub use kv::LeaseId;
 pub use kv::Put;
 pub use kv::Watch;
+pub use logs::LogGuard;
 pub use logs::LogOutput;
 pub use logs::start_logs;
 pub use metrics::Metrics;
--- a/crates/runtime/src/logs.rs
+++ b/crates/runtime/src/logs.rs
@@ -6,12 +6,15 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::sync_channel;
+use std::time::Duration;
 
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
 
 /// Lines that wait for the reader of the logs before further ones are left out.
 const WAITING_LINES: usize = 4_096;
+/// Longest time for the last lines when a process ends.
+const FLUSH: Duration = Duration::from_millis(500);
 
 /// Where log lines go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,10 +25,25 @@
     Stderr,
 }
 
+/// Keeps the logs running; dropping it waits for the lines that were not written yet.
+#[derive(Debug)]
+#[must_use = "lines that are not written when the process ends are lost"]
+pub struct LogGuard {
+    queue: Option<SyncSender<Message>>,
+}
+
+/// What the thread that writes is told.
+#[derive(Debug)]
+enum Message {
+    Line(Vec<u8>),
+    /// All lines before this were written.
+    Flushed(SyncSender<()>),
+}
+
 /// Hands lines to a thread that writes them, and counts those that found no room.
 #[derive(Debug, Clone)]
 struct LineQueue {
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Message>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -36,21 +54,40 @@
     bytes: Vec<u8>,
 }
 
-/// Starts structured logs, as JSON lines.
+/// Starts structured logs, as JSON lines; they run until the process ends, the last lines until the guard is dropped.
 ///
 /// `filter` has the form of `RUST_LOG`, such as `info` or `carobwick_entry=debug`.
 ///
 /// # Errors
 ///
 /// Fails if the filter can't be parsed, logs were started before, or the thread that writes can't be started.
-pub fn start_logs(filter: &str, output: LogOutput) -> anyhow::Result<()> {
+pub fn start_logs(filter: &str, output: LogOutput) -> anyhow::Result<LogGuard> {
     let filter = EnvFilter::try_new(filter)?;
     let logs = tracing_subscriber::fmt().with_env_filter(filter).json();
-    let started = match output {
-        LogOutput::Stdout => logs.with_writer(LineQueue::open()?).try_init(),
-        LogOutput::Stderr => logs.with_writer(io::stderr).try_init(),
-    };
-    started.map_err(|err| anyhow::anyhow!("logs: {err}"))
+    let failed = |err| anyhow::anyhow!("logs: {err}");
+    match output {
+        LogOutput::Stdout => {
+            let queue = LineQueue::open()?;
+            let guard = LogGuard { queue: Some(queue.lines.clone()) };
+            logs.with_writer(queue).try_init().map_err(failed)?;
+            Ok(guard)
+        }
+        LogOutput::Stderr => {
+            logs.with_writer(io::stderr).try_init().map_err(failed)?;
+            Ok(LogGuard { queue: None })
+        }
+    }
+}
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        let Some(queue) = &self.queue else { return };
+        let (flushed, wait) = sync_channel(1);
+        if queue.try_send(Message::Flushed(flushed)).is_ok() {
+            // A reader that does not read must not keep the process from ending.
+            let _timeout = wait.recv_timeout(FLUSH);
+        }
+    }
 }
 
 impl LineQueue {
@@ -85,16 +122,24 @@
 impl Drop for Line {
     fn drop(&mut self) {
         let bytes = std::mem::take(&mut self.bytes);
-        if !bytes.is_empty() && self.queue.lines.try_send(bytes).is_err() {
+        if !bytes.is_empty() && self.queue.lines.try_send(Message::Line(bytes)).is_err() {
             self.queue.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 }
 
 /// Writes lines until the process ends; a reader that went away ends the logs, not the process.
-fn write_lines(waiting: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(waiting: &Receiver<Message>, dropped: &AtomicU64) {
     let mut out = io::stdout();
-    for line in waiting {
+    for message in waiting {
+        let line = match message {
+            Message::Line(line) => line,
+            Message::Flushed(flushed) => {
+                // The process may have stopped waiting.
+                let _gone = flushed.try_send(());
+                continue;
+            }
+        };
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
             let note = format!(
--- a/crates/standins/src/bin/carobwick-load.rs
+++ b/crates/standins/src/bin/carobwick-load.rs
@@ -100,7 +100,7 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let options = options().run();
-    carobwick_runtime::start_logs("info", carobwick_runtime::LogOutput::Stderr)?;
+    let _logs = carobwick_runtime::start_logs("info", carobwick_runtime::LogOutput::Stderr)?;
     let json = options.json;
     let summary = run_load(load_options(options)?).await?;
     if json {
--- a/crates/standins/src/bin/standin-engine.rs
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -117,7 +117,7 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let options = options().run();
-    carobwick_runtime::start_logs("info", carobwick_runtime::LogOutput::Stderr)?;
+    let _logs = carobwick_runtime::start_logs("info", carobwick_runtime::LogOutput::Stderr)?;
     let faults = parse_faults(options.faults.as_deref())?;
     let engine = EngineStandin::spawn(options.addr, options.engine(), faults).await?;
     run_until_interrupted("standin-engine", engine.server().addr()).await
--- a/crates/standins/src/bin/standin-kv.rs
+++ b/crates/standins/src/bin/standin-kv.rs
@@ -22,7 +22,7 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let options = options().run();
-    carobwick_runtime::start_logs("info", carobwick_runtime::LogOutput::Stderr)?;
+    let _logs = carobwick_runtime::start_logs("info", carobwick_runtime::LogOutput::Stderr)?;
     let kv = KvStandin::spawn(options.addr, parse_faults(options.faults.as_deref())?).await?;
     run_until_interrupted("standin-kv", kv.server().addr()).await
 }
--- a/crates/standins/src/bin/standin-service.rs
+++ b/crates/standins/src/bin/standin-service.rs
@@ -40,7 +40,7 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let options = options().run();
-    carobwick_runtime::start_logs("info", carobwick_runtime::LogOutput::Stderr)?;
+    let _logs = carobwick_runtime::start_logs("info", carobwick_runtime::LogOutput::Stderr)?;
     let faults = parse_faults(options.faults.as_deref())?;
     let service = ServiceOptions {
         endpoint: options.endpoint,
