--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 use bytes::BytesMut;
+use carobwick_core::block_length;
 
 /// Longest event of a stream; a longer one breaks the stream, so that memory stays bounded.
 const MAX_EVENT: usize = 1 << 20;
@@ -45,7 +46,7 @@
             self.partial.split().freeze()
         };
         let (mut start, mut count, mut end) = (0, 0, StreamEnd::Open);
-        while let Some(length) = find_end(&piece[start..]) {
+        while let Some(length) = block_length(&piece[start..]) {
             let event = &piece[start..start + length];
             if ERRORS.iter().any(|error| event.starts_with(error)) {
                 end = StreamEnd::Error;
@@ -68,17 +69,3 @@
         Events { bytes: piece.slice(..start), count, end }
     }
 }
-
-/// Returns the length of the first event, with the empty line that ends it.
-fn find_end(bytes: &[u8]) -> Option<usize> {
-    let mut from = 0;
-    while let Some(line) = bytes[from..].iter().position(|byte| *byte == b'\n') {
-        let next = from + line + 1;
-        match bytes.get(next..) {
-            Some([b'\n', ..]) => return Some(next + 1),
-            Some([b'\r', b'\n', ..]) => return Some(next + 2),
-            _ => from = next,
-        }
-    }
-    None
-}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 use bytes::BytesMut;
+use carobwick_core::block_length;
 
 /// Longest event that is held until it is whole.
 const MAX_EVENT: usize = 1 << 20;
@@ -24,7 +25,7 @@
     pub fn push(&mut self, piece: &[u8]) -> Cut {
         self.partial.extend_from_slice(piece);
         let mut end = 0;
-        while let Some(length) = event_length(&self.partial[end..]) {
+        while let Some(length) = block_length(&self.partial[end..]) {
             end += length;
         }
         if self.partial.len() - end > MAX_EVENT {
@@ -46,20 +47,6 @@
     }
 }
 
-/// Returns the length of the first event with the empty line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut from = 0;
-    while let Some(line) = bytes[from..].iter().position(|byte| *byte == b'\n') {
-        let next = from + line + 1;
-        match bytes.get(next..) {
-            Some([b'\n', ..]) => return Some(next + 1),
-            Some([b'\r', b'\n', ..]) => return Some(next + 2),
-            _ => from = next,
-        }
-    }
-    None
-}
-
 fn event_id(line: &[u8]) -> Option<String> {
     let id = line.strip_prefix(b"id:")?.trim_ascii();
     std::str::from_utf8(id).ok().map(str::to_owned)
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -1,4 +1,3 @@
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,7 +5,6 @@
 use bytes::Bytes;
 use carobwick_core::EndpointId;
 use carobwick_core::Fingerprint;
-use carobwick_core::LoadReport;
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
 use carobwick_core::gateway::Call;
@@ -17,7 +15,6 @@
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::ServiceRoute;
 use carobwick_core::gateway::Step;
-use carobwick_core::gateway::Ticket;
 use carobwick_core::gateway::Verdict;
 use carobwick_core::gateway::next_step;
 use http::HeaderMap;
@@ -33,15 +30,15 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 
-use crate::Link;
 use crate::Outgoing;
 use crate::answer::AnswerBody;
 use crate::answer::OwnAnswer;
 use crate::answer::strip_hop_by_hop;
 use crate::clock::now;
 use crate::link::SendError;
-use crate::ports::AnswerHead;
 use crate::ports::AnswerKind;
+use crate::send::Reply;
+use crate::send::Send;
 use crate::state::State;
 use crate::stream;
 
@@ -75,30 +72,6 @@
     pub tried: Vec<EndpointId>,
 }
 
-/// A request at an endpoint; dropping it closes the connection, which ends the work there.
-#[derive(Debug)]
-pub(crate) struct Send {
-    state: Rc<State>,
-    print: Fingerprint,
-    attempt: String,
-    sent: Time,
-    first: Cell<Option<Time>>,
-    pub choice: Choice,
-    ticket: Ticket,
-    link: Option<Link>,
-    verdict: Verdict,
-    keep: Option<Duration>,
-    reusable: bool,
-}
-
-/// An answer whose head has arrived.
-#[derive(Debug)]
-pub(crate) struct Reply {
-    pub send: Send,
-    pub head: AnswerHead,
-    pub response: Response<Incoming>,
-}
-
 /// Where a request goes next.
 enum Placement {
     Endpoint(Choice),
@@ -161,20 +134,7 @@
 
     /// Does so, and goes on after an event of an interrupted stream.
     pub async fn attempt_from(&mut self, choice: &Choice, resume: Option<&str>) -> Result<Reply, Failure> {
-        let ticket = self.state.balancer.borrow_mut().sent(&self.call, choice, now());
-        let mut send = Send {
-            state: Rc::clone(&self.state),
-            print: self.print,
-            attempt: self.call.attempt.clone(),
-            sent: now(),
-            first: Cell::default(),
-            choice: choice.clone(),
-            ticket,
-            link: None,
-            verdict: Verdict::Neutral,
-            keep: None,
-            reusable: false,
-        };
+        let mut send = Send::start(&self.state, &self.call, self.print, choice);
         let Some(left) = self.left() else { return Err(Failure::Unsent) };
         match self.state.pool.take(choice, CONNECT.min(left)).await {
             Ok(link) => send.link = Some(link),
@@ -426,56 +386,3 @@
         }
     }
 }
-
-impl Send {
-    /// Notes the first event, or the head of a plain answer.
-    pub fn answered(&self, load: Option<LoadReport>) {
-        self.first.set(Some(now()));
-        self.state.balancer.borrow_mut().answered(&self.choice, self.ticket, load, now());
-    }
-
-    /// Notes the end of the answer and keeps the connection for the next request.
-    pub fn done(&mut self, verdict: Verdict) {
-        self.verdict = verdict;
-        if let Some(link) = self.link.take_if(|_| self.reusable) {
-            self.state.pool.put(&self.choice, link, self.keep);
-        }
-    }
-
-    /// Notes that the endpoint broke off the answer.
-    pub fn broke_off(&mut self) {
-        self.verdict = Verdict::Lost;
-        self.link = None;
-        self.state.note_loss(self.print, &self.choice.id, self.choice.run);
-    }
-
-    /// Logs how the request ended here; successes only in detailed logs, since they are most of the volume.
-    fn log(&self) {
-        let first = self.first.get().map(|first| (first - self.sent).as_millis());
-        let (end, cost) = ((now() - self.sent).as_millis(), self.choice.cost);
-        let (request, endpoint, verdict) = (&self.attempt, &self.choice.id, self.verdict);
-        if verdict == Verdict::Good {
-            tracing::debug!(
-                "gateway: request {request} at {endpoint}: cost {cost:.0}, first ms {first:?}, end ms {end}"
-            );
-        } else {
-            tracing::info!(
-                "gateway: request {request} at {endpoint}: {verdict:?}, cost {cost:.0}, first ms {first:?}, end ms {end}"
-            );
-        }
-    }
-
-    /// Notes that a request whose answer was passed on ended well.
-    pub fn completed(&mut self) {
-        self.state.suspects.borrow_mut().cleared(self.print);
-        self.done(Verdict::Good);
-    }
-}
-
-impl Drop for Send {
-    fn drop(&mut self) {
-        self.log();
-        let mut balancer = self.state.balancer.borrow_mut();
-        balancer.finished(&self.choice, self.ticket, self.verdict, now());
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod ports;
 mod ready;
 mod screen;
+mod send;
 mod settings;
 mod state;
 mod stream;
--- a/crates/gateway/src/screen.rs
+++ b/crates/gateway/src/screen.rs
@@ -5,6 +5,7 @@
 use std::task::Context;
 use std::task::Poll;
 
+use carobwick_core::block_length;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -67,7 +68,7 @@
             return;
         }
         state.head.extend_from_slice(bytes);
-        if let Some(end) = find_head_end(&state.head) {
+        if let Some(end) = block_length(&state.head) {
             state.seen = Some(check(&state.head[..end]));
             state.head.clear();
         } else if state.head.len() > MAX_HEAD {
@@ -124,20 +125,6 @@
     }
 }
 
-/// Returns the length of a head with the empty line that ends it, by any reading of line ends.
-fn find_head_end(head: &[u8]) -> Option<usize> {
-    let mut from = 0;
-    while let Some(line) = head[from..].iter().position(|byte| *byte == b'\n') {
-        let next = from + line + 1;
-        match &head[next..] {
-            [b'\n', ..] => return Some(next + 1),
-            [b'\r', b'\n', ..] => return Some(next + 2),
-            _ => from = next,
-        }
-    }
-    None
-}
-
 fn check(head: &[u8]) -> HeadCheck {
     let mut lengths = 0;
     let mut encodings = 0;
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,115 @@
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use carobwick_core::Fingerprint;
+use carobwick_core::LoadReport;
+use carobwick_core::Time;
+use carobwick_core::gateway::Call;
+use carobwick_core::gateway::Choice;
+use carobwick_core::gateway::Ticket;
+use carobwick_core::gateway::Verdict;
+use http::Response;
+use hyper::body::Incoming;
+
+use crate::Link;
+use crate::clock::now;
+use crate::ports::AnswerHead;
+use crate::state::State;
+
+/// A request at an endpoint; dropping it closes the connection, which ends the work there.
+#[derive(Debug)]
+pub(crate) struct Send {
+    state: Rc<State>,
+    print: Fingerprint,
+    attempt: String,
+    sent: Time,
+    first: Cell<Option<Time>>,
+    pub choice: Choice,
+    ticket: Ticket,
+    pub link: Option<Link>,
+    pub verdict: Verdict,
+    /// Time for which the endpoint keeps the idle connection.
+    pub keep: Option<Duration>,
+    /// Whether the connection can carry another request.
+    pub reusable: bool,
+}
+
+/// An answer whose head has arrived.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub send: Send,
+    pub head: AnswerHead,
+    pub response: Response<Incoming>,
+}
+
+impl Send {
+    /// Counts a request as sent to an endpoint.
+    pub fn start(state: &Rc<State>, call: &Call, print: Fingerprint, choice: &Choice) -> Self {
+        let ticket = state.balancer.borrow_mut().sent(call, choice, now());
+        Self {
+            state: Rc::clone(state),
+            print,
+            attempt: call.attempt.clone(),
+            sent: now(),
+            first: Cell::default(),
+            choice: choice.clone(),
+            ticket,
+            link: None,
+            verdict: Verdict::Neutral,
+            keep: None,
+            reusable: false,
+        }
+    }
+
+    /// Notes the first event, or the head of a plain answer.
+    pub fn answered(&self, load: Option<LoadReport>) {
+        self.first.set(Some(now()));
+        self.state.balancer.borrow_mut().answered(&self.choice, self.ticket, load, now());
+    }
+
+    /// Notes the end of the answer and keeps the connection for the next request.
+    pub fn done(&mut self, verdict: Verdict) {
+        self.verdict = verdict;
+        if let Some(link) = self.link.take_if(|_| self.reusable) {
+            self.state.pool.put(&self.choice, link, self.keep);
+        }
+    }
+
+    /// Notes that the endpoint broke off the answer.
+    pub fn broke_off(&mut self) {
+        self.verdict = Verdict::Lost;
+        self.link = None;
+        self.state.note_loss(self.print, &self.choice.id, self.choice.run);
+    }
+
+    /// Logs how the request ended here; successes only in detailed logs, since they are most of the volume.
+    fn log(&self) {
+        let first = self.first.get().map(|first| (first - self.sent).as_millis());
+        let (end, cost) = ((now() - self.sent).as_millis(), self.choice.cost);
+        let (request, endpoint, verdict) = (&self.attempt, &self.choice.id, self.verdict);
+        if verdict == Verdict::Good {
+            tracing::debug!(
+                "gateway: request {request} at {endpoint}: cost {cost:.0}, first ms {first:?}, end ms {end}"
+            );
+        } else {
+            tracing::info!(
+                "gateway: request {request} at {endpoint}: {verdict:?}, cost {cost:.0}, first ms {first:?}, end ms {end}"
+            );
+        }
+    }
+
+    /// Notes that a request whose answer was passed on ended well.
+    pub fn completed(&mut self) {
+        self.state.suspects.borrow_mut().cleared(self.print);
+        self.done(Verdict::Good);
+    }
+}
+
+impl Drop for Send {
+    fn drop(&mut self) {
+        self.log();
+        let mut balancer = self.state.balancer.borrow_mut();
+        balancer.finished(&self.choice, self.ticket, self.verdict, now());
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -19,8 +19,8 @@
 use crate::clock::now;
 use crate::events::EventCutter;
 use crate::flight::Flight;
-use crate::flight::Reply;
-use crate::flight::Send;
+use crate::send::Reply;
+use crate::send::Send;
 
 /// Passes the events of a reply on to the caller as they arrive.
 pub(crate) fn pass(flight: &Flight, reply: Reply) -> Response<AnswerBody> {
