Connections that are given up on are reset

A cut between zones held its bytes; the plain close after 0.4 s without an answer left them in the kernel, which sent them when the path healed. Change: links to endpoints, engines and the store close with a reset, which drops what waits.

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -28,7 +28,7 @@
 /// Largest body that [`Link::exchange`] reads.
 const MAX_BODY: usize = 8 << 20;
 
-/// An HTTP/1.1 connection to an endpoint or the store; dropping it closes the connection.
+/// An HTTP/1.1 connection to an endpoint or the store; dropping it resets the connection.
 #[derive(Debug)]
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
@@ -58,6 +58,9 @@
             Err(_) => return Err(failed(format!("no connection in {timeout:?}"))),
         };
         tune(&stream).map_err(|err| failed(err.to_string()))?;
+        // A plain close goes on sending what a cut path holds up, so an order could arrive after those of the next leader.
+        let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        reset.map_err(|err| failed(err.to_string()))?;
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|err| failed(err.to_string()))?;
         let task = tokio::task::spawn_local(async move {
