A rerun waits before it goes to an endpoint that has failed it

A request whose model has one holder in the zone went there three times within milliseconds: the first attempt broke with the engine, the next two were refused by the dead process, before three failures opened the circuit breaker. Ruled out: the resume of a shown stream (ends with answer_lost), a refusal by the dispatcher (another code). Change: for 100 ms after a failed attempt a request is not sent to an endpoint that failed it; it goes to another zone or waits, so that the crash is noticed first.

--- a/crates/core/src/active.rs
+++ b/crates/core/src/active.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use crate::Ask;
 use crate::EndpointId;
 use crate::Incarnation;
@@ -6,6 +8,10 @@
 use crate::load::LoadMark;
 use crate::prefill::PrefillStart;
 
+/// Time after a failed attempt for which the request is not sent to an endpoint that failed it, so that a crash is
+/// noticed before the attempts are used up.
+const RERUN_PAUSE: Duration = Duration::from_millis(100);
+
 /// A request between `admit` and its end.
 #[derive(Debug)]
 pub(crate) struct Active {
@@ -26,6 +32,8 @@
     pub attempts: u32,
     /// Endpoints on which an attempt ended without an answer.
     pub tried: Vec<EndpointId>,
+    /// End of the latest of these attempts.
+    pub failed: Time,
     /// Whether an attempt may have run.
     pub ran: bool,
 }
@@ -68,6 +76,12 @@
         (now - self.since).as_secs_f64() >= 2.0 * self.goal
     }
 
+    /// Returns the time until which an endpoint that failed this request is not tried again.
+    pub fn paused_for(&self, endpoint: &EndpointId, now: Time) -> Option<Time> {
+        let until = self.failed + RERUN_PAUSE;
+        (now < until && self.tried.contains(endpoint)).then_some(until)
+    }
+
     /// Returns the seconds left until its answer must begin.
     pub fn left(&self, now: Time) -> f64 {
         (self.due - now).as_secs_f64()
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -125,6 +125,7 @@
             phase: Phase::Waiting,
             attempts: 0,
             tried: Vec::new(),
+            failed: Time::ZERO,
             ran: false,
             ask,
         };
@@ -233,6 +234,7 @@
             Phase::Running(attempt) => {
                 active.ran |= attempt.sent && outcome.is_lost();
                 active.tried.push(attempt.endpoint.clone());
+                active.failed = now;
                 self.attempt_ended(&attempt, fingerprint, outcome, load, now);
                 if matches!(outcome, AttemptOutcome::Complete { .. }) {
                     if let Some(endpoint) = self.fleet.endpoints.get_mut(&attempt.endpoint) {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -43,7 +43,7 @@
         /// Estimated seconds from then to the first token.
         own: f64,
     },
-    /// On none until a circuit breaker lets a probe through.
+    /// On none until a circuit breaker lets a probe through, or an endpoint that failed the request is tried again.
     Blocked(Time),
     /// On none of this zone.
     Nowhere,
@@ -60,7 +60,13 @@
         for list in [&spec.holders, &spec.bases] {
             let mut candidates = Vec::new();
             for index in list {
-                let endpoint = &self.fleet.endpoints[*index];
+                let (id, endpoint) =
+                    self.fleet.endpoints.get_index(*index).expect("targets list known endpoints");
+                if let Some(until) = active.paused_for(id, now) {
+                    let until = endpoint.breaker.reopens().map_or(until, |reopens| reopens.max(until));
+                    reopens = reopens.into_iter().chain([until]).min();
+                    continue;
+                }
                 match endpoint.breaker.gate(now) {
                     Gate::Block => {
                         reopens = reopens.into_iter().chain(endpoint.breaker.reopens()).min();
