The leader passes the list of endpoints on; followers read the store only without news

Cause: each instance read the list of endpoints every half drain time, and the leader's note every 0.7 s. Ruled out: fewer reads by each instance (a change must be known within the drain time), stale reads (seconds old). Change: the leader reads the list every 0.3 of the drain time and passes changes, with the revisions that they span and their age, to its followers. `ListCursor` decides: news are taken if they go on from what is known; without news for 0.4 of the drain time an instance reads the store itself, so that a frozen leader or late news delay a change by 0.8 of it at most; for 2 s after an outage of the store each instance reads itself. Entries that differ in their heartbeat only are not passed on. A follower with a connection to the leader reads its note every 10 s, and at once when the connection ends; it counts as connected after the leader's first message, so a note of one that no longer leads is not followed.

--- a/crates/core/src/gateway/roster.rs
+++ b/crates/core/src/gateway/roster.rs
@@ -57,7 +57,7 @@
 }
 
 /// News about one endpoint.
-#[derive(Debug, Clone, PartialEq)]
+#[data]
 pub enum Listed {
     /// Its entry was written.
     Entry(Box<EndpointEntry>),
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -160,6 +160,13 @@
         self.interval = interval;
     }
 
+    /// Has a follower read the leader's key at once.
+    pub fn look(&mut self, now: Time) {
+        if let State::Follower { next } = &mut self.state {
+            *next = now;
+        }
+    }
+
     /// Gives up the lease, or takes part in elections again.
     pub fn set_resigned(&mut self, resigned: bool) {
         self.resigned = resigned;
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -132,3 +132,16 @@
     lease.set_resigned(false);
     assert_eq!(lease.step(at(120) + LEASE_TTL, OWN), LeaseStep::Read);
 }
+
+/// Guards against a follower that rests between two reads because it has a connection to the leader, and finds out only
+/// at the next one that the connection is lost.
+#[test]
+fn a_follower_reads_at_once_when_told_to() {
+    let mut lease = Lease::new("i1".parse().unwrap());
+    lease.set_interval(Duration::from_secs(10));
+    assert_eq!(lease.step(at(0), OWN), LeaseStep::Read);
+    lease.on(at(10), LeaseEvent::Read(Some((record(WriteId(1)), 3))));
+    assert_eq!(lease.step(at(5_000), OWN), LeaseStep::Wait);
+    lease.look(at(5_000));
+    assert_eq!(lease.step(at(5_000), OWN), LeaseStep::Read);
+}
--- /dev/null
+++ b/crates/core/tests/list.rs
@@ -0,0 +1,91 @@
+//! Knowledge of the list of endpoints: the leader's news, reads of the store, and what each is worth.
+
+use std::time::Duration;
+
+use carobwick_core::Time;
+use carobwick_core::gateway::ListCursor;
+use carobwick_core::gateway::ListSource;
+use carobwick_core::gateway::ListSpan;
+use test_case::test_case;
+
+const DRAIN: Duration = Duration::from_secs(2);
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+fn span(from: u64, at: u64) -> ListSpan {
+    ListSpan { from, at, age: Duration::ZERO }
+}
+
+/// A follower that has read the list up to revision 10 at 0 ms.
+fn follower() -> ListCursor {
+    let mut cursor = ListCursor::new(DRAIN);
+    assert_eq!(cursor.wait(at(0)), Duration::ZERO);
+    cursor.read(10, ListSource::Follower, at(0));
+    cursor
+}
+
+/// Guards against requests to an endpoint that left longer ago than the drain time: the leader freezes, or its news are
+/// late, right before the change.
+#[test]
+fn a_change_is_known_within_the_drain_time_whatever_the_leader_does() {
+    for late in (0..2_000).step_by(50) {
+        let mut cursor = follower();
+        // The store gives the news out at 0 ms, the endpoint leaves right after, and the news arrive `late`.
+        let mut known = at(0) + cursor.wait(at(0));
+        if at(late) < known {
+            assert!(cursor.take(span(10, 12), at(late)));
+            known = at(late) + cursor.wait(at(late));
+        }
+        assert!(known < at(0) + DRAIN.mul_f64(0.85), "news late by {late} ms: known at {known:?}");
+    }
+}
+
+/// Guards against a follower that counts news as new which the leader has held back.
+#[test]
+fn the_age_of_news_shortens_the_time_to_the_next_read() {
+    let mut cursor = follower();
+    let old = ListSpan { age: Duration::from_millis(500), ..span(10, 12) };
+    cursor.take(old, at(700));
+    assert_eq!(cursor.wait(at(700)), Duration::from_millis(300));
+}
+
+/// Guards against changes that are lost between the follower's own read and the leader's news, and against old news
+/// that undo later ones.
+#[test_case(10, 12, true ; "they go on")]
+#[test_case(8, 12, true ; "they overlap")]
+#[test_case(11, 12, false ; "they leave a gap")]
+#[test_case(8, 9, false ; "they are older")]
+fn news_are_taken_if_they_go_on_from_what_is_known(from: u64, to: u64, taken: bool) {
+    let mut cursor = follower();
+    assert_eq!(cursor.take(span(from, to), at(100)), taken);
+    assert_eq!(cursor.after(), Some(if taken { to } else { 10 }));
+}
+
+/// Guards against entries that lapsed while the store was away being dropped by an instance that takes the removals from
+/// a leader and does not know of the store's return.
+#[test]
+fn news_do_not_count_until_the_list_has_settled_after_an_outage() {
+    let mut cursor = follower();
+    cursor.failed(true);
+    assert_eq!(cursor.after(), None);
+    assert!(cursor.read(20, ListSource::Follower, at(1_000)), "the store was away");
+    assert!(!cursor.take(span(20, 21), at(1_500)));
+    assert!(cursor.take(span(20, 21), at(3_000)));
+}
+
+/// Guards against the store's load growing with the instances, and against the leader's news coming too rarely for its
+/// followers.
+#[test]
+fn followers_that_get_news_do_not_read_the_store() {
+    let (mut leader, mut cursor) = (follower(), follower());
+    let (mut now, mut reads) = (at(0), 0);
+    for revision in 11..61 {
+        leader.read(revision, ListSource::Leader, now);
+        now = now + leader.wait(now);
+        reads += u32::from(cursor.wait(now).is_zero());
+        cursor.take(span(revision - 1, revision), now);
+    }
+    assert_eq!(reads, 0, "reads within {now:?}");
+}
--- a/crates/gateway/src/elect.rs
+++ b/crates/gateway/src/elect.rs
@@ -17,8 +17,11 @@
 use crate::Store;
 use crate::clock::now;
 
-/// How often a follower reads the leader's note.
+/// How often a follower without a connection to the leader reads the leader's note.
 const LOOK: Duration = Duration::from_millis(700);
+/// How often one with a connection reads it. The leader ends its connections when it no longer leads, and a silent one is
+/// given up, so that the note need not be read to notice either.
+const CONNECTED_LOOK: Duration = Duration::from_secs(10);
 /// How often the election looks at the clock.
 const TICK: Duration = Duration::from_millis(200);
 /// Times of the leader's lease. The holder acts only for a part of it, so that its last order is older than the next
@@ -73,6 +76,15 @@
         self.note.borrow().clone()
     }
 
+    /// Notes whether there is a connection to the leader.
+    pub fn set_connected(&self, connected: bool) {
+        let mut lease = self.lease.borrow_mut();
+        lease.set_interval(if connected { CONNECTED_LOOK } else { LOOK });
+        if !connected {
+            lease.look(now());
+        }
+    }
+
     /// Gives up the lease.
     pub fn resign(&self) {
         self.lease.borrow_mut().set_resigned(true);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -17,6 +18,7 @@
 use crate::elect::Election;
 use crate::follow;
 use crate::lead::Desk;
+use crate::list::ListReader;
 use crate::peers;
 use crate::ready;
 use crate::state::State;
@@ -47,7 +49,8 @@
         let ready = listen("ready", settings.ready).await?;
         let peers = listen("peers", settings.peers).await?;
         let shared = Rc::new(settings.clone());
-        let state = Rc::new(State::new(settings, wire));
+        let (list, news) = mpsc::unbounded_channel();
+        let state = Rc::new(State::new(settings, wire, list));
         let election = Rc::new(Election::new(&shared));
         let desk = Rc::new(Desk::new(Rc::clone(&state), Rc::clone(&election)));
         let (closing, work) = (CancellationToken::new(), TaskTracker::new());
@@ -55,7 +58,8 @@
         tasks.spawn_local(callers::accept(Rc::clone(&state), callers, closing.clone(), work.clone()));
         tasks.spawn_local(ready::serve(Rc::clone(&state), ready));
         tasks.spawn_local(follow::config(Rc::clone(&state), Rc::clone(&store)));
-        tasks.spawn_local(follow::endpoints(Rc::clone(&state), Rc::clone(&store), Rc::clone(&desk)));
+        let reader = ListReader::new(Rc::clone(&state), Rc::clone(&store), Rc::clone(&desk), news);
+        tasks.spawn_local(reader.run());
         tasks.spawn_local(Rc::clone(&election).run(Rc::clone(&shared), store));
         tasks.spawn_local(peers::accept(Rc::clone(&state), Rc::clone(&desk), Rc::clone(&election), peers));
         tasks.spawn_local(peers::follow(Rc::clone(&state), Rc::clone(&desk), Rc::clone(&election)));
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -27,6 +27,7 @@
 use crate::clock::now;
 use crate::elect::Election;
 use crate::message::FromLeader;
+use crate::message::ListNews;
 use crate::message::ToLeader;
 use crate::state::State;
 
@@ -100,6 +101,18 @@
         self.count();
     }
 
+    /// Returns whether this instance leads.
+    pub fn is_leading(&self) -> bool {
+        self.election.since().is_some()
+    }
+
+    /// Passes changes of the list of endpoints on to the instances that follow.
+    pub fn pass_on(&self, news: &ListNews) {
+        for to in self.followers.borrow().values() {
+            let _closed = to.send(FromLeader::List(news.clone()));
+        }
+    }
+
     /// Tells all instances how many they are.
     pub fn count(&self) {
         let mut followers = self.followers.borrow_mut();
@@ -139,7 +152,7 @@
         loop {
             // A wake that comes too early is no harm.
             let _elapsed = tokio::time::timeout(TICK, self.wake.notified()).await;
-            if self.election.since().is_none() {
+            if !self.is_leading() {
                 self.idle();
                 continue;
             }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -2,10 +2,12 @@
 use carobwick_core::Fingerprint;
 use carobwick_core::Incarnation;
 use carobwick_core::InstanceId;
+use carobwick_core::Millis;
 use carobwick_core::ServiceId;
 use carobwick_core::ZoneId;
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::Holding;
+use carobwick_core::gateway::Listed;
 use carobwick_core::gateway::Weights;
 use carobwick_derive::data;
 use tokio::io::AsyncRead;
@@ -16,6 +18,7 @@
 use crate::Category;
 use crate::Error;
 use crate::Result;
+use crate::Revision;
 
 /// Largest frame between instances, in bytes.
 const MAX_FRAME: usize = 4 << 20;
@@ -42,6 +45,19 @@
     Engine { endpoint: EndpointId, run: Incarnation, holding: Holding },
     /// An endpoint broke off under a request of another instance.
     Loss { print: Fingerprint, endpoint: EndpointId, run: Incarnation },
+    /// Changes of the list of endpoints.
+    List(ListNews),
+}
+
+/// Changes of the list of endpoints between two revisions of the store.
+#[data]
+pub(crate) struct ListNews {
+    pub from: Revision,
+    pub at: Revision,
+    /// Longest time since the store gave them out.
+    pub age: Millis,
+    /// Changes, less those of heartbeats only.
+    pub changes: Vec<Listed>,
 }
 
 /// Writes a message as a frame: its length in four bytes, then its bytes.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -90,7 +90,10 @@
         {
             tracing::info!("peers: leader {} is not reached: {err}", note.record.instance);
         }
-        state.set_leader(None);
+        if state.has_leader() {
+            state.set_leader(None);
+            election.set_connected(false);
+        }
         tokio::time::sleep(RETRY).await;
     }
 }
@@ -122,8 +125,11 @@
     tune(&stream).map_err(lost)?;
     let (mut from, mut to) = stream.into_split();
     write_frame(&mut to, &ToLeader::Hello { instance: state.settings.instance.clone() }).await?;
+    // One that does not lead any more, or not yet, ends the connection without a message.
+    take(state, read(&mut from).await?);
     let (sender, mut receiver) = mpsc::unbounded_channel();
     state.set_leader(Some(sender));
+    election.set_connected(true);
     tracing::info!("peers: follows {leader}");
     let writer = async {
         let mut next = now() + REPORT;
@@ -160,6 +166,7 @@
         FromLeader::Loss { print, endpoint, run } => {
             state.suspects.borrow_mut().lost(print, &endpoint, run, now());
         }
+        FromLeader::List(news) => state.pass_list(news),
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,6 +24,7 @@
 use crate::Terms;
 use crate::Wire;
 use crate::clock::now;
+use crate::message::ListNews;
 use crate::message::ToLeader;
 use crate::pool::Pool;
 
@@ -52,6 +53,8 @@
     instances: Cell<u32>,
     samples: RefCell<IndexMap<(ServiceId, Weights), DemandSample>>,
     leader: RefCell<Option<mpsc::UnboundedSender<ToLeader>>>,
+    /// Where the leader's news of the list go.
+    list: mpsc::UnboundedSender<ListNews>,
     /// When an adapter was asked for that other zones hold.
     asked: RefCell<IndexMap<Weights, Time>>,
 }
@@ -63,7 +66,7 @@
 }
 
 impl State {
-    pub fn new(settings: Settings, wire: Box<dyn Wire>) -> Self {
+    pub fn new(settings: Settings, wire: Box<dyn Wire>, list: mpsc::UnboundedSender<ListNews>) -> Self {
         let balancer = Balancer::new(settings.zone.clone());
         Self {
             terms: Cell::new(settings.terms),
@@ -81,6 +84,7 @@
             instances: Cell::new(ASSUMED_INSTANCES),
             samples: RefCell::default(),
             leader: RefCell::default(),
+            list,
             asked: RefCell::default(),
         }
     }
@@ -147,6 +151,12 @@
         self.leader.borrow().is_some()
     }
 
+    /// Passes the leader's news on to the task that keeps the list.
+    pub fn pass_list(&self, news: ListNews) {
+        // The task runs for as long as the process does.
+        let _closed = self.list.send(news);
+    }
+
     /// Sends a message to the leader; returns whether there is one.
     pub fn tell_leader(&self, message: ToLeader) -> bool {
         let leader = self.leader.borrow();
