--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -37,7 +37,7 @@
     type Output = Self;
 
     fn add(self, rhs: Duration) -> Self {
-        Self(self.0.saturating_add(rhs.as_micros() as u64))
+        Self(self.0.saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,10 @@
 mod state;
 mod stream;
 
+#[cfg(test)]
+#[path = "../tests/internal/framing.rs"]
+mod framing;
+
 pub use clock::now;
 pub use error::Category;
 pub use error::Error;
--- a/crates/gateway/src/screen.rs
+++ b/crates/gateway/src/screen.rs
@@ -62,7 +62,8 @@
         self.state.borrow_mut().in_body = false;
     }
 
-    fn read(&self, bytes: &[u8]) {
+    /// Looks at the next bytes of the connection.
+    pub fn read(&self, bytes: &[u8]) {
         let mut state = self.state.borrow_mut();
         if state.in_body || state.seen.is_some() {
             return;
--- /dev/null
+++ b/crates/gateway/tests/internal/framing.rs
@@ -0,0 +1,132 @@
+//! Framing of callers' heads, of event streams and of messages between instances, under random input and cuts.
+
+use futures_util::FutureExt;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use crate::events::EventCutter;
+use crate::message::FromLeader;
+use crate::message::ToLeader;
+use crate::message::read_frame;
+use crate::message::write_frame;
+use crate::screen::HeadCheck;
+use crate::screen::HeadScreen;
+
+/// Inputs of each property; the seed is fixed so that each run gives the same verdict.
+fn cases() -> ProptestConfig {
+    ProptestConfig { cases: 1_000, rng_seed: RngSeed::Fixed(20_261_204), ..ProptestConfig::default() }
+}
+
+/// Cuts bytes at the given places.
+fn pieces<'a>(bytes: &'a [u8], cuts: &[prop::sample::Index]) -> Vec<&'a [u8]> {
+    let mut places: Vec<usize> = cuts.iter().map(|cut| cut.index(bytes.len() + 1)).collect();
+    places.extend([0, bytes.len()]);
+    places.sort_unstable();
+    places.windows(2).map(|pair| &bytes[pair[0]..pair[1]]).collect()
+}
+
+fn see(pieces: &[&[u8]]) -> HeadCheck {
+    let screen = HeadScreen::default();
+    pieces.iter().for_each(|piece| screen.read(piece));
+    screen.take()
+}
+
+fn head_line() -> impl Strategy<Value = String> {
+    prop_oneof![
+        Just("Content-Length: 3\r\n".to_owned()),
+        Just("transfer-encoding: chunked\r\n".to_owned()),
+        Just("Content-Length : 4\r\n".to_owned()),
+        "[A-Za-z-]{1,12}: [ -~]{0,12}\r\n",
+    ]
+}
+
+/// Runs a future on bytes in memory, which never has to wait.
+fn block_on<T>(work: impl Future<Output = T>) -> T {
+    work.now_or_never().expect("bytes in memory are always ready")
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    /// Guards against a head with two lengths that passes because it arrives in pieces.
+    #[test]
+    fn a_head_means_the_same_however_it_arrives(
+        lines in vec(head_line(), 0..6),
+        cuts in vec(any::<prop::sample::Index>(), 0..4),
+    ) {
+        let head = format!("POST /x HTTP/1.1\r\n{}\r\n", lines.concat());
+        let framed = |line: &&String| {
+            let name = line.split(':').next().unwrap_or_default().trim().to_ascii_lowercase();
+            name == "content-length" || name == "transfer-encoding"
+        };
+        let is_ambiguous = lines.iter().filter(framed).count() > 1;
+        let whole = see(&[head.as_bytes()]);
+        prop_assert_eq!(whole == HeadCheck::Ambiguous, is_ambiguous);
+        prop_assert_eq!(see(&pieces(head.as_bytes(), &cuts)), whole);
+    }
+
+    /// Guards against bare line feeds and folded lines, which readers take apart in different ways.
+    #[test]
+    fn a_head_with_odd_line_ends_is_ambiguous(before in vec(head_line(), 0..2), odd in "X-A: b\n| folded\r\n") {
+        let head = format!("POST /x HTTP/1.1\r\n{}{odd}\r\n", before.concat());
+        prop_assert_eq!(see(&[head.as_bytes()]), HeadCheck::Ambiguous);
+    }
+
+    /// Guards against events that are lost, doubled or shown in part because of how a stream arrives.
+    #[test]
+    fn events_are_whole_however_they_arrive(
+        events in vec("(id: ?[0-9]{1,3}\n)?data: [ -~]{0,20}\n\n", 0..8),
+        torn in "[ -~]{0,10}",
+        cuts in vec(any::<prop::sample::Index>(), 0..8),
+    ) {
+        let whole = events.concat();
+        let stream = format!("{whole}{torn}");
+        let mut cutter = EventCutter::default();
+        let mut shown = Vec::new();
+        let mut last = None;
+        for piece in pieces(stream.as_bytes(), &cuts) {
+            let cut = cutter.push(piece);
+            shown.extend_from_slice(&cut.bytes);
+            last = cut.last.or(last);
+        }
+        prop_assert_eq!(String::from_utf8(shown).unwrap(), whole);
+        prop_assert_eq!(cutter.is_whole(), torn.is_empty());
+        let id = |event: &String| Some(event.strip_prefix("id:")?.lines().next()?.trim().to_owned());
+        prop_assert_eq!(last, events.iter().rev().find_map(id));
+    }
+
+    /// Guards against a stream without events that fills the memory.
+    #[test]
+    fn a_stream_without_events_is_not_held_for_ever(pieces in 1..40_usize) {
+        let mut cutter = EventCutter::default();
+        let piece = vec![b'x'; 64 << 10];
+        let passed: usize = (0..pieces).map(|_| cutter.push(&piece).bytes.len()).sum();
+        prop_assert!(pieces * piece.len() - passed <= 2 << 20);
+    }
+
+    /// Guards against bytes of a broken or foreign peer that end the process or claim its memory.
+    #[test]
+    fn frames_are_read_or_refused(bytes in vec(any::<u8>(), 0..64), length in any::<u32>()) {
+        let mut claimed = length.to_be_bytes().to_vec();
+        claimed.extend(&bytes);
+        let mut framed = (bytes.len() as u32).to_be_bytes().to_vec();
+        framed.extend(&bytes);
+        for frame in [claimed, framed, bytes] {
+            // Either outcome is fine; what counts is that there is one.
+            let _to = block_on(read_frame::<ToLeader>(&mut frame.as_slice()));
+            let _from = block_on(read_frame::<FromLeader>(&mut frame.as_slice()));
+        }
+    }
+
+    /// Guards against messages that another instance reads differently.
+    #[test]
+    fn a_message_is_read_as_it_was_written(instance in "[a-z][a-z0-9-]{0,10}", cut in any::<prop::sample::Index>()) {
+        let message = ToLeader::Hello { instance: instance.parse().unwrap() };
+        let mut frame = Vec::new();
+        block_on(write_frame(&mut frame, &message)).unwrap();
+        prop_assert_eq!(block_on(read_frame::<ToLeader>(&mut frame.as_slice())).unwrap(), message);
+        let mut torn = &frame[..cut.index(frame.len())];
+        prop_assert!(block_on(read_frame::<ToLeader>(&mut torn)).is_err());
+    }
+}
