Metrics of an instance; engines' states are told only when they change; a line for callers that leave while waiting

Change: `Meters`, served at the second internal port; the leader tells what has changed, and tells again what an instance asks for though it is offered. As repeated news no longer restore it, a model that an endpoint refused once counts as held again after 2 s, unless the leader or a later entry says otherwise (test fails without: it never came back).

--- a/crates/core/src/gateway/roster.rs
+++ b/crates/core/src/gateway/roster.rs
@@ -21,6 +21,10 @@
 /// Time for which the leader's word on a residency stands against entries, which show a state of seconds ago.
 const LEADER_WORD: Duration = Duration::from_secs(3);
 
+/// Time after which weights that an endpoint refused count as held again, if nothing says otherwise; a refusal while an
+/// adapter is on its way says nothing for long.
+const REFUSED: Duration = Duration::from_secs(2);
+
 /// What an endpoint says of itself in the list of endpoints.
 #[data]
 pub struct EndpointEntry {
@@ -77,6 +81,16 @@
     left: IndexSet<(EndpointId, Incarnation)>,
     settled: Time,
     doubtful: IndexSet<EndpointId>,
+    refused: Vec<Refused>,
+}
+
+/// Weights that a run refused although its entry names them.
+#[derive(Debug)]
+struct Refused {
+    id: EndpointId,
+    run: Incarnation,
+    weights: Weights,
+    at: Time,
 }
 
 #[derive(Debug)]
@@ -93,6 +107,19 @@
         weights.adapter.as_ref().is_none_or(|adapter| adapters.contains(adapter))
     }
 
+    fn add(&mut self, weights: &Weights) {
+        match &weights.adapter {
+            Some(adapter) => {
+                if let Some(adapters) = self.models.get_mut(&weights.model) {
+                    adapters.insert(adapter.clone());
+                }
+            }
+            None => {
+                self.models.entry(weights.model.clone()).or_default();
+            }
+        }
+    }
+
     /// Returns the number of adapters of all models.
     pub fn adapters(&self) -> usize {
         self.models.values().map(IndexSet::len).sum()
@@ -128,6 +155,7 @@
         {
             known.entry.holding = holding.clone();
             known.told = Some(now);
+            self.refused.retain(|refused| refused.id != *id);
         }
     }
 
@@ -136,8 +164,15 @@
         self.settled = now + SETTLE;
     }
 
-    /// Drops entries that did not come back in time and returns them.
+    /// Drops entries that did not come back in time and returns them; refused weights count as held again in time.
     pub fn settle(&mut self, now: Time) -> Vec<EndpointId> {
+        for refused in self.refused.extract_if(.., |refused| now >= refused.at + REFUSED) {
+            if let Some(known) = self.entries.get_mut(&refused.id)
+                && known.entry.run == refused.run
+            {
+                known.entry.holding.add(&refused.weights);
+            }
+        }
         if now < self.settled || self.doubtful.is_empty() {
             return Vec::new();
         }
@@ -149,8 +184,16 @@
     }
 
     /// Notes that an endpoint refuses the given model or adapter, which its entry names.
-    pub fn missing(&mut self, id: &EndpointId, weights: &Weights) {
-        let Some(known) = self.entries.get_mut(id) else { return };
+    pub fn missing(&mut self, id: &EndpointId, weights: &Weights, now: Time) {
+        let Some(known) = self.entries.get_mut(id).filter(|known| known.entry.holding.has(weights)) else {
+            return;
+        };
+        self.refused.push(Refused {
+            id: id.clone(),
+            run: known.entry.run,
+            weights: weights.clone(),
+            at: now,
+        });
         let models = &mut known.entry.holding.models;
         match &weights.adapter {
             Some(adapter) => {
@@ -210,7 +253,12 @@
                     known.entry.state = entry.state;
                 }
             }
-            Some(known) if known.entry.run == entry.run => known.merge(entry, now),
+            Some(known) if known.entry.run == entry.run => {
+                if known.merge(entry, now) {
+                    let id = &known.entry.id;
+                    self.refused.retain(|refused| refused.id != *id);
+                }
+            }
             _ => {
                 self.entries.insert(entry.id.clone(), Known { entry, told: None });
             }
@@ -232,11 +280,13 @@
 }
 
 impl Known {
-    /// Takes a later entry of the same run.
-    fn merge(&mut self, mut entry: EndpointEntry, now: Time) {
-        if self.told.is_some_and(|at| now < at + LEADER_WORD) {
+    /// Takes a later entry of the same run; returns whether its holding counts.
+    fn merge(&mut self, mut entry: EndpointEntry, now: Time) -> bool {
+        let counts = self.told.is_none_or(|at| now >= at + LEADER_WORD);
+        if !counts {
             entry.holding = self.entry.holding.clone();
         }
         self.entry = entry;
+        counts
     }
 }
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -163,6 +163,26 @@
     assert_eq!(roster.get(&id).unwrap().holding.models.len(), 1);
 }
 
+/// Guards against an endpoint that is passed over for good since it once declined a model that was on its way, and against
+/// that doubt outliving the leader's word.
+#[test]
+fn a_refused_model_counts_again_after_two_seconds() {
+    let id: EndpointId = "a".parse().unwrap();
+    let weights = Weights { model: "m".parse().unwrap(), adapter: None };
+    let has = |roster: &Roster| roster.get(&id).is_some_and(|entry| entry.holding.has(&weights));
+    let mut roster = Roster::default();
+    roster.replace(vec![entry("a", 1, 1, EndpointState::Live)], at(0));
+    roster.missing(&id, &weights, at(100));
+    roster.settle(at(2_000));
+    assert!(!has(&roster));
+    roster.settle(at(2_100));
+    assert!(has(&roster));
+    roster.missing(&id, &weights, at(3_000));
+    roster.told(&id, Incarnation(1), &Holding::default(), at(3_100));
+    roster.settle(at(6_000));
+    assert!(!has(&roster), "the leader said later that the engine does not hold it");
+}
+
 /// Guards against a second run of a request that must not repeat, and against a refusal of one that may have run.
 #[test_case(RouteKind::NonIdempotent, false)]
 #[test_case(RouteKind::Streaming, false)]
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -16,6 +16,7 @@
 use carobwick_core::gateway::ServiceRoute;
 use carobwick_core::gateway::Step;
 use carobwick_core::gateway::Verdict;
+use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::next_step;
 use http::HeaderMap;
 use http::Method;
@@ -82,9 +83,25 @@
     },
 }
 
+/// A request that waits for its model; if it is dropped without a decision, the caller has left.
+#[derive(Debug)]
+struct Waiting {
+    attempt: String,
+    started: Time,
+    weights: Weights,
+    decided: bool,
+}
+
 impl Flight {
     /// Brings the request to its answer.
-    pub async fn run(mut self) -> Response<AnswerBody> {
+    pub async fn run(self) -> Response<AnswerBody> {
+        let (state, route, arrived) = (Rc::clone(&self.state), Arc::clone(&self.route), self.arrived);
+        let response = self.bring().await;
+        state.meters.answered(&route.name, response.status(), now() - arrived);
+        response
+    }
+
+    async fn bring(mut self) -> Response<AnswerBody> {
         self.state.count_request(&self.service);
         self.state.count_demand(&self.service, &self.call);
         loop {
@@ -134,7 +151,7 @@
 
     /// Does so, and goes on after an event of an interrupted stream.
     pub async fn attempt_from(&mut self, choice: &Choice, resume: Option<&str>) -> Result<Reply, Failure> {
-        let mut send = Send::start(&self.state, &self.call, self.print, choice);
+        let mut send = Send::start(&self.state, &self.service, &self.call, self.print, choice);
         let Some(left) = self.left() else { return Err(Failure::Unsent) };
         match self.state.pool.take(choice, CONNECT.min(left)).await {
             Ok(link) => send.link = Some(link),
@@ -215,7 +232,7 @@
                 if head.kind == AnswerKind::Misdirected
                     && let Some(weights) = &self.call.weights
                 {
-                    self.state.roster.borrow_mut().missing(id, weights);
+                    self.state.roster.borrow_mut().missing(id, weights, now());
                 }
                 send.answered(head.load);
                 send.verdict = Verdict::Declined;
@@ -274,11 +291,11 @@
     /// Chooses the endpoint, or waits for one that gets the model.
     async fn place(&mut self) -> Placement {
         let started = now();
-        let mut asked = false;
-        loop {
+        let mut waiting = None;
+        let placement = loop {
             let changed = self.state.changed.notified();
             if self.left().is_none() {
-                return Placement::None { reason: "the time is used up", retry: COME_BACK };
+                break Placement::None { reason: "the time is used up", retry: COME_BACK };
             }
             match self.choose() {
                 Some(choice) if self.tried.contains(&choice.id) => {
@@ -289,28 +306,33 @@
                 }
                 Some(choice) => {
                     self.want_near(&choice);
-                    return Placement::Endpoint(choice);
+                    break Placement::Endpoint(choice);
                 }
                 None => {}
             }
             let Some(weights) = self.call.weights.clone() else {
-                return Placement::None { reason: "no endpoint takes the request", retry: COME_BACK };
+                break Placement::None { reason: "no endpoint takes the request", retry: COME_BACK };
             };
             let Some(patience) = self.patience() else {
-                return Placement::None { reason: "the model is not served", retry: COME_BACK };
+                break Placement::None { reason: "the model is not served", retry: COME_BACK };
             };
             let waited = now() - started;
             if !self.state.has_leader() || waited >= patience {
-                return Placement::None { reason: "no endpoint holds the model", retry: COME_BACK };
+                break Placement::None { reason: "no endpoint holds the model", retry: COME_BACK };
             }
-            if !asked {
-                asked = true;
+            if waiting.is_none() {
+                let attempt = self.call.attempt.clone();
+                waiting = Some(Waiting { attempt, started, weights: weights.clone(), decided: false });
                 self.state.want(&self.service, weights);
             }
             if tokio::time::timeout(patience.saturating_sub(waited), changed).await.is_err() {
                 tracing::info!("gateway: request {} waited {patience:?} for its model", self.call.attempt);
             }
+        };
+        if let Some(waiting) = &mut waiting {
+            waiting.decided = true;
         }
+        placement
     }
 
     /// Asks for an adapter that only other zones hold, so that a cut between the zones does not take it away.
@@ -386,3 +408,15 @@
         }
     }
 }
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.decided {
+            let (attempt, weights) = (&self.attempt, &self.weights);
+            let waited = now() - self.started;
+            tracing::info!(
+                "gateway: request {attempt} left by its caller after {waited:?} of waiting for {weights}"
+            );
+        }
+    }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -71,6 +71,7 @@
         return;
     }
     tracing::info!("config: version {} is in force, {} routes", table.version, table.routes().count());
+    state.meters.configured(table.version.0);
     *known = Some(table);
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,8 +19,10 @@
 use crate::follow;
 use crate::lead::Desk;
 use crate::list::ListReader;
+use crate::meters::Meters;
 use crate::peers;
 use crate::ready;
+use crate::ready::Question;
 use crate::state::State;
 
 /// Time for which a stopping instance still takes connections, until the balancer has noticed that it is not ready.
@@ -47,16 +49,20 @@
     pub async fn bind(settings: Settings, wire: Box<dyn Wire>, store: Rc<dyn Store>) -> Result<Self> {
         let callers = listen("callers", settings.callers).await?;
         let ready = listen("ready", settings.ready).await?;
+        let metrics = listen("metrics", settings.metrics).await?;
         let peers = listen("peers", settings.peers).await?;
+        let meters =
+            Meters::open().map_err(|err| Error::new(Category::Start, format!("metrics: {err:#}")))?;
         let shared = Rc::new(settings.clone());
         let (list, news) = mpsc::unbounded_channel();
-        let state = Rc::new(State::new(settings, wire, list));
+        let state = Rc::new(State::new(settings, wire, meters, list));
         let election = Rc::new(Election::new(&shared));
         let desk = Rc::new(Desk::new(Rc::clone(&state), Rc::clone(&election)));
         let (closing, work) = (CancellationToken::new(), TaskTracker::new());
         let mut tasks = JoinSet::new();
         tasks.spawn_local(callers::accept(Rc::clone(&state), callers, closing.clone(), work.clone()));
-        tasks.spawn_local(ready::serve(Rc::clone(&state), ready));
+        tasks.spawn_local(ready::serve(Rc::clone(&state), ready, Question::Ready));
+        tasks.spawn_local(ready::serve(Rc::clone(&state), metrics, Question::Metrics));
         tasks.spawn_local(follow::config(Rc::clone(&state), Rc::clone(&store)));
         let reader = ListReader::new(Rc::clone(&state), Rc::clone(&store), Rc::clone(&desk), news);
         tasks.spawn_local(reader.run());
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -14,6 +14,7 @@
 use carobwick_core::gateway::DemandTable;
 use carobwick_core::gateway::EngineBook;
 use carobwick_core::gateway::EngineOrder;
+use carobwick_core::gateway::Holding;
 use carobwick_core::gateway::LoadPace;
 use carobwick_core::gateway::OrderReply;
 use carobwick_core::gateway::Roster;
@@ -53,6 +54,8 @@
     paces: RefCell<IndexMap<ServiceId, LoadPace>>,
     wants: RefCell<IndexMap<(ServiceId, AdapterWant), Time>>,
     followers: RefCell<IndexMap<InstanceId, mpsc::UnboundedSender<FromLeader>>>,
+    /// What the followers were last told of each engine.
+    told: RefCell<IndexMap<EndpointId, (Incarnation, Holding)>>,
     wake: Notify,
 }
 
@@ -67,6 +70,7 @@
             paces: RefCell::default(),
             wants: RefCell::default(),
             followers: RefCell::default(),
+            told: RefCell::default(),
             wake: Notify::new(),
         }
     }
@@ -152,6 +156,7 @@
         loop {
             // A wake that comes too early is no harm.
             let _elapsed = tokio::time::timeout(TICK, self.wake.notified()).await;
+            self.state.meters.leads(self.is_leading());
             if !self.is_leading() {
                 self.idle();
                 continue;
@@ -167,6 +172,7 @@
     fn idle(&self) {
         if !self.followers.borrow().is_empty() {
             self.followers.borrow_mut().clear();
+            self.told.borrow_mut().clear();
         }
         if self.first.borrow_mut().take().is_some() {
             *self.demand.borrow_mut() = DemandTable::default();
@@ -181,6 +187,8 @@
         let weights = &want.weights;
         if self.offers(&service, weights, None) {
             self.book.borrow_mut().doubt(weights, now());
+            // The instance that asks has been refused by an engine that holds the weights, so it must be told again.
+            self.told.borrow_mut().retain(|_, (_, holding)| !holding.has(weights));
         }
         self.demand.borrow_mut().touch(&service, weights, now());
         if weights.adapter.is_some() {
@@ -253,6 +261,7 @@
         self.publish(&order.endpoint);
         tokio::task::spawn_local(async move {
             let reply = self.send_order(&order).await;
+            self.state.meters.ordered(reply);
             tracing::info!(
                 "leader: order {:?} to {} after {} orders: {reply:?}",
                 order.action,
@@ -319,13 +328,17 @@
         }
     }
 
-    /// Tells all instances what an engine offers.
+    /// Tells all instances what an engine offers, if that has changed.
     fn publish(&self, id: &EndpointId) {
         let book = self.book.borrow();
         let Some(record) = book.get(id) else { return };
         let holding = record.offered();
         self.state.roster.borrow_mut().told(id, record.run, &holding, now());
         self.state.changed.notify_waiters();
+        let news = (record.run, holding.clone());
+        if self.told.borrow_mut().insert(id.clone(), news.clone()) == Some(news) {
+            return;
+        }
         let news = FromLeader::Engine { endpoint: id.clone(), run: record.run, holding };
         for to in self.followers.borrow().values() {
             let _closed = to.send(news.clone());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod link;
 mod list;
 mod message;
+mod meters;
 mod peers;
 mod pool;
 mod ports;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -176,6 +176,7 @@
             tracing::info!("list: {} endpoints are known", state.roster.borrow().iter().count());
         }
         let roster = state.roster.borrow();
+        state.meters.listed(roster.iter().count());
         state.balancer.borrow_mut().retain(|id| roster.get(id).is_some());
         self.desk.listed(&roster);
         drop(roster);
--- /dev/null
+++ b/crates/gateway/src/meters.rs
@@ -0,0 +1,119 @@
+use std::time::Duration;
+
+use carobwick_core::ServiceId;
+use carobwick_core::gateway::OrderReply;
+use carobwick_core::gateway::Verdict;
+use carobwick_runtime::Metrics;
+use http::StatusCode;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+
+/// Bounds of the histogram of times to the first output, in seconds.
+const TIMES: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0];
+
+/// Counters and histograms of an instance.
+pub(crate) struct Meters {
+    metrics: Metrics,
+    requests: Counter<u64>,
+    first_output: Histogram<f64>,
+    sends: Counter<u64>,
+    orders: Counter<u64>,
+    leading: Gauge<u64>,
+    version: Gauge<u64>,
+    endpoints: Gauge<u64>,
+}
+
+impl Meters {
+    /// Registers the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter can't be registered.
+    pub fn open() -> anyhow::Result<Self> {
+        let metrics = Metrics::open()?;
+        let meter = metrics.meter("gateway");
+        let requests = meter.u64_counter("carobwick_requests");
+        let first_output = meter.f64_histogram("carobwick_first_output_seconds");
+        let sends = meter.u64_counter("carobwick_sends");
+        let orders = meter.u64_counter("carobwick_orders");
+        let leading = meter.u64_gauge("carobwick_leading");
+        let version = meter.u64_gauge("carobwick_config_version");
+        let endpoints = meter.u64_gauge("carobwick_endpoints");
+        Ok(Self {
+            requests: requests.with_description("Requests by route and outcome").build(),
+            first_output: first_output
+                .with_description("Time from arrival to the head of the answer, by route")
+                .with_boundaries(TIMES.to_vec())
+                .build(),
+            sends: sends.with_description("Sends to endpoints, by service and verdict").build(),
+            orders: orders.with_description("Orders to engines, by reply").build(),
+            leading: leading.with_description("1 on the instance that gives orders").build(),
+            version: version.with_description("Version of the configuration in force").build(),
+            endpoints: endpoints.with_description("Endpoints in the list").build(),
+            metrics,
+        })
+    }
+
+    /// Renders all metrics as text.
+    pub fn render(&self) -> String {
+        self.metrics.render()
+    }
+
+    /// Counts a request whose answer begins with this status, `delay` after it arrived.
+    pub fn answered(&self, route: &str, status: StatusCode, delay: Duration) {
+        let route = KeyValue::new("route", route.to_owned());
+        self.first_output.record(delay.as_secs_f64(), std::slice::from_ref(&route));
+        self.requests.add(1, &[route, KeyValue::new("outcome", outcome(status))]);
+    }
+
+    /// Counts a send to an endpoint.
+    pub fn sent(&self, service: &ServiceId, verdict: Verdict) {
+        let verdict = match verdict {
+            Verdict::Good => "good",
+            Verdict::Declined => "declined",
+            Verdict::Failed => "failed",
+            Verdict::Lost => "lost",
+            Verdict::Neutral => "neutral",
+        };
+        let service = KeyValue::new("service", service.to_string());
+        self.sends.add(1, &[service, KeyValue::new("verdict", verdict)]);
+    }
+
+    /// Counts an order to an engine.
+    pub fn ordered(&self, reply: OrderReply) {
+        let reply = match reply {
+            OrderReply::Accepted => "accepted",
+            OrderReply::Done => "done",
+            OrderReply::Conflict => "conflict",
+            OrderReply::Refused => "refused",
+            OrderReply::Lost => "lost",
+        };
+        self.orders.add(1, &[KeyValue::new("reply", reply)]);
+    }
+
+    /// Notes whether this instance leads.
+    pub fn leads(&self, leads: bool) {
+        self.leading.record(u64::from(leads), &[]);
+    }
+
+    /// Notes the configuration in force.
+    pub fn configured(&self, version: u64) {
+        self.version.record(version, &[]);
+    }
+
+    /// Notes the length of the list of endpoints.
+    pub fn listed(&self, endpoints: usize) {
+        self.endpoints.record(endpoints as u64, &[]);
+    }
+}
+
+fn outcome(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => "refused",
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => "given_up",
+        status if status.is_success() => "answered",
+        _ => "failed",
+    }
+}
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -12,8 +12,17 @@
 
 use crate::state::State;
 
-/// Answers the balancer's question whether the instance takes connections.
-pub(crate) async fn serve(state: Rc<State>, listener: TcpListener) {
+/// What a port answers to any request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Question {
+    /// Whether the instance takes connections, for the balancer.
+    Ready,
+    /// The metrics as text.
+    Metrics,
+}
+
+/// Answers a question for as long as the process runs.
+pub(crate) async fn serve(state: Rc<State>, listener: TcpListener, question: Question) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -24,12 +33,8 @@
             }
         };
         let state = Rc::clone(&state);
-        let service = service_fn(move |_request| {
-            let status = if state.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            let mut response = Response::new(Full::new(Bytes::new()));
-            *response.status_mut() = status;
-            std::future::ready(Ok::<_, Infallible>(response))
-        });
+        let service =
+            service_fn(move |_request| std::future::ready(Ok::<_, Infallible>(answer(&state, question))));
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         tokio::task::spawn_local(async move {
             if let Err(err) = connection.await {
@@ -38,3 +43,14 @@
         });
     }
 }
+
+fn answer(state: &State, question: Question) -> Response<Full<Bytes>> {
+    let (status, text) = match question {
+        Question::Ready if state.is_ready() => (StatusCode::OK, String::new()),
+        Question::Ready => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        Question::Metrics => (StatusCode::OK, state.meters.render()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -4,6 +4,7 @@
 
 use carobwick_core::Fingerprint;
 use carobwick_core::LoadReport;
+use carobwick_core::ServiceId;
 use carobwick_core::Time;
 use carobwick_core::gateway::Call;
 use carobwick_core::gateway::Choice;
@@ -23,6 +24,7 @@
     state: Rc<State>,
     print: Fingerprint,
     attempt: String,
+    service: ServiceId,
     sent: Time,
     first: Cell<Option<Time>>,
     pub choice: Choice,
@@ -45,12 +47,19 @@
 
 impl Send {
     /// Counts a request as sent to an endpoint.
-    pub fn start(state: &Rc<State>, call: &Call, print: Fingerprint, choice: &Choice) -> Self {
+    pub fn start(
+        state: &Rc<State>,
+        service: &ServiceId,
+        call: &Call,
+        print: Fingerprint,
+        choice: &Choice,
+    ) -> Self {
         let ticket = state.balancer.borrow_mut().sent(call, choice, now());
         Self {
             state: Rc::clone(state),
             print,
             attempt: call.attempt.clone(),
+            service: service.clone(),
             sent: now(),
             first: Cell::default(),
             choice: choice.clone(),
@@ -109,6 +118,7 @@
 impl Drop for Send {
     fn drop(&mut self) {
         self.log();
+        self.state.meters.sent(&self.service, self.verdict);
         let mut balancer = self.state.balancer.borrow_mut();
         balancer.finished(&self.choice, self.ticket, self.verdict, now());
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -17,6 +17,8 @@
     pub callers: SocketAddr,
     /// Address at which the balancer asks whether the instance takes connections.
     pub ready: SocketAddr,
+    /// Address at which the metrics are read.
+    pub metrics: SocketAddr,
     /// Address for other instances.
     pub peers: SocketAddr,
     /// Address of the store.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use crate::clock::now;
 use crate::message::ListNews;
 use crate::message::ToLeader;
+use crate::meters::Meters;
 use crate::pool::Pool;
 
 /// Instances assumed before the leader has said how many share the retry budget.
@@ -46,6 +47,7 @@
     pub balancer: RefCell<Balancer>,
     pub suspects: RefCell<SuspectTable>,
     pub pool: Pool,
+    pub meters: Meters,
     /// Wakes requests that wait for an endpoint.
     pub changed: Notify,
     pub stopping: Cell<bool>,
@@ -66,7 +68,12 @@
 }
 
 impl State {
-    pub fn new(settings: Settings, wire: Box<dyn Wire>, list: mpsc::UnboundedSender<ListNews>) -> Self {
+    pub fn new(
+        settings: Settings,
+        wire: Box<dyn Wire>,
+        meters: Meters,
+        list: mpsc::UnboundedSender<ListNews>,
+    ) -> Self {
         let balancer = Balancer::new(settings.zone.clone());
         Self {
             terms: Cell::new(settings.terms),
@@ -78,6 +85,7 @@
             balancer: RefCell::new(balancer),
             suspects: RefCell::default(),
             pool: Pool::default(),
+            meters,
             changed: Notify::new(),
             stopping: Cell::new(false),
             shares: RefCell::default(),
