Framing tests are an integration test of the gateway

Cause: the tree check asks for tests in test files only; the property tests of the framing were pulled into the library by a path attribute to reach private types. Ruled out: moving the framing to core (it needs the runtime's sockets). Change: the cutter of events, the screen of heads and the frames between instances are public types of the gateway crate, and the tests use them from outside; frames are checked with public messages of core.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -7,13 +7,13 @@
 
 /// Cuts a stream into whole events, so that one that was broken off in its middle never reaches the caller.
 #[derive(Debug, Default)]
-pub(crate) struct EventCutter {
+pub struct EventCutter {
     partial: BytesMut,
 }
 
 /// Whole events of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Cut {
+pub struct Cut {
     /// The events as they arrived.
     pub bytes: Bytes,
     /// Id of the last event that has one.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,17 +35,17 @@
 mod state;
 mod stream;
 
-#[cfg(test)]
-#[path = "../tests/internal/framing.rs"]
-mod framing;
-
 pub use clock::now;
 pub use error::Category;
 pub use error::Error;
 pub use error::Result;
+pub use events::Cut;
+pub use events::EventCutter;
 pub use gateway::Gateway;
 pub use link::Link;
 pub use link::SendError;
+pub use message::read_frame;
+pub use message::write_frame;
 pub use ports::AnswerHead;
 pub use ports::AnswerKind;
 pub use ports::Claim;
@@ -56,5 +56,7 @@
 pub use ports::Snapshot;
 pub use ports::Store;
 pub use ports::Wire;
+pub use screen::HeadCheck;
+pub use screen::HeadScreen;
 pub use settings::Settings;
 pub use settings::Terms;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -61,10 +61,11 @@
 }
 
 /// Writes a message as a frame: its length in four bytes, then its bytes.
-pub(crate) async fn write_frame<M: serde::Serialize>(
-    to: &mut (impl AsyncWrite + Unpin),
-    message: &M,
-) -> Result<()> {
+///
+/// # Errors
+///
+/// Fails with [`Category::Lost`] if the connection ends.
+pub async fn write_frame<M: serde::Serialize>(to: &mut (impl AsyncWrite + Unpin), message: &M) -> Result<()> {
     let mut frame = vec![0; 4];
     let body = bincode::serde::encode_to_vec(message, bincode::config::standard());
     frame.extend(body.map_err(|err| Error::new(Category::Codec, err.to_string()))?);
@@ -74,9 +75,12 @@
 }
 
 /// Reads the next message.
-pub(crate) async fn read_frame<M: serde::de::DeserializeOwned>(
-    from: &mut (impl AsyncRead + Unpin),
-) -> Result<M> {
+///
+/// # Errors
+///
+/// Fails with [`Category::Lost`] if the connection ends, and with [`Category::Codec`] if the frame is too long or holds
+/// another message.
+pub async fn read_frame<M: serde::de::DeserializeOwned>(from: &mut (impl AsyncRead + Unpin)) -> Result<M> {
     let lost = |err: std::io::Error| Error::new(Category::Lost, err.to_string());
     let codec = |text: String| Error::new(Category::Codec, text);
     let length = from.read_u32().await.map_err(lost)? as usize;
--- a/crates/gateway/src/screen.rs
+++ b/crates/gateway/src/screen.rs
@@ -15,7 +15,7 @@
 
 /// What was seen of the head of a request on the wire.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum HeadCheck {
+pub enum HeadCheck {
     /// It has one meaning.
     Clear,
     /// Two readers could see different ends of its body or of its lines.
@@ -29,7 +29,7 @@
 /// The library settles a head with two lengths by itself and does not show that there were two. The next bytes on such
 /// a connection would be taken for a request that no caller sent.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct HeadScreen {
+pub struct HeadScreen {
     state: Rc<RefCell<State>>,
 }
 
