A damaged frame of another instance can't claim the process's memory

Ruled out: the frame's own length (bounded by 4 MB); the peers of the separate programs (they have the limit). Change: decoding is limited to the longest frame.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -89,6 +89,8 @@
     }
     let mut frame = vec![0; length];
     from.read_exact(&mut frame).await.map_err(lost)?;
-    let decoded = bincode::serde::decode_from_slice(&frame, bincode::config::standard());
+    // A length within a damaged frame must not claim more memory than a frame can hold.
+    let limited = bincode::config::standard().with_limit::<MAX_FRAME>();
+    let decoded = bincode::serde::decode_from_slice(&frame, limited);
     decoded.map(|(message, _)| message).map_err(|err| codec(err.to_string()))
 }
