Following ends when another instance leads, or this one does

Ruled out: the handover time (over at 27.4 s), the engines' reports (asked at once), the rate of loads (none were given). Change: `Election::moved_from` ends the wait when the note names another leader or this instance leads. The test drives the election against a store of its own; the function it checks did not exist before.

--- a/crates/gateway/src/elect.rs
+++ b/crates/gateway/src/elect.rs
@@ -10,6 +10,7 @@
 use carobwick_core::Standing;
 use carobwick_core::Time;
 use carobwick_core::WriteId;
+use tokio::sync::Notify;
 
 use crate::Claim;
 use crate::LeaderNote;
@@ -36,20 +37,28 @@
 
 /// This instance's part in the election of the leader.
 #[derive(Debug)]
-pub(crate) struct Election {
+pub struct Election {
     lease: RefCell<Lease>,
     /// The leader as last read from the store.
     note: RefCell<Option<LeaderNote>>,
     /// Since when this instance leads.
     since: RefCell<Option<Time>>,
+    /// Wakes those who wait for another leader.
+    changed: Notify,
 }
 
 impl Election {
+    /// Starts as a follower that knows no leader.
     pub fn new(settings: &Settings) -> Self {
         let mut lease = Lease::new(settings.instance.clone());
         lease.set_interval(LOOK);
         lease.set_terms(TERMS);
-        Self { lease: RefCell::new(lease), note: RefCell::default(), since: RefCell::default() }
+        Self {
+            lease: RefCell::new(lease),
+            note: RefCell::default(),
+            since: RefCell::default(),
+            changed: Notify::new(),
+        }
     }
 
     /// Returns what this instance may do now.
@@ -76,6 +85,17 @@
         self.note.borrow().clone()
     }
 
+    /// Waits until the leader is another than the noted one, or this instance leads.
+    pub async fn moved_from(&self, note: &LeaderNote) {
+        loop {
+            let changed = self.changed.notified();
+            if self.since().is_some() || self.leader().as_ref() != Some(note) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Notes whether there is a connection to the leader.
     pub fn set_connected(&self, connected: bool) {
         let mut lease = self.lease.borrow_mut();
@@ -148,6 +168,7 @@
             let name = note.as_ref().map_or("nobody", |note| note.record.instance.as_str());
             tracing::info!("election: {name} leads");
             *known = note;
+            self.changed.notify_waiters();
         }
     }
 
@@ -158,6 +179,7 @@
             (true, false) => {
                 tracing::info!("election: this instance leads");
                 *since = Some(now());
+                self.changed.notify_waiters();
             }
             (false, true) => {
                 tracing::info!("election: this instance does not lead any more");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod stream;
 
 pub use clock::now;
+pub use elect::Election;
 pub use error::Category;
 pub use error::Error;
 pub use error::Result;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -86,9 +86,17 @@
             lead(&state, &desk, &election).await;
         } else if let Some(note) = election.leader()
             && note.record.instance != state.settings.instance
-            && let Err(err) = connect(&state, &election, note.peers, &note.record.instance).await
         {
-            tracing::info!("peers: leader {} is not reached: {err}", note.record.instance);
+            let leader = &note.record.instance;
+            // A leader that is frozen takes connections and says nothing; the next one must not wait for it.
+            tokio::select! {
+                result = connect(&state, &election, note.peers, leader) => {
+                    if let Err(err) = result {
+                        tracing::info!("peers: leader {leader} is not reached: {err}");
+                    }
+                }
+                () = election.moved_from(&note) => tracing::info!("peers: {leader} does not lead any more"),
+            }
         }
         if state.has_leader() {
             state.set_leader(None);
--- /dev/null
+++ b/crates/gateway/tests/election.rs
@@ -0,0 +1,130 @@
+//! Election of the leader against a store of its own.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use carobwick_core::LeaderRecord;
+use carobwick_core::WriteId;
+use carobwick_core::gateway::EndpointEntry;
+use carobwick_core::gateway::Listed;
+use carobwick_core::gateway::RetryTerms;
+use carobwick_core::gateway::RouteTable;
+use carobwick_gateway::Claim;
+use carobwick_gateway::Election;
+use carobwick_gateway::LeaderNote;
+use carobwick_gateway::Result;
+use carobwick_gateway::Revision;
+use carobwick_gateway::Settings;
+use carobwick_gateway::Snapshot;
+use carobwick_gateway::Store;
+use carobwick_gateway::Terms;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::future::pending;
+use futures_util::future::ready;
+use tokio::task::LocalSet;
+
+/// Longest time that a test waits for a state.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A store that holds nothing but the leader's note.
+#[derive(Debug, Default)]
+struct NoteStore {
+    note: RefCell<Option<LeaderNote>>,
+}
+
+impl Store for NoteStore {
+    fn config(&self) -> LocalBoxFuture<'_, Result<Snapshot<Option<Arc<RouteTable>>>>> {
+        pending().boxed_local()
+    }
+
+    fn watch_config(
+        &self,
+        _after: Revision,
+        _wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Snapshot<Option<Arc<RouteTable>>>>> {
+        pending().boxed_local()
+    }
+
+    fn endpoints(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<EndpointEntry>>>> {
+        pending().boxed_local()
+    }
+
+    fn watch_endpoints(
+        &self,
+        _after: Revision,
+        _wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Snapshot<Vec<Listed>>>> {
+        pending().boxed_local()
+    }
+
+    fn leader(&self) -> LocalBoxFuture<'_, Result<Option<(LeaderNote, Revision)>>> {
+        ready(Ok(self.note.borrow().clone().map(|note| (note, 5)))).boxed_local()
+    }
+
+    fn lead(&self, _lease: u64, note: LeaderNote) -> LocalBoxFuture<'_, Result<Claim>> {
+        *self.note.borrow_mut() = Some(note);
+        ready(Ok(Claim::Won(6))).boxed_local()
+    }
+
+    fn grant(&self, _ttl: Duration) -> LocalBoxFuture<'_, Result<u64>> {
+        ready(Ok(1)).boxed_local()
+    }
+
+    fn keep(&self, _lease: u64) -> LocalBoxFuture<'_, Result<bool>> {
+        ready(Ok(true)).boxed_local()
+    }
+
+    fn revoke(&self, _lease: u64) -> LocalBoxFuture<'_, Result<()>> {
+        ready(Ok(())).boxed_local()
+    }
+}
+
+fn settings() -> Settings {
+    let addr = "127.0.0.1:1".parse().unwrap();
+    Settings {
+        instance: "n1".parse().unwrap(),
+        zone: "z1".parse().unwrap(),
+        callers: addr,
+        ready: addr,
+        metrics: addr,
+        peers: addr,
+        store: addr,
+        terms: Terms {
+            grace: Duration::from_secs(8),
+            drain: Duration::from_secs(2),
+            handover: Duration::from_secs(3),
+            retry: RetryTerms { ratio: 0.2, window: Duration::from_secs(10), slack: 50.0 },
+        },
+    }
+}
+
+fn note(instance: &str) -> LeaderNote {
+    let record = LeaderRecord { instance: instance.parse().unwrap(), write_id: WriteId(9) };
+    LeaderNote { record, peers: "127.0.0.1:2".parse().unwrap() }
+}
+
+/// Guards against an instance that goes on waiting for a frozen leader while it leads itself, or while another one does:
+/// the new leader gave its first order 4 s late on the bench.
+#[tokio::test]
+async fn following_ends_when_the_leader_is_another() {
+    let work = async {
+        let (store, settings) = (Rc::new(NoteStore::default()), Rc::new(settings()));
+        *store.note.borrow_mut() = Some(note("n2"));
+        let election = Rc::new(Election::new(&settings));
+        let shared: Rc<dyn Store> = Rc::clone(&store) as Rc<dyn Store>;
+        tokio::task::spawn_local(Rc::clone(&election).run(settings, shared));
+        while election.leader() != Some(note("n2")) {
+            tokio::task::yield_now().await;
+        }
+        assert!(election.moved_from(&note("n2")).now_or_never().is_none(), "it still leads");
+        *store.note.borrow_mut() = Some(note("n3"));
+        election.moved_from(&note("n2")).await;
+        assert_eq!(election.leader(), Some(note("n3")));
+        *store.note.borrow_mut() = None;
+        election.moved_from(&note("n3")).await;
+    };
+    tokio::time::timeout(PATIENCE, LocalSet::new().run_until(work)).await.expect("the change is noticed");
+}
