One clock, one retry budget, one way to end a connection

Cause: the gateway had its own `now`, its own retry budget and its own loop that ends a connection without cutting off a request, each beside one of the product.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -1,52 +1,84 @@
 use std::collections::VecDeque;
+use std::time::Duration;
+
+use carobwick_derive::data;
 
 use crate::Time;
 
-/// Seconds over which retries are compared with requests.
-const WINDOW: u64 = 10;
-/// Retries per window that are allowed without any request, so that a quiet entry can retry.
-const FLOOR: f64 = 10.0;
+/// Buckets into which a window is cut.
+const BUCKETS: u64 = 10;
+
+/// Bound on repeated sends to one service, over all instances.
+#[data]
+#[derive(Copy)]
+pub struct RetryTerms {
+    /// Repeated sends per request.
+    pub ratio: f64,
+    /// Span over which both are counted.
+    pub window: Duration,
+    /// Repeated sends that are allowed beyond the ratio.
+    pub slack: f64,
+}
 
-/// Bounds retries to a fraction of the requests of the last 10 s.
+/// Part of the retry budget of one service that an instance may use without asking the others.
+///
+/// Each instance counts its own requests against the ratio and takes an equal part of the slack. The parts of all
+/// instances add up to the bound whatever the others do.
 #[derive(Debug)]
-pub(crate) struct RetryBudget {
-    ratio: f64,
+pub struct RetryShare {
+    terms: RetryTerms,
+    instances: u32,
     buckets: VecDeque<Bucket>,
 }
 
 #[derive(Debug)]
 struct Bucket {
-    second: u64,
+    index: u64,
     requests: u32,
-    retries: u32,
+    repeats: u32,
 }
 
-impl RetryBudget {
-    pub fn new(ratio: f64) -> Self {
-        Self { ratio, buckets: VecDeque::new() }
+impl RetryShare {
+    /// Starts with no requests, as one of `instances`.
+    pub fn new(terms: RetryTerms, instances: u32) -> Self {
+        Self { terms, instances: instances.max(1), buckets: VecDeque::new() }
+    }
+
+    /// Sets another bound.
+    pub fn set_terms(&mut self, terms: RetryTerms) {
+        self.terms = terms;
+    }
+
+    /// Sets the number of instances that share the slack.
+    pub fn set_instances(&mut self, instances: u32) {
+        self.instances = instances.max(1);
     }
 
+    /// Counts a request of a caller.
     pub fn request(&mut self, now: Time) {
         self.bucket(now).requests += 1;
     }
 
-    /// Takes one retry from the budget and returns whether there was one left.
-    pub fn retry(&mut self, now: Time) -> bool {
+    /// Takes one repeated send, and returns whether there was one left.
+    pub fn take(&mut self, now: Time) -> bool {
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let allowed = f64::from(retries) + 1.0 <= f64::from(requests) * self.ratio + FLOOR;
+        let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
+        let slack = (self.terms.slack / f64::from(self.instances)).floor();
+        let allowed = f64::from(repeats) + 1.0 <= f64::from(requests) * self.terms.ratio + slack;
         if allowed {
-            self.bucket(now).retries += 1;
+            self.bucket(now).repeats += 1;
         }
         allowed
     }
 
     fn bucket(&mut self, now: Time) -> &mut Bucket {
-        let second = now.millis() / 1_000;
-        self.buckets.retain(|bucket| bucket.second + WINDOW > second);
-        if self.buckets.back().is_none_or(|last| last.second < second) {
-            self.buckets.push_back(Bucket { second, requests: 0, retries: 0 });
+        let length = (self.terms.window.as_micros() as u64 / BUCKETS).max(1);
+        let index = now.0 / length;
+        // One bucket more than the window holds, since the oldest one counts only in part.
+        self.buckets.retain(|bucket| bucket.index + BUCKETS >= index);
+        if self.buckets.back().is_none_or(|last| last.index < index) {
+            self.buckets.push_back(Bucket { index, requests: 0, repeats: 0 });
         }
         let last = self.buckets.len() - 1;
         &mut self.buckets[last]
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -26,7 +26,8 @@
 use crate::active::Active;
 use crate::active::Attempt;
 use crate::active::Phase;
-use crate::budget::RetryBudget;
+use crate::budget::RetryShare;
+use crate::budget::RetryTerms;
 use crate::estimate::Estimate;
 use crate::estimate::blend;
 use crate::fair_share::FairShare;
@@ -42,6 +43,10 @@
 /// Time for which a zone that refused a forwarded request gets no more of that model.
 const FORWARD_PAUSE: Duration = Duration::from_millis(500);
 const MAX_ATTEMPTS: u32 = 4;
+/// Span over which retries are compared with requests.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// Retries in that span that are allowed without any request, so that a quiet entry can retry.
+const RETRY_SLACK: f64 = 10.0;
 
 /// Decides for one entry where and when each request runs.
 ///
@@ -64,13 +69,14 @@
     pub(crate) turn: u64,
     /// Part of the time to its target that a request may be expected to need.
     pub(crate) margin: f64,
-    budget: RetryBudget,
+    budget: RetryShare,
     next_poll: Time,
 }
 
 impl Dispatcher {
     /// Creates a dispatcher that knows no endpoints yet.
     pub fn new(policy: Policy) -> Self {
+        let retries = RetryTerms { ratio: policy.retries, window: RETRY_WINDOW, slack: RETRY_SLACK };
         Self {
             fleet: Fleet::default(),
             requests: IndexMap::new(),
@@ -80,7 +86,7 @@
             shares: IndexMap::new(),
             turn: 0,
             margin: 1.0,
-            budget: RetryBudget::new(policy.retries),
+            budget: RetryShare::new(retries, 1),
             next_poll: Time::ZERO,
             policy,
         }
@@ -271,7 +277,7 @@
         }
         // A request that another zone's entry refused has not used an endpoint, so it costs no budget.
         let free = active.tried.is_empty() && !active.ran;
-        if active.attempts >= MAX_ATTEMPTS || !(free || self.budget.retry(now)) {
+        if active.attempts >= MAX_ATTEMPTS || !(free || self.budget.take(now)) {
             return self.refuse(request, RefusalCode::RetryBudget, Some(Duration::from_secs(1)));
         }
         self.decide(request, standing, now)
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,4 +1,3 @@
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -6,6 +5,7 @@
 use std::time::Duration;
 
 use axum::Router;
+use carobwick_runtime::serve_until;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
@@ -111,15 +111,8 @@
         .keep_alive_timeout(timeout);
     let builder = if is_http2 { builder.http2_only() } else { builder.http1_only() };
     let service = TowerToHyperService::new(router);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = closing.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(err) = result {
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    if let Err(err) = serve_until(connection, &closing).await {
         tracing::debug!("entry: connection of a caller ended: {err}");
     }
 }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -12,6 +12,8 @@
 use carobwick_core::gateway::Progress;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::ServiceRoute;
+use carobwick_runtime::now;
+use carobwick_runtime::serve_until;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -36,7 +38,6 @@
 
 use crate::answer::AnswerBody;
 use crate::answer::OwnAnswer;
-use crate::clock::now;
 use crate::flight::Flight;
 use crate::link::tune;
 use crate::screen::HeadCheck;
@@ -104,15 +105,7 @@
         .header_read_timeout(idle + IDLE_MARGIN)
         .max_buf_size(head.max(LEAST_BUFFER))
         .serve_connection(io, service);
-    tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = closing.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(err) = ended {
+    if let Err(err) = serve_until(connection, &closing).await {
         tracing::debug!("gateway: caller {peer}: {err}");
     }
 }
--- a/crates/gateway/src/elect.rs
+++ b/crates/gateway/src/elect.rs
@@ -10,13 +10,13 @@
 use carobwick_core::Standing;
 use carobwick_core::Time;
 use carobwick_core::WriteId;
+use carobwick_runtime::now;
 use tokio::sync::Notify;
 
 use crate::Claim;
 use crate::LeaderNote;
 use crate::Settings;
 use crate::Store;
-use crate::clock::now;
 
 /// How often a follower without a connection to the leader reads the leader's note.
 const LOOK: Duration = Duration::from_millis(700);
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -21,11 +21,11 @@
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::plan_adapter;
 use carobwick_core::gateway::plan_orders;
+use carobwick_runtime::now;
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
-use crate::clock::now;
 use crate::elect::Election;
 use crate::message::FromLeader;
 use crate::message::ListNews;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,6 @@
 
 mod answer;
 mod callers;
-mod clock;
 mod elect;
 mod error;
 mod events;
@@ -35,7 +34,6 @@
 mod state;
 mod stream;
 
-pub use clock::now;
 pub use elect::Election;
 pub use error::Category;
 pub use error::Error;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use carobwick_core::InstanceId;
+use carobwick_runtime::now;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -11,7 +12,6 @@
 use crate::Category;
 use crate::Error;
 use crate::Result;
-use crate::clock::now;
 use crate::elect::Election;
 use crate::lead::Desk;
 use crate::link::tune;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -6,11 +6,11 @@
 use carobwick_core::Incarnation;
 use carobwick_core::Time;
 use carobwick_core::gateway::Choice;
+use carobwick_runtime::now;
 use indexmap::IndexMap;
 
 use crate::Link;
 use crate::Result;
-use crate::clock::now;
 
 /// Idle time of a connection if the endpoint does not say how long it keeps one.
 const IDLE: Duration = Duration::from_secs(2);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -10,11 +10,11 @@
 use carobwick_core::gateway::Choice;
 use carobwick_core::gateway::Ticket;
 use carobwick_core::gateway::Verdict;
+use carobwick_runtime::now;
 use http::Response;
 use hyper::body::Incoming;
 
 use crate::Link;
-use crate::clock::now;
 use crate::ports::AnswerHead;
 use crate::state::State;
 
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -1,14 +1,17 @@
-use std::sync::OnceLock;
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 
 use carobwick_core::Time;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 
-/// Returns the time since the process first asked, from the monotonic clock.
+/// Returns the time since the machine started, time in suspension included.
+///
+/// A lease goes on while a machine is suspended, so its age can't be taken from the steady clock.
 pub fn now() -> Time {
-    static START: OnceLock<Instant> = OnceLock::new();
-    Time::ZERO + START.get_or_init(Instant::now).elapsed()
+    let since = clock_gettime(ClockId::Boottime);
+    let seconds = Duration::from_secs(since.tv_sec.unsigned_abs());
+    Time::ZERO + seconds + Duration::from_nanos(since.tv_nsec.unsigned_abs())
 }
 
 /// Returns the wall-clock time in milliseconds since the Unix epoch.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,7 +5,8 @@
 //!
 //! A process starts its logs with [`start_logs`], opens a [`Node`] that holds the state it shares with its peers,
 //! and runs its tasks under a [`Supervisor`]. [`KeyValue`] is the client of the platform's key-value service,
-//! [`PeerClient`] and [`PeerServer`] speak the peer protocol, and [`Engine`] sends orders to a model engine.
+//! [`PeerClient`] and [`PeerServer`] speak the peer protocol, [`Engine`] sends orders to a model engine, and
+//! [`serve_until`] ends callers' connections without cutting off a request.
 
 mod clock;
 mod engine;
@@ -18,6 +19,7 @@
 mod metrics;
 mod node;
 mod peer;
+mod serve;
 mod supervisor;
 mod timeline;
 
@@ -46,5 +48,6 @@
 pub use node::Node;
 pub use peer::PeerClient;
 pub use peer::PeerServer;
+pub use serve::serve_until;
 pub use supervisor::Supervisor;
 pub use timeline::Timeline;
