A stopping instance still sees a new leader

Ruled out: letting the lease itself go on reading, as its test rightly asks a resigned holder to be still. Change: after it has resigned, the election reads the note every 0.7 s and takes no other step.

--- a/crates/gateway/src/elect.rs
+++ b/crates/gateway/src/elect.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,6 +46,8 @@
     since: RefCell<Option<Time>>,
     /// Wakes those who wait for another leader.
     changed: Notify,
+    /// When a stopping instance, which takes no part any more, reads the note next.
+    look: Cell<Option<Time>>,
 }
 
 impl Election {
@@ -58,6 +61,7 @@
             note: RefCell::default(),
             since: RefCell::default(),
             changed: Notify::new(),
+            look: Cell::new(None),
         }
     }
 
@@ -105,9 +109,10 @@
         }
     }
 
-    /// Gives up the lease.
+    /// Gives up the lease; who leads is still read, since requests in flight may need the leader.
     pub fn resign(&self) {
         self.lease.borrow_mut().set_resigned(true);
+        self.look.set(Some(now()));
     }
 
     /// Takes part in the election for as long as the process runs.
@@ -117,6 +122,7 @@
             let step = self.lease.borrow_mut().step(now(), write_id);
             if step == LeaseStep::Wait {
                 self.note_standing();
+                self.look_on(store.as_ref()).await;
                 tokio::time::sleep(TICK).await;
                 continue;
             }
@@ -126,11 +132,23 @@
         }
     }
 
+    /// Reads the note for a stopping instance.
+    async fn look_on(&self, store: &dyn Store) {
+        if self.look.get().is_none_or(|at| now() < at) || self.since().is_some() {
+            return;
+        }
+        self.look.set(Some(now() + LOOK));
+        match store.leader().await {
+            Ok(found) => self.see(found.as_ref().map(|(note, _)| note)),
+            Err(err) => tracing::info!("election: the note was not read: {err}"),
+        }
+    }
+
     async fn perform(&self, step: LeaseStep, settings: &Settings, store: &dyn Store) -> LeaseEvent {
         let result = match step {
             LeaseStep::Wait => return LeaseEvent::Failed,
             LeaseStep::Read => store.leader().await.map(|found| {
-                self.see(found.as_ref());
+                self.see(found.as_ref().map(|(note, _)| note));
                 LeaseEvent::Read(found.map(|(note, revision)| (note.record, revision)))
             }),
             LeaseStep::Grant => store.grant(TERMS.ttl).await.map(LeaseEvent::Granted),
@@ -155,14 +173,14 @@
                 LeaseEvent::Created(revision)
             }
             Claim::Taken(found) => {
-                self.see(found.as_ref());
+                self.see(found.as_ref().map(|(note, _)| note));
                 LeaseEvent::Exists(found.map(|(note, revision)| (note.record, revision)))
             }
         }
     }
 
-    fn see(&self, found: Option<&(LeaderNote, u64)>) {
-        let note = found.map(|(note, _)| note.clone());
+    fn see(&self, found: Option<&LeaderNote>) {
+        let note = found.cloned();
         let mut known = self.note.borrow_mut();
         if *known != note {
             let name = note.as_ref().map_or("nobody", |note| note.record.instance.as_str());
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -106,6 +106,29 @@
     LeaderNote { record, peers: "127.0.0.1:2".parse().unwrap() }
 }
 
+/// Guards against a stopping instance that refuses its last requests for want of a model, since it follows the leader of
+/// before its stop.
+#[tokio::test]
+async fn a_stopping_instance_still_sees_a_new_leader() {
+    let work = async {
+        let (store, settings) = (Rc::new(NoteStore::default()), Rc::new(settings()));
+        *store.note.borrow_mut() = Some(note("n2"));
+        let election = Rc::new(Election::new(&settings));
+        let shared: Rc<dyn Store> = Rc::clone(&store) as Rc<dyn Store>;
+        tokio::task::spawn_local(Rc::clone(&election).run(settings, shared));
+        while election.leader() != Some(note("n2")) {
+            tokio::task::yield_now().await;
+        }
+        election.resign();
+        *store.note.borrow_mut() = Some(note("n3"));
+        election.moved_from(&note("n2")).await;
+        *store.note.borrow_mut() = None;
+        election.moved_from(&note("n3")).await;
+        assert_eq!(election.leader(), None, "it does not stand for election");
+    };
+    tokio::time::timeout(PATIENCE, LocalSet::new().run_until(work)).await.expect("the change is noticed");
+}
+
 /// Guards against an instance that goes on waiting for a frozen leader while it leads itself, or while another one does:
 /// the new leader gave its first order 4 s late on the bench.
 #[tokio::test]
