The leader's book knows what the instances were told

Cause: which engine's state is news was decided in the runtime, by a second map beside the book, and had no test. Ruled out: resetting it when followers join or leave (each one that joins is told everything). Change: `EngineBook::news` gives a state once, and again after a doubt; the map in `Desk` is gone. Before: no test of it.

--- a/crates/core/src/gateway/book.rs
+++ b/crates/core/src/gateway/book.rs
@@ -47,6 +47,8 @@
     pub busy: bool,
     /// When the engine should be asked for its state next.
     pub ask: Option<Time>,
+    /// What the instances were last told that it offers.
+    pub told: Option<Holding>,
 }
 
 /// State of an engine as it reports it, some hundred milliseconds late.
@@ -109,6 +111,7 @@
                     unanswered: false,
                     busy: false,
                     ask: Some(now),
+                    told: None,
                 };
                 self.engines.insert(entry.id.clone(), record);
             }
@@ -135,12 +138,24 @@
     }
 
     /// Has the engines that should hold some weights asked for their state, since one of them does not.
+    ///
+    /// Their states are news again, as the instance whose request was refused takes no notice of them.
     pub fn doubt(&mut self, weights: &Weights, now: Time) {
-        for record in self.engines.values_mut() {
-            if record.holding.has(weights) && record.ask.is_none() {
-                record.ask = Some(now);
-            }
+        for record in self.engines.values_mut().filter(|record| record.holding.has(weights)) {
+            record.told = None;
+            record.ask.get_or_insert(now);
+        }
+    }
+
+    /// Returns what the instances are to be told of an engine, if they do not know it.
+    pub fn news(&mut self, id: &EndpointId) -> Option<(Incarnation, Holding)> {
+        let record = self.engines.get_mut(id)?;
+        let offered = record.offered();
+        if record.told.as_ref() == Some(&offered) {
+            return None;
         }
+        record.told = Some(offered.clone());
+        Some((record.run, offered))
     }
 
     /// Forgets everything, since another leader gives the orders.
--- a/crates/core/tests/engine_orders.rs
+++ b/crates/core/tests/engine_orders.rs
@@ -328,3 +328,27 @@
         assert!(holds(&world, &model(index)) > 0, "m{index} is nowhere");
     }
 }
+
+/// Guards against news of an engine that say nothing new, which the leader would send to each instance, and against an
+/// instance that is never told again although an engine refused its request.
+#[test]
+fn news_of_an_engine_are_given_once_and_again_after_a_doubt() {
+    let mut world = World::new(1);
+    world.list(0);
+    let id = world.book.iter().next().unwrap().0.clone();
+    let model = model(0);
+    let holding =
+        Holding { models: IndexMap::from([(model.clone(), IndexSet::new())]), ..Holding::default() };
+    let state = EngineState { orders: 0, holding: holding.clone(), pending: IndexSet::new(), busy: false };
+    world.book.reported(&id, Incarnation(1), state, time(1));
+    let (run, told) = world.book.news(&id).expect("nobody was told before");
+    assert_eq!(told, holding);
+    assert_eq!(world.book.news(&id), None);
+    world.book.doubt(&Weights { model: model.clone(), adapter: None }, time(10));
+    assert_eq!(world.book.news(&id), Some((run, holding.clone())));
+    let unload =
+        EngineOrder { endpoint: id.clone(), run, expected: 0, action: EngineAction::Unload(model.clone()) };
+    world.book.ordered(&unload);
+    let (_, offered) = world.book.news(&id).expect("the model is not offered any more");
+    assert!(!offered.models.contains_key(&model));
+}
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/lead.rs
@@ -14,7 +14,6 @@
 use carobwick_core::gateway::DemandTable;
 use carobwick_core::gateway::EngineBook;
 use carobwick_core::gateway::EngineOrder;
-use carobwick_core::gateway::Holding;
 use carobwick_core::gateway::LoadPace;
 use carobwick_core::gateway::OrderReply;
 use carobwick_core::gateway::Roster;
@@ -54,8 +53,6 @@
     paces: RefCell<IndexMap<ServiceId, LoadPace>>,
     wants: RefCell<IndexMap<(ServiceId, AdapterWant), Time>>,
     followers: RefCell<IndexMap<InstanceId, mpsc::UnboundedSender<FromLeader>>>,
-    /// What the followers were last told of each engine.
-    told: RefCell<IndexMap<EndpointId, (Incarnation, Holding)>>,
     wake: Notify,
 }
 
@@ -70,7 +67,6 @@
             paces: RefCell::default(),
             wants: RefCell::default(),
             followers: RefCell::default(),
-            told: RefCell::default(),
             wake: Notify::new(),
         }
     }
@@ -172,7 +168,6 @@
     fn idle(&self) {
         if !self.followers.borrow().is_empty() {
             self.followers.borrow_mut().clear();
-            self.told.borrow_mut().clear();
         }
         if self.first.borrow_mut().take().is_some() {
             *self.demand.borrow_mut() = DemandTable::default();
@@ -187,8 +182,6 @@
         let weights = &want.weights;
         if self.offers(&service, weights, None) {
             self.book.borrow_mut().doubt(weights, now());
-            // The instance that asks has been refused by an engine that holds the weights, so it must be told again.
-            self.told.borrow_mut().retain(|_, (_, holding)| !holding.has(weights));
         }
         self.demand.borrow_mut().touch(&service, weights, now());
         if weights.adapter.is_some() {
@@ -330,16 +323,10 @@
 
     /// Tells all instances what an engine offers, if that has changed.
     fn publish(&self, id: &EndpointId) {
-        let book = self.book.borrow();
-        let Some(record) = book.get(id) else { return };
-        let holding = record.offered();
-        self.state.roster.borrow_mut().told(id, record.run, &holding, now());
+        let Some((run, holding)) = self.book.borrow_mut().news(id) else { return };
+        self.state.roster.borrow_mut().told(id, run, &holding, now());
         self.state.changed.notify_waiters();
-        let news = (record.run, holding.clone());
-        if self.told.borrow_mut().insert(id.clone(), news.clone()) == Some(news) {
-            return;
-        }
-        let news = FromLeader::Engine { endpoint: id.clone(), run: record.run, holding };
+        let news = FromLeader::Engine { endpoint: id.clone(), run, holding };
         for to in self.followers.borrow().values() {
             let _closed = to.send(news.clone());
         }
