The leader's work and its record of engines have plain names

Cause: `Desk` and `EngineBook` are figurative names that a newcomer has to look up. Ruled out: a change of behaviour; the moved files differ in names only. Change: `Coordinator` in coordinator.rs, `EngineRegistry` in registry.rs; the tour of the gateway's decisions names ListCursor.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -2,15 +2,16 @@
 //!
 //! A [`RouteTable`] says which service answers a request, a [`Roster`] which endpoints exist, a [`Balancer`] which of
 //! them runs it, [`next_step`] what follows a failed send, and a [`RetryShare`] how many sends may be repeated. The
-//! leader of the region gives orders to engines as [`plan_orders`] and its [`EngineBook`] say.
+//! leader of the region gives orders to engines as [`plan_orders`] and its [`EngineRegistry`] say. A [`ListCursor`] says when
+//! an instance reads the list of endpoints itself.
 
 mod balance;
-mod book;
 mod call;
 mod copies;
 mod demand;
 mod list;
 mod orders;
+mod registry;
 mod retry;
 mod roster;
 mod suspects;
@@ -22,10 +23,6 @@
 pub use balance::Choice;
 pub use balance::Ticket;
 pub use balance::Verdict;
-pub use book::EngineBook;
-pub use book::EngineRecord;
-pub use book::EngineState;
-pub use book::OrderReply;
 pub use call::Call;
 pub use call::PromptPart;
 pub use call::Weights;
@@ -41,6 +38,10 @@
 pub use orders::LoadPace;
 pub use orders::plan_adapter;
 pub use orders::plan_orders;
+pub use registry::EngineRecord;
+pub use registry::EngineRegistry;
+pub use registry::EngineState;
+pub use registry::OrderReply;
 pub use retry::Failure;
 pub use retry::Progress;
 pub use retry::Step;
--- a/crates/core/src/gateway/orders.rs
+++ b/crates/core/src/gateway/orders.rs
@@ -14,8 +14,8 @@
 use crate::Time;
 use crate::ZoneId;
 use crate::gateway::DemandTable;
-use crate::gateway::EngineBook;
 use crate::gateway::EngineRecord;
+use crate::gateway::EngineRegistry;
 use crate::gateway::EngineSpec;
 use crate::gateway::Weights;
 use crate::gateway::wanted_copies;
@@ -113,7 +113,7 @@
 struct Planner<'a> {
     service: &'a ServiceId,
     spec: &'a EngineSpec,
-    book: &'a EngineBook,
+    registry: &'a EngineRegistry,
     demand: IndexMap<ModelId, f64>,
     wanted: IndexMap<ModelId, usize>,
 }
@@ -125,15 +125,15 @@
 pub fn plan_orders(
     service: &ServiceId,
     spec: &EngineSpec,
-    book: &EngineBook,
+    registry: &EngineRegistry,
     demand: &DemandTable,
     pace: &mut LoadPace,
     now: Time,
 ) -> Vec<EngineOrder> {
     let demand: IndexMap<ModelId, f64> =
         spec.models.keys().map(|model| (model.clone(), demand.model(service, model, now))).collect();
-    let wanted = wanted_copies(&demand, book.live(service).count());
-    let planner = Planner { service, spec, book, demand, wanted };
+    let wanted = wanted_copies(&demand, registry.live(service).count());
+    let planner = Planner { service, spec, registry, demand, wanted };
     planner.run(pace, now)
 }
 
@@ -194,16 +194,16 @@
     /// Returns whether an order loads a model from the weight store.
     fn is_cold(&self, order: &EngineOrder) -> bool {
         let EngineAction::Load(model) = &order.action else { return false };
-        self.book.get(&order.endpoint).is_none_or(|record| !record.holding.kept.contains(model))
+        self.registry.get(&order.endpoint).is_none_or(|record| !record.holding.kept.contains(model))
     }
 
     /// Counts the engines that hold a model or load it, less those that unload it.
     fn copies(&self, model: &ModelId) -> usize {
-        self.book.live(self.service).filter(|(_, record)| record.will_hold(model)).count()
+        self.registry.live(self.service).filter(|(_, record)| record.will_hold(model)).count()
     }
 
     fn zone_copies(&self, model: &ModelId, zone: &ZoneId) -> usize {
-        let live = self.book.live(self.service);
+        let live = self.registry.live(self.service);
         live.filter(|(_, record)| record.zone == *zone && record.will_hold(model)).count()
     }
 
@@ -226,7 +226,7 @@
 
     /// Counts the engines that carry out an unload.
     fn emptying(&self) -> usize {
-        let open = self.book.live(self.service).filter_map(|(_, record)| record.open.as_ref());
+        let open = self.registry.live(self.service).filter_map(|(_, record)| record.open.as_ref());
         open.filter(|order| matches!(order.action, EngineAction::Unload(_))).count()
     }
 
@@ -283,7 +283,9 @@
         &'b self,
         busy: &'b [&EndpointId],
     ) -> impl Iterator<Item = (&'b EndpointId, &'b EngineRecord)> {
-        self.book.live(self.service).filter(move |(id, record)| record.takes_orders() && !busy.contains(id))
+        self.registry
+            .live(self.service)
+            .filter(move |(id, record)| record.takes_orders() && !busy.contains(id))
     }
 
     fn free(&self, record: &EngineRecord) -> Bytes {
@@ -306,7 +308,7 @@
 pub fn plan_adapter(
     service: &ServiceId,
     spec: &EngineSpec,
-    book: &EngineBook,
+    registry: &EngineRegistry,
     demand: &DemandTable,
     want: &AdapterWant,
     now: Time,
@@ -314,13 +316,13 @@
     let wanted = &want.weights;
     let size = spec.models.get(&wanted.model)?.adapter;
     let hosts = || {
-        let hosts = book.live(service);
+        let hosts = registry.live(service);
         hosts.filter(|(_, record)| record.takes_adapter(wanted))
     };
     let has_room = |record: &EngineRecord| {
         record.adapter_count() < spec.adapters as usize && record.used(spec) + size <= spec.memory
     };
-    let is_held = book.live(service).any(|(_, record)| record.offered().has(wanted));
+    let is_held = registry.live(service).any(|(_, record)| record.offered().has(wanted));
     let open = hosts().filter(|(_, record)| has_room(record) && (!is_held || record.zone == want.zone));
     let open = open.min_by_key(|(_, record)| (record.zone != want.zone, record.adapter_count()));
     if let Some((id, record)) = open {
--- a/crates/core/src/gateway/book.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -81,11 +81,11 @@
 
 /// The leader's knowledge of all engines.
 #[derive(Debug, Default)]
-pub struct EngineBook {
+pub struct EngineRegistry {
     engines: IndexMap<EndpointId, EngineRecord>,
 }
 
-impl EngineBook {
+impl EngineRegistry {
     /// Takes an entry of the list of endpoints.
     pub fn listed(&mut self, entry: &EndpointEntry, now: Time) {
         let live = entry.state == EndpointState::Live;
--- a/crates/core/tests/engine_orders.rs
+++ b/crates/core/tests/engine_orders.rs
@@ -17,8 +17,8 @@
 use carobwick_core::gateway::DemandTable;
 use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::EngineAction;
-use carobwick_core::gateway::EngineBook;
 use carobwick_core::gateway::EngineOrder;
+use carobwick_core::gateway::EngineRegistry;
 use carobwick_core::gateway::EngineSpec;
 use carobwick_core::gateway::EngineState;
 use carobwick_core::gateway::Holding;
@@ -66,7 +66,7 @@
     spec: EngineSpec,
     service: ServiceId,
     engines: IndexMap<EndpointId, Engine>,
-    book: EngineBook,
+    registry: EngineRegistry,
     demand: DemandTable,
     pace: LoadPace,
     loads: Vec<Time>,
@@ -108,7 +108,7 @@
             spec: spec(),
             service: "s".parse().unwrap(),
             engines: engines.collect(),
-            book: EngineBook::default(),
+            registry: EngineRegistry::default(),
             demand: DemandTable::default(),
             pace: LoadPace::new(Time::ZERO),
             loads: Vec::new(),
@@ -199,12 +199,12 @@
                 remaining: None,
                 holding: seen.map(|(_, state)| state.holding.clone()).unwrap_or_default(),
             };
-            self.book.listed(&entry, time(now));
+            self.registry.listed(&entry, time(now));
         }
     }
 
     fn lead(&mut self, now: u64) {
-        for (id, run) in self.book.due(time(now)) {
+        for (id, run) in self.registry.due(time(now)) {
             let past = &self.engines[&id].past;
             let Some((_, seen)) = past.iter().rfind(|(at, _)| at + LAG <= now) else { continue };
             let state = EngineState {
@@ -213,7 +213,7 @@
                 pending: IndexSet::new(),
                 busy: seen.busy,
             };
-            self.book.reported(&id, run, state, time(now));
+            self.registry.reported(&id, run, state, time(now));
         }
         let weights = Weights { model: model(self.hot), adapter: None };
         let sample = DemandSample { service: self.service.clone(), weights, requests: 9, work: 1_000 };
@@ -221,13 +221,13 @@
         let adapter = format!("a{}", self.random.random_range(0..ADAPTERS)).parse().unwrap();
         let weights = Weights { model: model(self.hot), adapter: Some(adapter) };
         let want = AdapterWant { weights, zone: "z1".parse().unwrap() };
-        let order = plan_adapter(&self.service, &self.spec, &self.book, &self.demand, &want, time(now));
+        let order = plan_adapter(&self.service, &self.spec, &self.registry, &self.demand, &want, time(now));
         let mut orders: Vec<EngineOrder> = order.into_iter().collect();
         for order in orders.drain(..) {
             self.give(&order, now);
         }
         let orders =
-            plan_orders(&self.service, &self.spec, &self.book, &self.demand, &mut self.pace, time(now));
+            plan_orders(&self.service, &self.spec, &self.registry, &self.demand, &mut self.pace, time(now));
         for order in orders {
             self.give(&order, now);
         }
@@ -235,7 +235,7 @@
 
     /// Sends an order; its answer may be lost, and then it is carried out now, later or never.
     fn give(&mut self, order: &EngineOrder, now: u64) {
-        self.book.ordered(order);
+        self.registry.ordered(order);
         let reply = match self.random.random_range(0..10) {
             0 => {
                 self.accept(order, now);
@@ -249,7 +249,7 @@
             2 => OrderReply::Lost,
             _ => self.accept(order, now),
         };
-        self.book.replied(order, reply, time(now));
+        self.registry.replied(order, reply, time(now));
     }
 }
 
@@ -335,20 +335,20 @@
 fn news_of_an_engine_are_given_once_and_again_after_a_doubt() {
     let mut world = World::new(1);
     world.list(0);
-    let id = world.book.iter().next().unwrap().0.clone();
+    let id = world.registry.iter().next().unwrap().0.clone();
     let model = model(0);
     let holding =
         Holding { models: IndexMap::from([(model.clone(), IndexSet::new())]), ..Holding::default() };
     let state = EngineState { orders: 0, holding: holding.clone(), pending: IndexSet::new(), busy: false };
-    world.book.reported(&id, Incarnation(1), state, time(1));
-    let (run, told) = world.book.news(&id).expect("nobody was told before");
+    world.registry.reported(&id, Incarnation(1), state, time(1));
+    let (run, told) = world.registry.news(&id).expect("nobody was told before");
     assert_eq!(told, holding);
-    assert_eq!(world.book.news(&id), None);
-    world.book.doubt(&Weights { model: model.clone(), adapter: None }, time(10));
-    assert_eq!(world.book.news(&id), Some((run, holding.clone())));
+    assert_eq!(world.registry.news(&id), None);
+    world.registry.doubt(&Weights { model: model.clone(), adapter: None }, time(10));
+    assert_eq!(world.registry.news(&id), Some((run, holding.clone())));
     let unload =
         EngineOrder { endpoint: id.clone(), run, expected: 0, action: EngineAction::Unload(model.clone()) };
-    world.book.ordered(&unload);
-    let (_, offered) = world.book.news(&id).expect("the model is not offered any more");
+    world.registry.ordered(&unload);
+    let (_, offered) = world.registry.news(&id).expect("the model is not offered any more");
     assert!(!offered.models.contains_key(&model));
 }
--- a/crates/gateway/src/lead.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -12,8 +12,8 @@
 use carobwick_core::gateway::AdapterWant;
 use carobwick_core::gateway::Choice;
 use carobwick_core::gateway::DemandTable;
-use carobwick_core::gateway::EngineBook;
 use carobwick_core::gateway::EngineOrder;
+use carobwick_core::gateway::EngineRegistry;
 use carobwick_core::gateway::LoadPace;
 use carobwick_core::gateway::OrderReply;
 use carobwick_core::gateway::Roster;
@@ -44,10 +44,10 @@
 
 /// The leader's work: it keeps the engines' states and gives them orders.
 #[derive(Debug)]
-pub(crate) struct Desk {
+pub(crate) struct Coordinator {
     state: Rc<State>,
     election: Rc<Election>,
-    book: RefCell<EngineBook>,
+    registry: RefCell<EngineRegistry>,
     demand: RefCell<DemandTable>,
     first: RefCell<Option<Time>>,
     paces: RefCell<IndexMap<ServiceId, LoadPace>>,
@@ -56,12 +56,12 @@
     wake: Notify,
 }
 
-impl Desk {
+impl Coordinator {
     pub fn new(state: Rc<State>, election: Rc<Election>) -> Self {
         Self {
             state,
             election,
-            book: RefCell::default(),
+            registry: RefCell::default(),
             demand: RefCell::default(),
             first: RefCell::default(),
             paces: RefCell::default(),
@@ -79,20 +79,20 @@
     /// Takes the list of endpoints.
     pub fn listed(&self, roster: &Roster) {
         let table = self.state.table.borrow();
-        let mut book = self.book.borrow_mut();
-        book.retain(|id| roster.get(id).is_some());
+        let mut registry = self.registry.borrow_mut();
+        registry.retain(|id| roster.get(id).is_some());
         for entry in roster.iter() {
             let service = table.as_ref().and_then(|table| table.services.get(&entry.service));
             if service.is_some_and(|service| service.engine.is_some()) {
-                book.listed(entry, now());
+                registry.listed(entry, now());
             }
         }
     }
 
     /// Adds an instance that follows this leader and returns what it has to know.
     pub fn join(&self, instance: InstanceId, to: mpsc::UnboundedSender<FromLeader>) {
-        let book = self.book.borrow();
-        for (id, record) in book.iter() {
+        let registry = self.registry.borrow();
+        for (id, record) in registry.iter() {
             let holding = record.offered();
             // A closed channel shows at the next message.
             let _closed = to.send(FromLeader::Engine { endpoint: id.clone(), run: record.run, holding });
@@ -173,7 +173,7 @@
             *self.demand.borrow_mut() = DemandTable::default();
             self.wants.borrow_mut().clear();
             self.paces.borrow_mut().clear();
-            self.book.borrow_mut().clear();
+            self.registry.borrow_mut().clear();
             self.listed(&self.state.roster.borrow());
         }
     }
@@ -181,7 +181,7 @@
     fn want(&self, service: ServiceId, want: AdapterWant) {
         let weights = &want.weights;
         if self.offers(&service, weights, None) {
-            self.book.borrow_mut().doubt(weights, now());
+            self.registry.borrow_mut().doubt(weights, now());
         }
         self.demand.borrow_mut().touch(&service, weights, now());
         if weights.adapter.is_some() {
@@ -192,8 +192,9 @@
 
     /// Returns whether an engine offers a model or adapter, in a zone or anywhere.
     fn offers(&self, service: &ServiceId, weights: &Weights, zone: Option<&ZoneId>) -> bool {
-        let book = self.book.borrow();
-        let mut live = book.live(service).filter(|(_, record)| zone.is_none_or(|zone| record.zone == *zone));
+        let registry = self.registry.borrow();
+        let mut live =
+            registry.live(service).filter(|(_, record)| zone.is_none_or(|zone| record.zone == *zone));
         live.any(|(_, record)| record.offered().has(weights))
     }
 
@@ -206,11 +207,11 @@
                 self.wants.borrow_mut().swap_remove(&(service, want));
                 continue;
             }
-            if self.book.borrow().makes_way(&service, &want.weights) {
+            if self.registry.borrow().makes_way(&service, &want.weights) {
                 continue;
             }
             let order = self.with_spec(&service, |spec| {
-                plan_adapter(&service, spec, &self.book.borrow(), &self.demand.borrow(), &want, now)
+                plan_adapter(&service, spec, &self.registry.borrow(), &self.demand.borrow(), &want, now)
             });
             if let Some(Some(order)) = order {
                 Rc::clone(&self).give(order);
@@ -231,7 +232,7 @@
             let orders = self.with_spec(&service, |spec| {
                 let mut paces = self.paces.borrow_mut();
                 let pace = paces.entry(service.clone()).or_insert_with(|| LoadPace::new(now));
-                plan_orders(&service, spec, &self.book.borrow(), &self.demand.borrow(), pace, now)
+                plan_orders(&service, spec, &self.registry.borrow(), &self.demand.borrow(), pace, now)
             });
             for order in orders.into_iter().flatten() {
                 Rc::clone(&self).give(order);
@@ -250,7 +251,7 @@
 
     /// Sends an order.
     fn give(self: Rc<Self>, order: EngineOrder) {
-        self.book.borrow_mut().ordered(&order);
+        self.registry.borrow_mut().ordered(&order);
         self.publish(&order.endpoint);
         tokio::task::spawn_local(async move {
             let reply = self.send_order(&order).await;
@@ -261,7 +262,7 @@
                 order.endpoint,
                 order.expected,
             );
-            self.book.borrow_mut().replied(&order, reply, now());
+            self.registry.borrow_mut().replied(&order, reply, now());
             self.publish(&order.endpoint);
             self.wake.notify_one();
         });
@@ -292,10 +293,10 @@
     }
 
     fn ask_engines(self: Rc<Self>) {
-        let due = self.book.borrow_mut().due(now());
+        let due = self.registry.borrow_mut().due(now());
         for (id, run) in due {
-            let desk = Rc::clone(&self);
-            tokio::task::spawn_local(async move { desk.ask(id, run).await });
+            let coordinator = Rc::clone(&self);
+            tokio::task::spawn_local(async move { coordinator.ask(id, run).await });
         }
     }
 
@@ -310,9 +311,9 @@
         };
         match exchange.await {
             Ok(report) if report.run.is_none_or(|reported| reported == run) => {
-                let mut book = self.book.borrow_mut();
-                book.reported(&id, run, report.state, now());
-                drop(book);
+                let mut registry = self.registry.borrow_mut();
+                registry.reported(&id, run, report.state, now());
+                drop(registry);
                 self.publish(&id);
                 self.wake.notify_one();
             }
@@ -323,7 +324,7 @@
 
     /// Tells all instances what an engine offers, if that has changed.
     fn publish(&self, id: &EndpointId) {
-        let Some((run, holding)) = self.book.borrow_mut().news(id) else { return };
+        let Some((run, holding)) = self.registry.borrow_mut().news(id) else { return };
         self.state.roster.borrow_mut().told(id, run, &holding, now());
         self.state.changed.notify_waiters();
         let news = FromLeader::Engine { endpoint: id.clone(), run, holding };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,9 +15,9 @@
 use crate::Store;
 use crate::Wire;
 use crate::callers;
+use crate::coordinator::Coordinator;
 use crate::elect::Election;
 use crate::follow;
-use crate::lead::Desk;
 use crate::list::ListReader;
 use crate::meters::Meters;
 use crate::peers;
@@ -57,19 +57,24 @@
         let (list, news) = mpsc::unbounded_channel();
         let state = Rc::new(State::new(settings, wire, meters, list));
         let election = Rc::new(Election::new(&shared));
-        let desk = Rc::new(Desk::new(Rc::clone(&state), Rc::clone(&election)));
+        let coordinator = Rc::new(Coordinator::new(Rc::clone(&state), Rc::clone(&election)));
         let (closing, work) = (CancellationToken::new(), TaskTracker::new());
         let mut tasks = JoinSet::new();
         tasks.spawn_local(callers::accept(Rc::clone(&state), callers, closing.clone(), work.clone()));
         tasks.spawn_local(ready::serve(Rc::clone(&state), ready, Question::Ready));
         tasks.spawn_local(ready::serve(Rc::clone(&state), metrics, Question::Metrics));
         tasks.spawn_local(follow::config(Rc::clone(&state), Rc::clone(&store)));
-        let reader = ListReader::new(Rc::clone(&state), Rc::clone(&store), Rc::clone(&desk), news);
+        let reader = ListReader::new(Rc::clone(&state), Rc::clone(&store), Rc::clone(&coordinator), news);
         tasks.spawn_local(reader.run());
         tasks.spawn_local(Rc::clone(&election).run(Rc::clone(&shared), store));
-        tasks.spawn_local(peers::accept(Rc::clone(&state), Rc::clone(&desk), Rc::clone(&election), peers));
-        tasks.spawn_local(peers::follow(Rc::clone(&state), Rc::clone(&desk), Rc::clone(&election)));
-        tasks.spawn_local(desk.work());
+        tasks.spawn_local(peers::accept(
+            Rc::clone(&state),
+            Rc::clone(&coordinator),
+            Rc::clone(&election),
+            peers,
+        ));
+        tasks.spawn_local(peers::follow(Rc::clone(&state), Rc::clone(&coordinator), Rc::clone(&election)));
+        tasks.spawn_local(coordinator.work());
         tracing::info!("gateway: {} serves callers at {}", shared.instance, shared.callers);
         Ok(Self { state, election, closing, work, tasks })
     }
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -17,9 +17,9 @@
 use crate::Result;
 use crate::Revision;
 use crate::Store;
+use crate::coordinator::Coordinator;
 use crate::follow::Backoff;
 use crate::follow::WAIT;
-use crate::lead::Desk;
 use crate::message::ListNews;
 use crate::state::State;
 
@@ -27,7 +27,7 @@
 pub(crate) struct ListReader {
     state: Rc<State>,
     store: Rc<dyn Store>,
-    desk: Rc<Desk>,
+    coordinator: Rc<Coordinator>,
     news: mpsc::UnboundedReceiver<ListNews>,
     cursor: ListCursor,
     /// Entries as last read from the store, to pass on what has changed.
@@ -44,11 +44,11 @@
     pub fn new(
         state: Rc<State>,
         store: Rc<dyn Store>,
-        desk: Rc<Desk>,
+        coordinator: Rc<Coordinator>,
         news: mpsc::UnboundedReceiver<ListNews>,
     ) -> Self {
         let cursor = ListCursor::new(state.terms.get().drain);
-        Self { state, store, desk, news, cursor, read: IndexMap::new() }
+        Self { state, store, coordinator, news, cursor, read: IndexMap::new() }
     }
 
     /// Runs for as long as the process does.
@@ -79,7 +79,7 @@
     }
 
     fn source(&self) -> ListSource {
-        match (self.desk.is_leading(), self.state.has_leader()) {
+        match (self.coordinator.is_leading(), self.state.has_leader()) {
             (true, _) => ListSource::Leader,
             (false, true) => ListSource::Follower,
             (false, false) => ListSource::Alone,
@@ -117,13 +117,13 @@
     async fn read_changes(&mut self, after: Revision) -> Result<()> {
         let sent = now();
         // The leader's answers are passed on even if nothing has changed, so it does not wait for a change.
-        let wait = if self.desk.is_leading() { Duration::ZERO } else { WAIT };
+        let wait = if self.coordinator.is_leading() { Duration::ZERO } else { WAIT };
         let news = self.store.watch_endpoints(after, wait).await?;
         self.cursor.read(news.at, self.source(), now());
         let changes = self.changes(&news.value);
-        if self.desk.is_leading() && !self.cursor.is_unsettled(now()) {
+        if self.coordinator.is_leading() && !self.cursor.is_unsettled(now()) {
             let age = Millis((now() - sent).as_millis() as u64);
-            self.desk.pass_on(&ListNews { from: after, at: news.at, age, changes });
+            self.coordinator.pass_on(&ListNews { from: after, at: news.at, age, changes });
         }
         self.apply(news.value);
         Ok(())
@@ -178,7 +178,7 @@
         let roster = state.roster.borrow();
         state.meters.listed(roster.iter().count());
         state.balancer.borrow_mut().retain(|id| roster.get(id).is_some());
-        self.desk.listed(&roster);
+        self.coordinator.listed(&roster);
         drop(roster);
         state.changed.notify_waiters();
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,8 +12,8 @@
 use crate::Category;
 use crate::Error;
 use crate::Result;
+use crate::coordinator::Coordinator;
 use crate::elect::Election;
-use crate::lead::Desk;
 use crate::link::tune;
 use crate::message::FromLeader;
 use crate::message::ToLeader;
@@ -30,13 +30,18 @@
 const RETRY: Duration = Duration::from_millis(500);
 
 /// Takes the connections of the other instances.
-pub(crate) async fn accept(state: Rc<State>, desk: Rc<Desk>, election: Rc<Election>, listener: TcpListener) {
+pub(crate) async fn accept(
+    state: Rc<State>,
+    coordinator: Rc<Coordinator>,
+    election: Rc<Election>,
+    listener: TcpListener,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let (desk, election) = (Rc::clone(&desk), Rc::clone(&election));
+                let (coordinator, election) = (Rc::clone(&coordinator), Rc::clone(&election));
                 tokio::task::spawn_local(async move {
-                    if let Err(err) = serve(desk, election, stream).await {
+                    if let Err(err) = serve(coordinator, election, stream).await {
                         tracing::debug!("peers: {peer}: {err}");
                     }
                 });
@@ -50,7 +55,7 @@
 }
 
 /// Serves one instance that follows this leader.
-async fn serve(desk: Rc<Desk>, election: Rc<Election>, stream: TcpStream) -> Result<()> {
+async fn serve(coordinator: Rc<Coordinator>, election: Rc<Election>, stream: TcpStream) -> Result<()> {
     tune(&stream).map_err(|err| Error::new(Category::Lost, err.to_string()))?;
     let (mut from, mut to) = stream.into_split();
     let ToLeader::Hello { instance } = read(&mut from).await? else {
@@ -60,7 +65,7 @@
         return Ok(());
     }
     let (sender, mut receiver) = mpsc::unbounded_channel::<FromLeader>();
-    desk.join(instance.clone(), sender);
+    coordinator.join(instance.clone(), sender);
     let writer = async {
         while let Some(message) = receiver.recv().await {
             write_frame(&mut to, &message).await?;
@@ -70,7 +75,7 @@
     let reader = async {
         loop {
             let message = read(&mut from).await?;
-            desk.take(&instance, message);
+            coordinator.take(&instance, message);
         }
     };
     tokio::select! {
@@ -80,10 +85,10 @@
 }
 
 /// Keeps the connection to the leader, or stands in for it on the leader itself.
-pub(crate) async fn follow(state: Rc<State>, desk: Rc<Desk>, election: Rc<Election>) {
+pub(crate) async fn follow(state: Rc<State>, coordinator: Rc<Coordinator>, election: Rc<Election>) {
     loop {
         if election.since().is_some() {
-            lead(&state, &desk, &election).await;
+            lead(&state, &coordinator, &election).await;
         } else if let Some(note) = election.leader()
             && note.record.instance != state.settings.instance
         {
@@ -107,18 +112,18 @@
 }
 
 /// Takes the messages of this instance for as long as it leads.
-async fn lead(state: &State, desk: &Desk, election: &Election) {
+async fn lead(state: &State, coordinator: &Coordinator, election: &Election) {
     let (sender, mut receiver) = mpsc::unbounded_channel();
     state.set_leader(Some(sender));
     let mut next = now() + REPORT;
     while election.since().is_some() {
         match timeout(next - now(), receiver.recv()).await {
-            Ok(Some(message)) => desk.take(&state.settings.instance, message),
+            Ok(Some(message)) => coordinator.take(&state.settings.instance, message),
             Ok(None) => return,
             Err(_) => {
                 next = now() + REPORT;
-                desk.take(&state.settings.instance, ToLeader::Demand(state.take_demand()));
-                desk.count();
+                coordinator.take(&state.settings.instance, ToLeader::Demand(state.take_demand()));
+                coordinator.count();
             }
         }
     }
