Fewer calls to the platform's store at start and after a lost leader

Ruled out: the leader's news as the main part while there is a leader: no follower read the list itself from -5 to 20 s.

--- a/crates/gateway/src/elect.rs
+++ b/crates/gateway/src/elect.rs
@@ -11,6 +11,7 @@
 use carobwick_core::Standing;
 use carobwick_core::Time;
 use carobwick_core::WriteId;
+use carobwick_core::gateway::Candidacy;
 use carobwick_runtime::now;
 use tokio::sync::Notify;
 
@@ -23,7 +24,7 @@
 const LOOK: Duration = Duration::from_millis(700);
 /// How often one with a connection reads it. The leader ends its connections when it no longer leads, and a silent one is
 /// given up, so that the note need not be read to notice either.
-const CONNECTED_LOOK: Duration = Duration::from_secs(10);
+const CONNECTED_LOOK: Duration = Duration::from_secs(30);
 /// How often the election looks at the clock.
 const TICK: Duration = Duration::from_millis(200);
 /// Times of the leader's lease. The holder acts only for a part of it, so that its last order is older than the next
@@ -48,6 +49,7 @@
     changed: Notify,
     /// When a stopping instance, which takes no part any more, reads the note next.
     look: Cell<Option<Time>>,
+    candidacy: RefCell<Candidacy>,
 }
 
 impl Election {
@@ -62,6 +64,7 @@
             since: RefCell::default(),
             changed: Notify::new(),
             look: Cell::new(None),
+            candidacy: RefCell::new(Candidacy::new(settings.instance.clone())),
         }
     }
 
@@ -100,6 +103,11 @@
         }
     }
 
+    /// Sets how many instances take part.
+    pub fn set_instances(&self, instances: u32) {
+        self.candidacy.borrow_mut().set_instances(instances);
+    }
+
     /// Notes whether there is a connection to the leader.
     pub fn set_connected(&self, connected: bool) {
         let mut lease = self.lease.borrow_mut();
@@ -151,6 +159,8 @@
                 self.see(found.as_ref().map(|(note, _)| note));
                 LeaseEvent::Read(found.map(|(note, revision)| (note.record, revision)))
             }),
+            // The others look again and find the note of the one that won.
+            LeaseStep::Grant if !self.candidacy.borrow_mut().claims() => return LeaseEvent::Failed,
             LeaseStep::Grant => store.grant(TERMS.ttl).await.map(LeaseEvent::Granted),
             LeaseStep::Create { lease, write_id } => {
                 let record = self.lease.borrow().record(write_id);
@@ -181,6 +191,9 @@
 
     fn see(&self, found: Option<&LeaderNote>) {
         let note = found.cloned();
+        if note.is_some() {
+            self.candidacy.borrow_mut().settled();
+        }
         let mut known = self.note.borrow_mut();
         if *known != note {
             let name = note.as_ref().map_or("nobody", |note| note.record.instance.as_str());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -107,7 +107,8 @@
             state.set_leader(None);
             election.set_connected(false);
         }
-        tokio::time::sleep(RETRY).await;
+        // All instances lose a leader at the same moment.
+        tokio::time::sleep(RETRY.mul_f64(0.5 + rand::random::<f64>())).await;
     }
 }
 
@@ -139,7 +140,7 @@
     let (mut from, mut to) = stream.into_split();
     write_frame(&mut to, &ToLeader::Hello { instance: state.settings.instance.clone() }).await?;
     // One that does not lead any more, or not yet, ends the connection without a message.
-    take(state, read(&mut from).await?);
+    take(state, election, read(&mut from).await?);
     let (sender, mut receiver) = mpsc::unbounded_channel();
     state.set_leader(Some(sender));
     election.set_connected(true);
@@ -159,7 +160,7 @@
     };
     let reader = async {
         while election.since().is_none() {
-            take(state, read(&mut from).await?);
+            take(state, election, read(&mut from).await?);
         }
         Ok(())
     };
@@ -169,9 +170,12 @@
     }
 }
 
-fn take(state: &State, message: FromLeader) {
+fn take(state: &State, election: &Election, message: FromLeader) {
     match message {
-        FromLeader::Instances(instances) => state.set_instances(instances),
+        FromLeader::Instances(instances) => {
+            state.set_instances(instances);
+            election.set_instances(instances);
+        }
         FromLeader::Engine { endpoint, run, holding } => {
             state.roster.borrow_mut().told(&endpoint, run, &holding, now());
             state.changed.notify_waiters();
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -119,7 +119,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store does not answer or there is no valid configuration.
+    /// Fails if the store does not answer or the configuration is not valid.
     fn config(&self) -> LocalBoxFuture<'_, Result<Snapshot<Option<Arc<RouteTable>>>>>;
 
     /// Waits for a change of the configuration after a revision.
