The leader is an instance with room, and tells all instances the loads that any of them has seen

With 67 instances each sees 1 of 67 answers, so the busiest engine had 3.3 times the mean load. Ruled out: the longer wait of watches (the watch was cut and read anew at once on all other instances). Change: `Candidacy` takes the processor share and the link of the instance; one that has less than a leader needs lets a look pass for each halving. News of an engine carry no copies kept for itself and are encoded once for all; a new follower is told only of engines whose state differs from their entries. Loads on answers go to the leader and from there to all, 6 to 8 bytes an endpoint twice a second (`LoadBoard`). With more than eight instances a request compares the home of its prompt and a few endpoints drawn for it, two at least, since all instances see the same loads late.

--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -13,6 +13,8 @@
 use crate::breaker::Gate;
 use crate::gateway::Call;
 use crate::gateway::EndpointEntry;
+use crate::gateway::LoadBoard;
+use crate::gateway::SharedLoad;
 use crate::load::EndpointLoad;
 use crate::load::LoadMark;
 use crate::routing::weight;
@@ -35,6 +37,10 @@
 const LEAST_AGE: Duration = Duration::from_millis(50);
 /// Parts of prompts remembered per endpoint.
 const PARTS: usize = 512;
+/// Choices that are compared at least; two random ones are enough to even out what nobody sees in time.
+const LEAST_CHOICES: usize = 2;
+/// Instances up to which all choices are compared, since each one sees most of the load itself.
+const FEW_INSTANCES: usize = 8;
 /// Time after which a part that was not used again is expected to have left the engine's memory.
 const FORGOTTEN: Duration = Duration::from_mins(1);
 
@@ -44,6 +50,8 @@
     zone: ZoneId,
     tallies: IndexMap<EndpointId, Tally>,
     next: u64,
+    instances: usize,
+    board: LoadBoard,
 }
 
 /// The endpoint that runs a request.
@@ -114,10 +122,28 @@
 impl Balancer {
     /// Starts with nothing known, in a zone.
     pub fn new(zone: ZoneId) -> Self {
-        Self { zone, tallies: IndexMap::new(), next: 0 }
+        Self { zone, tallies: IndexMap::new(), next: 0, instances: 1, board: LoadBoard::default() }
+    }
+
+    /// Sets how many instances send requests to the same endpoints.
+    pub fn set_instances(&mut self, instances: u32) {
+        self.instances = instances as usize;
+    }
+
+    /// Returns the loads that endpoints reported to this instance since the last call.
+    pub fn take_loads(&mut self) -> Vec<SharedLoad> {
+        self.board.take()
+    }
+
+    /// Takes a load that an endpoint reported to another instance.
+    pub fn relayed(&mut self, id: &EndpointId, run: Incarnation, load: LoadReport, now: Time) {
+        self.tally(id, run).load.relayed(load, now);
     }
 
     /// Returns the endpoint with the lowest estimated cost, and none if all are cut off by their breakers.
+    ///
+    /// With many instances a few endpoints, drawn at random for each request, are compared beside the home of its prompt:
+    /// they all see the same loads late, and would send to the same endpoint.
     pub fn choose<'a>(
         &self,
         call: &Call,
@@ -133,8 +159,12 @@
         let fastest = estimates.iter().filter_map(|one| one.pace).fold(f64::INFINITY, f64::min);
         let steadiest = estimates.iter().map(|one| one.failures).fold(f64::INFINITY, f64::min);
         let rated = candidates.iter().zip(&estimates).filter(|(_, one)| one.gate == wanted);
-        let rated = rated.map(|(entry, one)| (*entry, one.rated(fastest, steadiest)));
-        let (entry, cost) = rated.min_by(|(_, a), (_, b)| a.total_cmp(b))?;
+        let rated: Vec<(&EndpointEntry, f64)> =
+            rated.map(|(entry, one)| (*entry, one.rated(fastest, steadiest))).collect();
+        let drawn = self.draw(call, &rated);
+        let compared =
+            rated.iter().filter(|(entry, _)| home == Some(&entry.id) || drawn.contains(&&entry.id));
+        let (entry, cost) = compared.copied().min_by(|(_, a), (_, b)| a.total_cmp(b))?;
         Some(Choice { id: entry.id.clone(), run: entry.run, addr: entry.addr, cost })
     }
 
@@ -156,6 +186,9 @@
 
     /// Notes the first event, or the head of a plain answer, with the load that the endpoint reports.
     pub fn answered(&mut self, choice: &Choice, ticket: Ticket, load: Option<LoadReport>, now: Time) {
+        if let Some(load) = load {
+            self.board.note(SharedLoad::new(&choice.id, choice.run, load));
+        }
         let Some(tally) = self.known(choice) else { return };
         let Some(open) = tally.open.get_mut(&ticket) else { return };
         if let Some(load) = load {
@@ -187,6 +220,18 @@
         self.tallies.retain(|id, tally| !tally.open.is_empty() || exists(id));
     }
 
+    /// Returns the endpoints that are compared for a request.
+    fn draw<'a>(&self, call: &Call, rated: &[(&'a EndpointEntry, f64)]) -> Vec<&'a EndpointId> {
+        let choices = (rated.len() * FEW_INSTANCES).div_ceil(self.instances.max(1)).max(LEAST_CHOICES);
+        let mut ids: Vec<&EndpointId> = rated.iter().map(|(entry, _)| &entry.id).collect();
+        if choices < ids.len() {
+            let draw = xxh3_64(call.attempt.as_bytes());
+            ids.sort_by_cached_key(|id| weight(xxh3_64(id.as_str().as_bytes()), draw));
+            ids.truncate(choices);
+        }
+        ids
+    }
+
     fn estimate(&self, call: &Call, entry: &EndpointEntry, is_home: bool, now: Time) -> Estimate {
         let tally = self.tallies.get(&entry.id).filter(|tally| tally.run == entry.run);
         let away = entry.zone != self.zone;
--- /dev/null
+++ b/crates/core/src/gateway/loads.rs
@@ -0,0 +1,64 @@
+use carobwick_derive::data;
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::EndpointId;
+use crate::Incarnation;
+use crate::LoadReport;
+use crate::gateway::Roster;
+
+/// Load that one run of an endpoint reported to some instance.
+#[data]
+#[derive(Copy)]
+pub struct SharedLoad {
+    /// Hash of the endpoint and its run; it keeps the news of a large fleet small.
+    pub key: u32,
+    /// Requests that run there.
+    pub running: u32,
+    /// Requests that wait there.
+    pub queued: u32,
+}
+
+/// Newest load of each endpoint since it was last passed on.
+#[derive(Debug, Default)]
+pub struct LoadBoard {
+    loads: IndexMap<u32, SharedLoad>,
+}
+
+impl SharedLoad {
+    /// Returns what is passed on of an endpoint's report.
+    pub fn new(id: &EndpointId, run: Incarnation, load: LoadReport) -> Self {
+        Self { key: key_of(id, run), running: load.running, queued: load.queued }
+    }
+
+    /// Returns the report as the endpoint gave it, as far as it was passed on.
+    pub fn report(&self) -> LoadReport {
+        LoadReport { running: self.running, queued: self.queued, ..LoadReport::default() }
+    }
+}
+
+impl LoadBoard {
+    /// Takes a load, in place of an earlier one of the same endpoint.
+    pub fn note(&mut self, load: SharedLoad) {
+        self.loads.insert(load.key, load);
+    }
+
+    /// Returns the loads since the last call.
+    pub fn take(&mut self) -> Vec<SharedLoad> {
+        std::mem::take(&mut self.loads).into_values().collect()
+    }
+}
+
+/// Returns the endpoints that the loads belong to; others have left or are not known yet.
+pub fn locate<'a>(
+    loads: &'a [SharedLoad],
+    roster: &'a Roster,
+) -> impl Iterator<Item = (&'a EndpointId, Incarnation, LoadReport)> {
+    let keys: IndexMap<u32, (&EndpointId, Incarnation)> =
+        roster.iter().map(|entry| (key_of(&entry.id, entry.run), (&entry.id, entry.run))).collect();
+    loads.iter().filter_map(move |load| keys.get(&load.key).map(|(id, run)| (*id, *run, load.report())))
+}
+
+fn key_of(id: &EndpointId, run: Incarnation) -> u32 {
+    xxh3_64_with_seed(id.as_str().as_bytes(), run.0) as u32
+}
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -303,9 +303,9 @@
         }
     }
 
-    /// Returns what callers' requests can use.
+    /// Returns what callers' requests can use; copies that the engine keeps for itself are left out.
     pub fn offered(&self) -> Holding {
-        let mut holding = self.holding.clone();
+        let mut holding = Holding { models: self.holding.models.clone(), ..Holding::default() };
         match self.open.as_ref().map(|order| &order.action) {
             Some(EngineAction::Unload(model)) => {
                 holding.models.swap_remove(model);
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -6,6 +6,9 @@
 /// Half-life of what is known of other entries' requests once no new report comes.
 const HALF_LIFE: Duration = Duration::from_secs(5);
 
+/// Time for which an instance's own reports are newer than what others pass on.
+const OWN_FRESH: Duration = Duration::from_millis(500);
+
 /// Requests on one endpoint: those of this entry, and an estimate of those of the other entries.
 ///
 /// A report shows the load at some time in the past. The requests of this entry at that time are subtracted from
@@ -49,6 +52,14 @@
         }
     }
 
+    /// Takes over a report that another entry got some hundred milliseconds ago.
+    pub fn relayed(&mut self, report: LoadReport, now: Time) {
+        if now >= self.seen + OWN_FRESH {
+            self.foreign = f64::from((report.running + report.queued).saturating_sub(self.own));
+            self.seen = now;
+        }
+    }
+
     /// Forgets other entries' requests, since the endpoint's process is a new one.
     pub fn restarted(&mut self) {
         self.foreign = 0.0;
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -15,6 +15,7 @@
 use carobwick_core::gateway::DemandTable;
 use carobwick_core::gateway::EngineOrder;
 use carobwick_core::gateway::EngineRegistry;
+use carobwick_core::gateway::LoadBoard;
 use carobwick_core::gateway::ModelPlacer;
 use carobwick_core::gateway::OrderReply;
 use carobwick_core::gateway::Roster;
@@ -29,6 +30,7 @@
 use crate::message::FromLeader;
 use crate::message::ListNews;
 use crate::message::ToLeader;
+use crate::message::encode_frame;
 use crate::state::State;
 
 /// How often the leader looks for orders to give.
@@ -42,6 +44,9 @@
 /// Least time between two passes over the models; orders that end wake the leader more often.
 const MODELS: Duration = Duration::from_millis(100);
 
+/// A message to the instances, encoded once for all of them.
+pub(crate) type Frame = Rc<[u8]>;
+
 /// The leader's work: it keeps the engines' states and gives them orders.
 #[derive(Debug)]
 pub(crate) struct Coordinator {
@@ -53,7 +58,8 @@
     /// When the models were gone over last.
     passed: Cell<Time>,
     wants: RefCell<IndexMap<(ServiceId, AdapterWant), Time>>,
-    followers: RefCell<IndexMap<InstanceId, mpsc::UnboundedSender<FromLeader>>>,
+    loads: RefCell<LoadBoard>,
+    followers: RefCell<IndexMap<InstanceId, mpsc::UnboundedSender<Frame>>>,
     wake: Notify,
 }
 
@@ -67,6 +73,7 @@
             placers: RefCell::default(),
             passed: Cell::new(Time::ZERO),
             wants: RefCell::default(),
+            loads: RefCell::default(),
             followers: RefCell::default(),
             wake: Notify::new(),
         }
@@ -90,16 +97,17 @@
         }
     }
 
-    /// Adds an instance that follows this leader and returns what it has to know.
-    pub fn join(&self, instance: InstanceId, to: mpsc::UnboundedSender<FromLeader>) {
-        let registry = self.registry.borrow();
-        for (id, record) in registry.iter() {
-            let holding = record.offered();
-            // A closed channel shows at the next message.
-            let _closed = to.send(FromLeader::Engine { endpoint: id.clone(), run: record.run, holding });
+    /// Adds an instance that follows this leader and tells it what it has to know.
+    pub fn join(&self, instance: InstanceId, to: mpsc::UnboundedSender<Frame>) {
+        let instances = self.followers.borrow().len() as u32 + 2;
+        tell(&to, encoded(&FromLeader::Instances(instances)));
+        for (id, record) in self.registry.borrow().iter() {
+            // Of the other engines the instance knows by itself what their entries say.
+            if let Some(holding) = record.told.clone() {
+                tell(&to, encoded(&FromLeader::Engine { endpoint: id.clone(), run: record.run, holding }));
+            }
         }
         self.followers.borrow_mut().insert(instance, to);
-        self.count();
     }
 
     /// Returns whether this instance leads.
@@ -109,19 +117,28 @@
 
     /// Passes changes of the list of endpoints on to the instances that follow.
     pub fn pass_on(&self, news: &ListNews) {
-        for to in self.followers.borrow().values() {
-            let _closed = to.send(FromLeader::List(news.clone()));
-        }
+        self.tell_all(&FromLeader::List(news.clone()));
     }
 
-    /// Tells all instances how many they are.
-    pub fn count(&self) {
+    /// Tells all instances how many they are, and the loads that any of them has seen.
+    pub fn beat(&self) {
         let mut followers = self.followers.borrow_mut();
         followers.retain(|_, to| !to.is_closed());
         let instances = followers.len() as u32 + 1;
+        drop(followers);
         self.state.set_instances(instances);
-        for to in followers.values() {
-            let _closed = to.send(FromLeader::Instances(instances));
+        self.tell_all(&FromLeader::Instances(instances));
+        let loads = self.loads.borrow_mut().take();
+        if !loads.is_empty() {
+            self.state.take_loads(&loads);
+            self.tell_all(&FromLeader::Loads(loads));
+        }
+    }
+
+    fn tell_all(&self, message: &FromLeader) {
+        let frame = encoded(message);
+        for to in self.followers.borrow().values() {
+            tell(to, frame.clone());
         }
     }
 
@@ -129,19 +146,23 @@
     pub fn take(&self, from: &InstanceId, message: ToLeader) {
         match message {
             ToLeader::Hello { .. } => {}
-            ToLeader::Demand(samples) => {
+            ToLeader::Report { demand: samples, loads } => {
                 let mut demand = self.demand.borrow_mut();
                 for sample in &samples {
                     demand.add(sample, now());
                 }
+                let mut board = self.loads.borrow_mut();
+                for load in loads {
+                    board.note(load);
+                }
             }
             ToLeader::Want { service, weights, zone } => self.want(service, AdapterWant { weights, zone }),
             ToLeader::Loss { print, endpoint, run } => {
                 self.state.suspects.borrow_mut().lost(print, &endpoint, run, now());
-                let news = FromLeader::Loss { print, endpoint, run };
+                let frame = encoded(&FromLeader::Loss { print, endpoint, run });
                 let followers = self.followers.borrow();
                 for (_, to) in followers.iter().filter(|(instance, _)| *instance != from) {
-                    let _closed = to.send(news.clone());
+                    tell(to, frame.clone());
                 }
             }
         }
@@ -328,10 +349,7 @@
         let Some((run, holding)) = self.registry.borrow_mut().news(id) else { return };
         self.state.roster.borrow_mut().told(id, run, &holding, now());
         self.state.changed.notify_waiters();
-        let news = FromLeader::Engine { endpoint: id.clone(), run, holding };
-        for to in self.followers.borrow().values() {
-            let _closed = to.send(news.clone());
-        }
+        self.tell_all(&FromLeader::Engine { endpoint: id.clone(), run, holding });
     }
 
     fn choice(&self, id: &EndpointId, run: Incarnation) -> Option<Choice> {
@@ -340,3 +358,14 @@
         Some(Choice { id: id.clone(), run, addr: entry.addr, cost: 0.0 })
     }
 }
+
+/// Returns a message as a frame, and none if it can't be encoded.
+fn encoded(message: &FromLeader) -> Option<Frame> {
+    let frame = encode_frame(message);
+    frame.inspect_err(|err| tracing::error!("leader: {message:?} is not sent: {err}")).ok().map(Rc::from)
+}
+
+fn tell(to: &mpsc::UnboundedSender<Frame>, frame: Option<Frame>) {
+    // A connection that has ended is dropped with the next beat.
+    let _closed = frame.map(|frame| to.send(frame));
+}
--- a/crates/gateway/src/elect.rs
+++ b/crates/gateway/src/elect.rs
@@ -64,7 +64,7 @@
             since: RefCell::default(),
             changed: Notify::new(),
             look: Cell::new(None),
-            candidacy: RefCell::new(Candidacy::new(settings.instance.clone())),
+            candidacy: RefCell::new(Candidacy::new(settings.instance.clone(), settings.size)),
         }
     }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,6 +8,7 @@
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::Holding;
 use carobwick_core::gateway::Listed;
+use carobwick_core::gateway::SharedLoad;
 use carobwick_core::gateway::Weights;
 use carobwick_derive::data;
 use tokio::io::AsyncRead;
@@ -28,8 +29,8 @@
 pub(crate) enum ToLeader {
     /// The first message of a connection.
     Hello { instance: InstanceId },
-    /// Demand since the last report; also a sign of life.
-    Demand(Vec<DemandSample>),
+    /// Demand and the endpoints' loads since the last report; also a sign of life.
+    Report { demand: Vec<DemandSample>, loads: Vec<SharedLoad> },
     /// A request needs a model or adapter that no endpoint offers, or none in the instance's zone.
     Want { service: ServiceId, weights: Weights, zone: ZoneId },
     /// An endpoint broke off under a request.
@@ -41,6 +42,8 @@
 pub(crate) enum FromLeader {
     /// Instances that share the retry budget; also a sign of life.
     Instances(u32),
+    /// Loads that endpoints reported to any instance.
+    Loads(Vec<SharedLoad>),
     /// What an engine offers.
     Engine { endpoint: EndpointId, run: Incarnation, holding: Holding },
     /// An endpoint broke off under a request of another instance.
@@ -60,18 +63,36 @@
     pub changes: Vec<Listed>,
 }
 
-/// Writes a message as a frame: its length in four bytes, then its bytes.
+/// Returns a message as a frame: its length in four bytes, then its bytes.
 ///
 /// # Errors
 ///
-/// Fails with [`Category::Lost`] if the connection ends.
-pub async fn write_frame<M: serde::Serialize>(to: &mut (impl AsyncWrite + Unpin), message: &M) -> Result<()> {
+/// Fails with [`Category::Codec`] if the message can't be encoded.
+pub fn encode_frame<M: serde::Serialize>(message: &M) -> Result<Vec<u8>> {
     let mut frame = vec![0; 4];
     let body = bincode::serde::encode_to_vec(message, bincode::config::standard());
     frame.extend(body.map_err(|err| Error::new(Category::Codec, err.to_string()))?);
     let length = (frame.len() - 4) as u32;
     frame[..4].copy_from_slice(&length.to_be_bytes());
-    to.write_all(&frame).await.map_err(|err| Error::new(Category::Lost, err.to_string()))
+    Ok(frame)
+}
+
+/// Writes a message as a frame.
+///
+/// # Errors
+///
+/// Fails with [`Category::Lost`] if the connection ends.
+pub async fn write_frame<M: serde::Serialize>(to: &mut (impl AsyncWrite + Unpin), message: &M) -> Result<()> {
+    write_encoded(to, &encode_frame(message)?).await
+}
+
+/// Writes a frame.
+///
+/// # Errors
+///
+/// Fails with [`Category::Lost`] if the connection ends.
+pub async fn write_encoded(to: &mut (impl AsyncWrite + Unpin), frame: &[u8]) -> Result<()> {
+    to.write_all(frame).await.map_err(|err| Error::new(Category::Lost, err.to_string()))
 }
 
 /// Reads the next message.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,11 +13,13 @@
 use crate::Error;
 use crate::Result;
 use crate::coordinator::Coordinator;
+use crate::coordinator::Frame;
 use crate::elect::Election;
 use crate::link::tune;
 use crate::message::FromLeader;
 use crate::message::ToLeader;
 use crate::message::read_frame;
+use crate::message::write_encoded;
 use crate::message::write_frame;
 use crate::state::State;
 
@@ -64,11 +66,11 @@
     if election.since().is_none() {
         return Ok(());
     }
-    let (sender, mut receiver) = mpsc::unbounded_channel::<FromLeader>();
+    let (sender, mut receiver) = mpsc::unbounded_channel::<Frame>();
     coordinator.join(instance.clone(), sender);
     let writer = async {
-        while let Some(message) = receiver.recv().await {
-            write_frame(&mut to, &message).await?;
+        while let Some(frame) = receiver.recv().await {
+            write_encoded(&mut to, &frame).await?;
         }
         Ok(())
     };
@@ -123,8 +125,8 @@
             Ok(None) => return,
             Err(_) => {
                 next = now() + REPORT;
-                coordinator.take(&state.settings.instance, ToLeader::Demand(state.take_demand()));
-                coordinator.count();
+                coordinator.take(&state.settings.instance, state.take_report());
+                coordinator.beat();
             }
         }
     }
@@ -153,7 +155,7 @@
                 Ok(None) => return Ok(()),
                 Err(_) => {
                     next = now() + REPORT;
-                    write_frame(&mut to, &ToLeader::Demand(state.take_demand())).await?;
+                    write_frame(&mut to, &state.take_report()).await?;
                 }
             }
         }
@@ -183,6 +185,7 @@
         FromLeader::Loss { print, endpoint, run } => {
             state.suspects.borrow_mut().lost(print, &endpoint, run, now());
         }
+        FromLeader::Loads(loads) => state.take_loads(&loads),
         FromLeader::List(news) => state.pass_list(news),
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 
 use carobwick_core::InstanceId;
 use carobwick_core::ZoneId;
+use carobwick_core::gateway::InstanceSize;
 use carobwick_core::gateway::RetryTerms;
 use carobwick_derive::data;
 
@@ -23,6 +24,8 @@
     pub peers: SocketAddr,
     /// Address of the store.
     pub store: SocketAddr,
+    /// What the instance has to work with.
+    pub size: InstanceSize,
     /// What may change while the instance runs.
     pub terms: Terms,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,8 +14,10 @@
 use carobwick_core::gateway::RetryShare;
 use carobwick_core::gateway::Roster;
 use carobwick_core::gateway::RouteTable;
+use carobwick_core::gateway::SharedLoad;
 use carobwick_core::gateway::SuspectTable;
 use carobwick_core::gateway::Weights;
+use carobwick_core::gateway::locate;
 use carobwick_runtime::now;
 use indexmap::IndexMap;
 use tokio::sync::Notify;
@@ -122,6 +124,7 @@
     /// Sets the number of instances that share the retry budget.
     pub fn set_instances(&self, instances: u32) {
         self.instances.set(Some(instances));
+        self.balancer.borrow_mut().set_instances(instances);
         for share in self.shares.borrow_mut().values_mut() {
             share.set_instances(instances, now());
         }
@@ -142,9 +145,19 @@
         sample.work += call.work();
     }
 
-    /// Returns the demand since the last call.
-    pub fn take_demand(&self) -> Vec<DemandSample> {
-        std::mem::take(&mut *self.samples.borrow_mut()).into_values().collect()
+    /// Returns the demand and the endpoints' loads since the last call.
+    pub fn take_report(&self) -> ToLeader {
+        let demand = std::mem::take(&mut *self.samples.borrow_mut()).into_values().collect();
+        ToLeader::Report { demand, loads: self.balancer.borrow_mut().take_loads() }
+    }
+
+    /// Takes loads that endpoints reported to other instances.
+    pub fn take_loads(&self, loads: &[SharedLoad]) {
+        let roster = self.roster.borrow();
+        let mut balancer = self.balancer.borrow_mut();
+        for (id, run, load) in locate(loads, &roster) {
+            balancer.relayed(id, run, load, now());
+        }
     }
 
     /// Sets where messages for the leader go, if there is a connection to it.
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -8,6 +8,7 @@
 use carobwick_core::LeaderRecord;
 use carobwick_core::WriteId;
 use carobwick_core::gateway::EndpointEntry;
+use carobwick_core::gateway::InstanceSize;
 use carobwick_core::gateway::Listed;
 use carobwick_core::gateway::RetryTerms;
 use carobwick_core::gateway::RouteTable;
@@ -92,6 +93,7 @@
         metrics: addr,
         peers: addr,
         store: addr,
+        size: InstanceSize { cores: 1.0, link: 1_000.0 },
         terms: Terms {
             grace: Duration::from_secs(8),
             drain: Duration::from_secs(2),
