Tests of the loads that instances share

Change: an engine that others have filled is passed over; 400 instances with the same late loads spread their requests over 20 engines; a newer load replaces an older one on its way. Without the draw all 400 requests go to one engine.

--- a/crates/core/src/gateway/roster.rs
+++ b/crates/core/src/gateway/roster.rs
@@ -153,7 +153,7 @@
         if let Some(known) = self.entries.get_mut(id)
             && known.entry.run == run
         {
-            known.entry.holding.models = holding.models.clone();
+            known.entry.holding.models.clone_from(&holding.models);
             known.told = Some(now);
             self.refused.retain(|refused| refused.id != *id);
         }
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -7,6 +7,7 @@
 use carobwick_core::EndpointState;
 use carobwick_core::Fingerprint;
 use carobwick_core::Incarnation;
+use carobwick_core::LoadReport;
 use carobwick_core::Millis;
 use carobwick_core::Time;
 use carobwick_core::Version;
@@ -17,6 +18,7 @@
 use carobwick_core::gateway::Failure;
 use carobwick_core::gateway::Holding;
 use carobwick_core::gateway::Listed;
+use carobwick_core::gateway::LoadBoard;
 use carobwick_core::gateway::Progress;
 use carobwick_core::gateway::PromptPart;
 use carobwick_core::gateway::RetryShare;
@@ -26,11 +28,14 @@
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::ServiceRoute;
 use carobwick_core::gateway::ServiceShare;
+use carobwick_core::gateway::SharedLoad;
 use carobwick_core::gateway::Step;
 use carobwick_core::gateway::SuspectTable;
 use carobwick_core::gateway::Verdict;
 use carobwick_core::gateway::Weights;
+use carobwick_core::gateway::locate;
 use carobwick_core::gateway::next_step;
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 use test_case::test_case;
 
@@ -362,6 +367,60 @@
     assert_eq!(used.len(), 4);
 }
 
+/// Guards against an engine that other instances have filled, which this one sends to since its own requests do not show it.
+#[test]
+fn loads_that_others_saw_count() {
+    let mut scene = Scene::new();
+    let first = scene.balancer.choose(&call(7, 1), scene.entries.iter(), at(1_000)).unwrap();
+    let load = LoadReport { running: 60, queued: 20, ..LoadReport::default() };
+    let shared = [SharedLoad::new(&first.id, first.run, load)];
+    let mut roster = Roster::default();
+    roster.replace(scene.entries.clone(), at(0));
+    for (id, run, load) in locate(&shared, &roster) {
+        scene.balancer.relayed(id, run, load, at(1_000));
+    }
+    let second = scene.balancer.choose(&call(7, 2), scene.entries.iter(), at(1_100)).unwrap();
+    assert_ne!(first.id, second.id);
+}
+
+/// Guards against hundreds of instances that see the same loads, half a second late, and all send to the same engine.
+///
+/// Each instance sends one request before it hears of the others' requests.
+#[test]
+fn many_instances_with_the_same_loads_spread_their_requests() {
+    let entries: Vec<EndpointEntry> =
+        (0..20).map(|index| entry(&format!("e{index}"), 1, 1, EndpointState::Live)).collect();
+    let mut sent: IndexMap<EndpointId, u32> = IndexMap::new();
+    for instance in 0..400 {
+        let mut balancer = Balancer::new("z".parse().unwrap());
+        balancer.set_instances(400);
+        for (index, entry) in entries.iter().enumerate() {
+            let load = LoadReport { running: 10 + index as u32, ..LoadReport::default() };
+            balancer.relayed(&entry.id, entry.run, load, at(1_000));
+        }
+        let call = Call { attempt: format!("{instance:016x}"), prompt: Vec::new(), ..call(0, 0) };
+        let choice = balancer.choose(&call, entries.iter(), at(1_100)).unwrap();
+        *sent.entry(choice.id).or_default() += 1;
+    }
+    // The best of two drawn at random gets twice the mean at most.
+    let busiest = sent.values().copied().max().unwrap_or(0);
+    assert!(busiest <= 2 * 400 / 20 + 20, "{busiest} of 400 requests went to one of 20 engines");
+}
+
+/// Guards against loads of before that replace newer ones on the way.
+#[test]
+fn the_newest_load_of_an_endpoint_is_passed_on() {
+    let mut board = LoadBoard::default();
+    let id: EndpointId = "e1".parse().unwrap();
+    for running in [1, 2, 3] {
+        let load = LoadReport { running, ..LoadReport::default() };
+        board.note(SharedLoad::new(&id, Incarnation(1), load));
+    }
+    let taken: Vec<u32> = board.take().iter().map(|load| load.running).collect();
+    assert_eq!(taken, [3]);
+    assert!(board.take().is_empty());
+}
+
 /// Guards against sending on to an endpoint that refuses connections.
 #[test]
 fn a_lost_endpoint_is_passed_over() {
