Endless bytes in place of events end the stream

Cause: after 1 MB without the end of an event the cutter passed the bytes on to the caller as if they were events, and streams that can't be resumed were not looked at, so an endpoint could send bytes until the request's deadline. Ruled out: heads and plain bodies; hyper bounds a head, and bodies are held up to 1 MB. Change: more than 1 MB without the end of an event is an error; a resumable stream goes on elsewhere, another one breaks off. Before: the old test of the cutter showed the bytes being passed on; it is replaced by one that allows none of them.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -2,7 +2,11 @@
 use bytes::BytesMut;
 use carobwick_core::block_length;
 
-/// Longest event that is held until it is whole.
+use crate::Category;
+use crate::Error;
+use crate::Result;
+
+/// Longest event that is held until it is whole; what is longer is no event.
 const MAX_EVENT: usize = 1 << 20;
 
 /// Cuts a stream into whole events, so that one that was broken off in its middle never reaches the caller.
@@ -22,18 +26,25 @@
 
 impl EventCutter {
     /// Takes a piece of the stream and returns the events that it completes.
-    pub fn push(&mut self, piece: &[u8]) -> Cut {
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Category::Codec`] if the bytes after the last whole event are too many for one.
+    pub fn push(&mut self, piece: &[u8]) -> Result<Cut> {
         self.partial.extend_from_slice(piece);
         let mut end = 0;
         while let Some(length) = block_length(&self.partial[end..]) {
             end += length;
         }
         if self.partial.len() - end > MAX_EVENT {
-            end = self.partial.len();
+            return Err(Error::new(
+                Category::Codec,
+                format!("{MAX_EVENT} bytes without the end of an event"),
+            ));
         }
         let bytes = self.partial.split_to(end).freeze();
         let last = bytes.split(|byte| *byte == b'\n').rev().find_map(event_id);
-        Cut { bytes, last }
+        Ok(Cut { bytes, last })
     }
 
     /// Returns whether a part of an event is held.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use carobwick_core::gateway::Failure;
 use carobwick_core::gateway::Step;
+use carobwick_core::gateway::Verdict;
 use carobwick_runtime::now;
 use futures_util::StreamExt;
 use futures_util::stream;
@@ -32,7 +33,7 @@
     let events = if flight.route.resumable {
         resumable(source, flight.again())
     } else {
-        stream::unfold(Some(source), next_piece).boxed_local()
+        stream::unfold(Some(Plain { source, cutter: EventCutter::default() }), next_piece).boxed_local()
     };
     Response::from_parts(parts, AnswerBody::Passed(events))
 }
@@ -78,10 +79,24 @@
     }
 }
 
-async fn next_piece(source: Option<Source>) -> Option<(Result<Bytes, BrokenOff>, Option<Source>)> {
-    let mut source = source?;
+/// A stream that ends with its endpoint.
+struct Plain {
+    source: Source,
+    /// Notices bytes that are no events, which an endpoint may send until its connection is closed.
+    cutter: EventCutter,
+}
+
+async fn next_piece(plain: Option<Plain>) -> Option<(Result<Bytes, BrokenOff>, Option<Plain>)> {
+    let Plain { mut source, mut cutter } = plain?;
     match source.next().await {
-        Piece::Data(bytes) => Some((Ok(bytes), Some(source))),
+        Piece::Data(bytes) => match cutter.push(&bytes) {
+            Ok(_) => Some((Ok(bytes), Some(Plain { source, cutter }))),
+            Err(err) => {
+                source.send.verdict = Verdict::Failed;
+                tracing::warn!("gateway: stream of {} is cut: {err}", source.send.choice.id);
+                Some((Err(BrokenOff(err.to_string())), None))
+            }
+        },
         Piece::End => {
             source.send.completed();
             None
@@ -114,7 +129,13 @@
     loop {
         match resumed.source.next().await {
             Piece::Data(piece) => {
-                let cut = resumed.cutter.push(&piece);
+                let cut = match resumed.cutter.push(&piece) {
+                    Ok(cut) => cut,
+                    Err(err) => match resumed.resume(&err.to_string()).await {
+                        Ok(()) => continue,
+                        Err(err) => return Some((Err(err), None)),
+                    },
+                };
                 if cut.bytes.is_empty() {
                     continue;
                 }
--- a/crates/gateway/tests/framing.rs
+++ b/crates/gateway/tests/framing.rs
@@ -88,7 +88,7 @@
         let mut shown = Vec::new();
         let mut last = None;
         for piece in pieces(stream.as_bytes(), &cuts) {
-            let cut = cutter.push(piece);
+            let cut = cutter.push(piece).unwrap();
             shown.extend_from_slice(&cut.bytes);
             last = cut.last.or(last);
         }
@@ -124,11 +124,20 @@
     }
 }
 
-/// Guards against a stream without events that fills the memory.
+/// Guards against a stream without events that fills the memory, or whose bytes reach the caller as if they were events.
 #[test]
-fn a_stream_without_events_is_not_held_for_ever() {
+fn a_stream_without_events_is_refused() {
     let mut cutter = EventCutter::default();
     let piece = vec![b'x'; 64 << 10];
-    let passed: usize = (0..40).map(|_| cutter.push(&piece).bytes.len()).sum();
-    assert!(40 * piece.len() - passed <= 2 << 20);
+    let refused = (0..40).position(|_| match cutter.push(&piece) {
+        Ok(cut) => {
+            assert_eq!(cut.bytes.len(), 0);
+            false
+        }
+        Err(_) => true,
+    });
+    assert!(
+        refused.is_some_and(|pieces| pieces * piece.len() <= 2 << 20),
+        "refused after {refused:?} pieces"
+    );
 }
