--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,7 +14,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 /// Longest wait of a watch; the connection's own probes notice earlier that it went silent.
-pub(crate) const WAIT: Duration = Duration::from_secs(30);
+const WAIT: Duration = Duration::from_secs(10);
 
 /// Pause between failed calls.
 #[derive(Debug)]
