A lost answer of the store does not hold up the configuration; tests of both reads

Cause: a watch of the configuration waits up to 10 s and its answer may be lost on a connection that stays open, so an instance could serve an old version for up to 11.5 s. The list had the same fault, and its mend had no test.

Change: the leader's watch waits a quarter of configApplyMs and is given up after as much again, also when it begins to lead with a longer watch under way. It tells its followers its version; one that has an older one a quarter of configApplyMs later reads the whole. Followers' watches wait 30 s, as the leader's word makes them needless. `follow` is split into `config` and `backoff`.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -9,6 +9,7 @@
 use carobwick_core::InstanceId;
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
+use carobwick_core::Version;
 use carobwick_core::ZoneId;
 use carobwick_core::gateway::AdapterWant;
 use carobwick_core::gateway::Choice;
@@ -101,6 +102,9 @@
     pub fn join(&self, instance: InstanceId, to: mpsc::UnboundedSender<Frame>) {
         let instances = self.followers.borrow().len() as u32 + 2;
         tell(&to, encoded(&FromLeader::Instances(instances)));
+        if let Some(table) = self.state.table.borrow().as_ref() {
+            tell(&to, encoded(&FromLeader::Config(table.version)));
+        }
         for (id, record) in self.registry.borrow().iter() {
             // Of the other engines the instance knows by itself what their entries say.
             if let Some(holding) = record.told.clone() {
@@ -115,11 +119,21 @@
         self.election.since().is_some()
     }
 
+    /// Waits until this instance leads.
+    pub async fn until_leading(&self) {
+        self.election.until_leading().await;
+    }
+
     /// Passes changes of the list of endpoints on to the instances that follow.
     pub fn pass_on(&self, news: &ListNews) {
         self.tell_all(&FromLeader::List(news.clone()));
     }
 
+    /// Tells all instances which version of the configuration is in force.
+    pub fn tell_version(&self, version: Version) {
+        self.tell_all(&FromLeader::Config(version));
+    }
+
     /// Tells all instances how many they are, and the loads that any of them has seen.
     pub fn beat(&self) {
         let mut followers = self.followers.borrow_mut();
--- a/crates/gateway/src/elect.rs
+++ b/crates/gateway/src/elect.rs
@@ -103,6 +103,17 @@
         }
     }
 
+    /// Waits until this instance leads.
+    pub async fn until_leading(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.since().is_some() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Sets how many instances take part.
     pub fn set_instances(&self, instances: u32) {
         self.candidacy.borrow_mut().set_instances(instances);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! [`Gateway::bind`] starts everything. Callers' connections are read in `callers`; each request becomes a `Flight`,
 //! which is placed at an endpoint, sent over a pooled [`Link`], and answered whole or, for streams, as events arrive.
-//! `follow` keeps the routes and `list` the endpoints, `elect` the lease of the region's leader, and `coordinator` is the
+//! `config` keeps the routes and `list` the endpoints, `elect` the lease of the region's leader, and `coordinator` is the
 //! leader's work: it gives orders to engines and tells the other instances over `peers`. The decisions are those of
 //! [`carobwick_core::gateway`].
 //!
@@ -12,13 +12,14 @@
 //! lasts. All tasks of a process run on one thread.
 
 mod answer;
+mod backoff;
 mod callers;
+mod config;
 mod coordinator;
 mod elect;
 mod error;
 mod events;
 mod flight;
-mod follow;
 mod gateway;
 mod link;
 mod list;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -22,8 +22,8 @@
 use crate::Revision;
 use crate::Snapshot;
 use crate::Store;
+use crate::backoff::Backoff;
 use crate::coordinator::Coordinator;
-use crate::follow::Backoff;
 use crate::message::ListNews;
 use crate::state::State;
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -4,6 +4,7 @@
 use carobwick_core::InstanceId;
 use carobwick_core::Millis;
 use carobwick_core::ServiceId;
+use carobwick_core::Version;
 use carobwick_core::ZoneId;
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::Holding;
@@ -50,6 +51,8 @@
     Loss { print: Fingerprint, endpoint: EndpointId, run: Incarnation },
     /// Changes of the list of endpoints.
     List(ListNews),
+    /// Version of the configuration that the leader has in force.
+    Config(Version),
 }
 
 /// Changes of the list of endpoints between two revisions of the store.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -23,6 +23,7 @@
     leading: Gauge<u64>,
     version: Gauge<u64>,
     endpoints: Gauge<u64>,
+    instances: Gauge<u64>,
 }
 
 impl Meters {
@@ -41,6 +42,7 @@
         let leading = meter.u64_gauge("carobwick_leading");
         let version = meter.u64_gauge("carobwick_config_version");
         let endpoints = meter.u64_gauge("carobwick_endpoints");
+        let instances = meter.u64_gauge("carobwick_instances");
         Ok(Self {
             requests: requests.with_description("Requests by route and outcome").build(),
             first_output: first_output
@@ -52,6 +54,7 @@
             leading: leading.with_description("1 on the instance that gives orders").build(),
             version: version.with_description("Version of the configuration in force").build(),
             endpoints: endpoints.with_description("Endpoints in the list").build(),
+            instances: instances.with_description("Instances that share the retry budget").build(),
             metrics,
         })
     }
@@ -103,6 +106,11 @@
         self.version.record(version, &[]);
     }
 
+    /// Notes the number of instances that share the retry budget.
+    pub fn shared_by(&self, instances: u32) {
+        self.instances.record(u64::from(instances), &[]);
+    }
+
     /// Notes the length of the list of endpoints.
     pub fn listed(&self, endpoints: usize) {
         self.endpoints.record(endpoints as u64, &[]);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,8 @@
     pub grace: Duration,
     /// Time in which a leaving endpoint must get no more requests.
     pub drain: Duration,
+    /// Time in which a new configuration must be in force.
+    pub apply: Duration,
     /// Time for which a new leader gives no orders, so that those of the last one have arrived.
     pub handover: Duration,
     /// Bound on repeated sends.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use carobwick_core::Incarnation;
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
+use carobwick_core::Version;
 use carobwick_core::gateway::Balancer;
 use carobwick_core::gateway::Call;
 use carobwick_core::gateway::DemandSample;
@@ -56,6 +57,10 @@
     instances: Cell<Option<u32>>,
     samples: RefCell<IndexMap<(ServiceId, Weights), DemandSample>>,
     leader: RefCell<Option<mpsc::UnboundedSender<ToLeader>>>,
+    /// Newest version of the configuration that the leader has told.
+    told: Cell<Option<Version>>,
+    /// Wakes the reader of the configuration.
+    pub told_version: Notify,
     /// Where the leader's news of the list go.
     list: mpsc::UnboundedSender<ListNews>,
     /// When an adapter was asked for that other zones hold.
@@ -93,6 +98,8 @@
             instances: Cell::default(),
             samples: RefCell::default(),
             leader: RefCell::default(),
+            told: Cell::default(),
+            told_version: Notify::new(),
             list,
             asked: RefCell::default(),
         }
@@ -124,6 +131,7 @@
     /// Sets the number of instances that share the retry budget.
     pub fn set_instances(&self, instances: u32) {
         self.instances.set(Some(instances));
+        self.meters.shared_by(instances);
         self.balancer.borrow_mut().set_instances(instances);
         for share in self.shares.borrow_mut().values_mut() {
             share.set_instances(instances, now());
@@ -177,6 +185,25 @@
         let _closed = self.list.send(news);
     }
 
+    /// Takes the version of the configuration that the leader has in force.
+    pub fn note_version(&self, version: Version) {
+        self.told.set(Some(version));
+        self.told_version.notify_waiters();
+    }
+
+    /// Returns whether the leader has a newer configuration.
+    pub fn is_outdated(&self) -> bool {
+        let known = self.table.borrow().as_ref().map(|table| table.version);
+        self.told.get() > known
+    }
+
+    /// Returns whether the leader has a newer configuration, and no longer says so until the leader tells it again.
+    pub fn take_outdated(&self) -> bool {
+        let is_outdated = self.is_outdated();
+        self.told.set(None);
+        is_outdated
+    }
+
     /// Sends a message to the leader; returns whether there is one.
     pub fn tell_leader(&self, message: ToLeader) -> bool {
         let leader = self.leader.borrow();
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -97,6 +97,7 @@
         terms: Terms {
             grace: Duration::from_secs(8),
             drain: Duration::from_secs(2),
+            apply: Duration::from_secs(2),
             handover: Duration::from_secs(3),
             retry: RetryTerms { ratio: 0.2, window: Duration::from_secs(10), slack: 50.0 },
         },
--- /dev/null
+++ b/crates/gateway/tests/store_reads.rs
@@ -0,0 +1,260 @@
+//! Reads of the store whose answers are lost: the connection stays open and silent.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use carobwick_core::Bytes;
+use carobwick_core::EndpointId;
+use carobwick_core::Fence;
+use carobwick_core::InstanceId;
+use carobwick_core::Millis;
+use carobwick_core::Version;
+use carobwick_core::gateway::Call;
+use carobwick_core::gateway::CallerLimits;
+use carobwick_core::gateway::EndpointEntry;
+use carobwick_core::gateway::EngineOrder;
+use carobwick_core::gateway::InstanceSize;
+use carobwick_core::gateway::Listed;
+use carobwick_core::gateway::OrderReply;
+use carobwick_core::gateway::RetryTerms;
+use carobwick_core::gateway::RouteTable;
+use carobwick_gateway::AnswerHead;
+use carobwick_gateway::Claim;
+use carobwick_gateway::EngineReport;
+use carobwick_gateway::Gateway;
+use carobwick_gateway::LeaderNote;
+use carobwick_gateway::Outgoing;
+use carobwick_gateway::Result;
+use carobwick_gateway::Revision;
+use carobwick_gateway::Settings;
+use carobwick_gateway::Snapshot;
+use carobwick_gateway::Store;
+use carobwick_gateway::Terms;
+use carobwick_gateway::Wire;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::future::pending;
+use futures_util::future::ready;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use indexmap::IndexMap;
+use tokio::task::LocalSet;
+
+/// Longest time that a test waits for a state; shorter than a follower's watch of the configuration.
+const PATIENCE: Duration = Duration::from_secs(20);
+const DRAIN: Duration = Duration::from_secs(2);
+const APPLY: Duration = Duration::from_secs(2);
+
+/// What all instances find in the store.
+#[derive(Debug, Default)]
+struct Content {
+    version: Cell<u64>,
+    leader: RefCell<Option<LeaderNote>>,
+}
+
+/// One instance's view of the store; its watches have no answer.
+#[derive(Debug, Default)]
+struct SilentStore {
+    content: Rc<Content>,
+    /// Whether the instance may become the leader.
+    leads: bool,
+    configs: Cell<u32>,
+    lists: Cell<u32>,
+    list_wait: Cell<Option<Duration>>,
+    config_wait: Cell<Option<Duration>>,
+}
+
+impl Store for SilentStore {
+    fn config(&self) -> LocalBoxFuture<'_, Result<Snapshot<Option<Arc<RouteTable>>>>> {
+        self.configs.set(self.configs.get() + 1);
+        let version = self.content.version.get();
+        let table = RouteTable::new(Version(version), limits(), IndexMap::new(), Vec::new());
+        ready(Ok(Snapshot { value: Some(Arc::new(table)), at: version })).boxed_local()
+    }
+
+    fn watch_config(
+        &self,
+        _after: Revision,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Snapshot<Option<Arc<RouteTable>>>>> {
+        self.config_wait.set(Some(wait));
+        pending().boxed_local()
+    }
+
+    fn endpoints(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<EndpointEntry>>>> {
+        self.lists.set(self.lists.get() + 1);
+        ready(Ok(Snapshot { value: Vec::new(), at: 1 })).boxed_local()
+    }
+
+    fn watch_endpoints(
+        &self,
+        _after: Revision,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<Snapshot<Vec<Listed>>>> {
+        self.list_wait.set(Some(wait));
+        pending().boxed_local()
+    }
+
+    fn leader(&self) -> LocalBoxFuture<'_, Result<Option<(LeaderNote, Revision)>>> {
+        let note = self.content.leader.borrow().clone();
+        ready(Ok(note.map(|note| (note, 5)))).boxed_local()
+    }
+
+    fn lead(&self, _lease: u64, note: LeaderNote) -> LocalBoxFuture<'_, Result<Claim>> {
+        *self.content.leader.borrow_mut() = Some(note);
+        ready(Ok(Claim::Won(6))).boxed_local()
+    }
+
+    fn grant(&self, _ttl: Duration) -> LocalBoxFuture<'_, Result<u64>> {
+        if self.leads { ready(Ok(1)).boxed_local() } else { pending().boxed_local() }
+    }
+
+    fn keep(&self, _lease: u64) -> LocalBoxFuture<'_, Result<bool>> {
+        ready(Ok(true)).boxed_local()
+    }
+
+    fn revoke(&self, _lease: u64) -> LocalBoxFuture<'_, Result<()>> {
+        ready(Ok(())).boxed_local()
+    }
+}
+
+/// The wire of instances that get no requests and know no endpoints.
+#[derive(Debug)]
+struct NoWire;
+
+impl Wire for NoWire {
+    fn call(&self, _headers: &HeaderMap) -> Result<Call> {
+        unreachable!("there are no callers")
+    }
+
+    fn outgoing(&self, _headers: &HeaderMap, _send: &Outgoing<'_>) -> HeaderMap {
+        unreachable!("there are no endpoints")
+    }
+
+    fn answer(&self, _call: &Call, _status: StatusCode, _headers: &HeaderMap) -> AnswerHead {
+        unreachable!("there are no endpoints")
+    }
+
+    fn order(
+        &self,
+        _order: &EngineOrder,
+        _holder: &InstanceId,
+        _fence: Fence,
+    ) -> Request<Full<bytes::Bytes>> {
+        unreachable!("there are no engines")
+    }
+
+    fn order_reply(&self, _status: StatusCode) -> OrderReply {
+        unreachable!("there are no engines")
+    }
+
+    fn report_request(&self, _endpoint: &EndpointId) -> Request<Full<bytes::Bytes>> {
+        unreachable!("there are no engines")
+    }
+
+    fn report(&self, _body: &[u8]) -> Result<EngineReport> {
+        unreachable!("there are no engines")
+    }
+}
+
+fn limits() -> CallerLimits {
+    CallerLimits { head: Bytes(16_384), body: Bytes(65_536), head_time: Millis(3_000), idle: Millis(15_000) }
+}
+
+/// Returns settings with a loopback address that no other test uses, so that its ports are free.
+fn settings(instance: &str) -> Settings {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip: IpAddr = Ipv4Addr::new(127, high | 1, low, NEXT.fetch_add(1, Ordering::Relaxed)).into();
+    let [callers, ready, metrics, peers] = [8_001, 8_002, 8_003, 8_004].map(|port| SocketAddr::new(ip, port));
+    Settings {
+        instance: instance.parse().unwrap(),
+        zone: "z1".parse().unwrap(),
+        callers,
+        ready,
+        metrics,
+        peers,
+        store: SocketAddr::new(ip, 8_005),
+        size: InstanceSize { cores: 1.0, link: 1_000.0 },
+        terms: Terms {
+            grace: Duration::from_secs(8),
+            drain: DRAIN,
+            apply: APPLY,
+            handover: Duration::from_secs(3),
+            retry: RetryTerms { ratio: 0.2, window: Duration::from_secs(10), slack: 50.0 },
+        },
+    }
+}
+
+async fn start(instance: &str, store: &Rc<SilentStore>) -> Gateway {
+    let shared: Rc<dyn Store> = Rc::clone(store) as Rc<dyn Store>;
+    Gateway::bind(settings(instance), Box::new(NoWire), shared).await.unwrap()
+}
+
+async fn wait_until(holds: impl Fn() -> bool) {
+    let waited = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waited).await.expect("the state is reached");
+}
+
+/// Guards against a lost answer that holds up the list of endpoints: requests went to endpoints that had left, since a read
+/// with a wait of many seconds was not given up.
+#[tokio::test]
+async fn a_read_of_the_list_without_an_answer_is_given_up() {
+    for leads in [false, true] {
+        let work = async {
+            let store = Rc::new(SilentStore { leads, ..SilentStore::default() });
+            let _gateway = start("n1", &store).await;
+            wait_until(|| store.list_wait.get().is_some()).await;
+            assert!(store.list_wait.get() <= Some(DRAIN / 4), "{:?}", store.list_wait);
+            let reads = store.lists.get();
+            wait_until(|| store.lists.get() > reads).await;
+        };
+        LocalSet::new().run_until(work).await;
+    }
+}
+
+/// Guards against a leader that learns of a new configuration late, and its followers with it.
+#[tokio::test]
+async fn a_leader_gives_up_a_watch_of_the_configuration_without_an_answer() {
+    let work = async {
+        let store = Rc::new(SilentStore { leads: true, ..SilentStore::default() });
+        let _gateway = start("n1", &store).await;
+        wait_until(|| store.config_wait.get().is_some_and(|wait| wait <= APPLY / 4)).await;
+        let reads = store.configs.get();
+        wait_until(|| store.configs.get() > reads).await;
+    };
+    LocalSet::new().run_until(work).await;
+}
+
+/// Guards against a follower that serves an old configuration for as long as its watch waits for a lost answer.
+#[tokio::test]
+async fn a_follower_reads_the_configuration_that_its_leader_has() {
+    let work = async {
+        let content = Rc::new(Content::default());
+        let store =
+            |leads| Rc::new(SilentStore { content: Rc::clone(&content), leads, ..SilentStore::default() });
+        let (first, second) = (store(true), store(false));
+        let _leader = start("n1", &first).await;
+        wait_until(|| content.leader.borrow().is_some()).await;
+        let _follower = start("n2", &second).await;
+        wait_until(|| second.config_wait.get().is_some()).await;
+        let reads = second.configs.get();
+        content.version.set(2);
+        wait_until(|| second.configs.get() > reads).await;
+    };
+    LocalSet::new().run_until(work).await;
+}
