A zone that takes no connections is passed over as a whole

Cause: a cut between zones drops packets without a word. After a cut the average of an endpoint's failures, which only its own outcomes lower, kept the requests away for as long as others had room: in the test no request of 20 went to the zone.

Change: `Reach` notes endpoints that took no connection in time, passes each over for 1 s, and the whole zone once two were silent without an answer from the zone in between. One request a second tries it, an answer ends it; they are still used where no other endpoint has the model. Such a verdict has a name of its own, also in the metrics.

Tests: crates/core/tests/reach.rs; with the doubt left out and the old count of failures 7 requests in 5 s went to the cut zone (5 allowed) and 0 of 20 came back to it.

--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -15,6 +15,7 @@
 use crate::gateway::EndpointEntry;
 use crate::gateway::LoadBoard;
 use crate::gateway::SharedLoad;
+use crate::gateway::reach::Reach;
 use crate::load::EndpointLoad;
 use crate::load::LoadMark;
 use crate::routing::weight;
@@ -52,6 +53,7 @@
     next: u64,
     instances: usize,
     board: LoadBoard,
+    reach: Reach,
 }
 
 /// The endpoint that runs a request.
@@ -63,6 +65,8 @@
     pub run: Incarnation,
     /// Its address.
     pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
     /// Estimated cost, in tokens of prefill or parts of the slots.
     pub cost: f64,
 }
@@ -80,6 +84,8 @@
     Declined,
     /// The endpoint answered with a failure.
     Failed,
+    /// It took no connection in time.
+    Unreachable,
     /// The connection was refused or broke off.
     Lost,
     /// The caller left, or the outcome says nothing about the endpoint.
@@ -116,13 +122,31 @@
     cost: f64,
     pace: Option<f64>,
     failures: f64,
-    gate: Gate,
+    standing: Standing,
+}
+
+/// Which candidates go first; those of the best standing are compared by cost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    Sound,
+    /// It or its zone took no connection a moment ago.
+    Doubted,
+    /// Its breaker lets one request through.
+    Probe,
+    Blocked,
 }
 
 impl Balancer {
     /// Starts with nothing known, in a zone.
     pub fn new(zone: ZoneId) -> Self {
-        Self { zone, tallies: IndexMap::new(), next: 0, instances: 1, board: LoadBoard::default() }
+        Self {
+            zone,
+            tallies: IndexMap::new(),
+            next: 0,
+            instances: 1,
+            board: LoadBoard::default(),
+            reach: Reach::default(),
+        }
     }
 
     /// Sets how many instances send requests to the same endpoints.
@@ -154,24 +178,33 @@
         let home = home_of(call, &candidates);
         let estimates: Vec<Estimate> =
             candidates.iter().map(|entry| self.estimate(call, entry, home == Some(&entry.id), now)).collect();
-        let open = |gate: Gate| estimates.iter().any(|estimate| estimate.gate == gate);
-        let wanted = if open(Gate::Pass) { Gate::Pass } else { Gate::Probe };
+        let wanted = estimates.iter().map(|one| one.standing).min()?;
+        if wanted == Standing::Blocked {
+            return None;
+        }
         let fastest = estimates.iter().filter_map(|one| one.pace).fold(f64::INFINITY, f64::min);
         let steadiest = estimates.iter().map(|one| one.failures).fold(f64::INFINITY, f64::min);
-        let rated = candidates.iter().zip(&estimates).filter(|(_, one)| one.gate == wanted);
+        let rated = candidates.iter().zip(&estimates).filter(|(_, one)| one.standing == wanted);
         let rated: Vec<(&EndpointEntry, f64)> =
             rated.map(|(entry, one)| (*entry, one.rated(fastest, steadiest))).collect();
         let drawn = self.draw(call, &rated);
         let compared =
             rated.iter().filter(|(entry, _)| home == Some(&entry.id) || drawn.contains(&&entry.id));
         let (entry, cost) = compared.copied().min_by(|(_, a), (_, b)| a.total_cmp(b))?;
-        Some(Choice { id: entry.id.clone(), run: entry.run, addr: entry.addr, cost })
+        Some(Choice {
+            id: entry.id.clone(),
+            run: entry.run,
+            addr: entry.addr,
+            zone: entry.zone.clone(),
+            cost,
+        })
     }
 
     /// Notes that a request is sent.
     pub fn sent(&mut self, call: &Call, choice: &Choice, now: Time) -> Ticket {
         self.next += 1;
         let ticket = Ticket(self.next);
+        self.reach.sent(&choice.zone, &choice.id, now);
         let tally = self.tally(&choice.id, choice.run);
         let tokens = call.tokens as f64 - tally.cached(call, now);
         let expected = tally.queue(now) + tokens + BASE_TOKENS;
@@ -189,6 +222,7 @@
         if let Some(load) = load {
             self.board.note(SharedLoad::new(&choice.id, choice.run, load));
         }
+        self.reach.answered(&choice.zone, &choice.id);
         let Some(tally) = self.known(choice) else { return };
         let Some(open) = tally.open.get_mut(&ticket) else { return };
         if let Some(load) = load {
@@ -206,6 +240,9 @@
 
     /// Notes how a request ended.
     pub fn finished(&mut self, choice: &Choice, ticket: Ticket, verdict: Verdict, now: Time) {
+        if verdict == Verdict::Unreachable {
+            self.reach.silent(&choice.zone, &choice.id, now);
+        }
         let Some(tally) = self.known(choice) else { return };
         let Some(open) = tally.open.swap_remove(&ticket) else { return };
         tally.load.ended();
@@ -218,6 +255,7 @@
     /// Forgets endpoints that no longer exist.
     pub fn retain(&mut self, exists: impl Fn(&EndpointId) -> bool) {
         self.tallies.retain(|id, tally| !tally.open.is_empty() || exists(id));
+        self.reach.retain(exists);
     }
 
     /// Returns the endpoints that are compared for a request.
@@ -250,7 +288,16 @@
             cost,
             pace: tally.and_then(|tally| tally.pace_at(now)),
             failures: tally.map_or(0.0, |tally| tally.failures),
-            gate: tally.map_or(Gate::Pass, |tally| tally.breaker.gate(now)),
+            standing: self.standing(entry, tally, now),
+        }
+    }
+
+    fn standing(&self, entry: &EndpointEntry, tally: Option<&Tally>, now: Time) -> Standing {
+        match tally.map_or(Gate::Pass, |tally| tally.breaker.gate(now)) {
+            Gate::Pass if self.reach.is_doubted(&entry.zone, &entry.id, now) => Standing::Doubted,
+            Gate::Pass => Standing::Sound,
+            Gate::Probe => Standing::Probe,
+            Gate::Block => Standing::Blocked,
         }
     }
 
@@ -326,6 +373,11 @@
                 1.0
             }
             Verdict::Declined | Verdict::Failed => 1.0,
+            // No failure of its own that would outlast the cut; the breaker ends the tries of an endpoint without others.
+            Verdict::Unreachable => {
+                self.breaker.failed(now);
+                return;
+            }
             Verdict::Neutral => return,
         };
         self.failures += WEIGHT * (failed - self.failures);
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod pace;
 mod placer;
+mod reach;
 mod registry;
 mod retry;
 mod roster;
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -131,7 +131,7 @@
 /// Returns where to go on after a failed call: a gap in the history is closed by reading the whole.
 fn go_on(after: Option<Revision>, err: &Error) -> Option<Revision> {
     match err.category() {
-        Category::Busy | Category::Connect => after,
+        Category::Busy | Category::Connect | Category::Unreachable => after,
         Category::Compacted | Category::Lost | Category::Codec | Category::Start => None,
     }
 }
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -369,7 +369,7 @@
     fn choice(&self, id: &EndpointId, run: Incarnation) -> Option<Choice> {
         let roster = self.state.roster.borrow();
         let entry = roster.get(id).filter(|entry| entry.run == run)?;
-        Some(Choice { id: id.clone(), run, addr: entry.addr, cost: 0.0 })
+        Some(Choice { id: id.clone(), run, addr: entry.addr, zone: entry.zone.clone(), cost: 0.0 })
     }
 }
 
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -15,6 +15,8 @@
 pub enum Category {
     /// Nothing was sent.
     Connect,
+    /// No connection was made in time, so nothing was sent.
+    Unreachable,
     /// The exchange broke off or timed out; it may have taken effect.
     Lost,
     /// The receiver turned the call away and did nothing.
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -32,6 +32,7 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 
+use crate::Category;
 use crate::Outgoing;
 use crate::answer::AnswerBody;
 use crate::answer::OwnAnswer;
@@ -161,7 +162,12 @@
                     self.call.attempt,
                     choice.id
                 );
-                send.verdict = Verdict::Lost;
+                send.verdict = match err.category() {
+                    // A connection that had no time says nothing about the endpoint.
+                    Category::Unreachable if left < CONNECT => Verdict::Neutral,
+                    Category::Unreachable => Verdict::Unreachable,
+                    _ => Verdict::Lost,
+                };
                 return Err(Failure::Unsent);
             }
         }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -49,13 +49,17 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Category::Connect`] if there is no connection within `timeout`.
+    /// Fails with [`Category::Unreachable`] if there is no connection within `timeout`, and with [`Category::Connect`] if it
+    /// is refused.
     pub async fn connect(addr: SocketAddr, timeout: Duration) -> Result<Self> {
         let failed = |err: String| Error::new(Category::Connect, format!("{addr}: {err}"));
         let stream = match tokio::time::timeout(timeout, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(err)) => return Err(failed(err.to_string())),
-            Err(_) => return Err(failed(format!("no connection in {timeout:?}"))),
+            Err(_) => {
+                let message = format!("{addr}: no connection in {timeout:?}");
+                return Err(Error::new(Category::Unreachable, message));
+            }
         };
         tune(&stream).map_err(|err| failed(err.to_string()))?;
         // A plain close goes on sending what a cut path holds up, so an order could arrive after those of the next leader.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -77,6 +77,7 @@
             Verdict::Good => "good",
             Verdict::Declined => "declined",
             Verdict::Failed => "failed",
+            Verdict::Unreachable => "unreachable",
             Verdict::Lost => "lost",
             Verdict::Neutral => "neutral",
         };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -137,7 +137,7 @@
     let lost = |err: std::io::Error| Error::new(Category::Connect, err.to_string());
     let connected = timeout(CONNECT, TcpStream::connect(addr)).await;
     let stream =
-        connected.map_err(|_elapsed| Error::new(Category::Connect, "no connection"))?.map_err(lost)?;
+        connected.map_err(|_elapsed| Error::new(Category::Unreachable, "no connection"))?.map_err(lost)?;
     tune(&stream).map_err(lost)?;
     let (mut from, mut to) = stream.into_split();
     write_frame(&mut to, &ToLeader::Hello { instance: state.settings.instance.clone() }).await?;
