--- a/crates/core/src/gateway/reach.rs
+++ b/crates/core/src/gateway/reach.rs
@@ -47,7 +47,7 @@
         reach.unheard.clear();
     }
 
-    /// Notes a request; if it is a try, the next ones pass the endpoint over until it is answered.
+    /// Notes a request; if it is a try, the next ones go elsewhere until it is answered or the hold has passed.
     pub fn sent(&mut self, zone: &ZoneId, id: &EndpointId, now: Time) {
         let Some(reach) = self.zones.get_mut(zone) else { return };
         reach.tried = now;
