Tests of lost answers of the store each need their own mechanism; one start for two election tests

a_follower_reads_the_configuration_that_its_leader_has passed when the follower's own short watch ended first, and nothing failed when a new leader kept its long watch.

--- a/crates/core/tests/reach.rs
+++ b/crates/core/tests/reach.rs
@@ -73,6 +73,18 @@
         silent
     }
 
+    /// Plays on and asserts that the zone that is cut off at times gets half of its share of the requests or more.
+    fn assert_share(&mut self, is_cut: impl Fn(&EndpointEntry) -> bool) {
+        let (span, before) = (Duration::from_secs(4), self.sound);
+        self.play(span, is_cut);
+        let sent = self.sound - before;
+        let share = span.as_millis() as usize / PAUSE.as_millis() as usize / ZONES;
+        assert!(
+            sent >= share / 2,
+            "{sent} requests went to the zone's sound endpoints, its share is {share}"
+        );
+    }
+
     /// Ends what ends until a time, and sends again what was not answered.
     fn settle(&mut self, until: Time, is_cut: &impl Fn(&EndpointEntry) -> bool) -> usize {
         let mut silent = 0;
@@ -154,11 +166,7 @@
     let mut scene = Scene::new();
     scene.play(Duration::from_secs(4), is_in_cut_zone);
     scene.play(Duration::from_secs(2), |_| false);
-    let before = scene.sound;
-    scene.play(Duration::from_secs(4), |_| false);
-    let sent = scene.sound - before;
-    let share = 4_000 / PAUSE.as_millis() as usize / ZONES;
-    assert!(sent >= share / 2, "{sent} requests went to the zone, its share is {share}");
+    scene.assert_share(|_| false);
 }
 
 /// Guards against a whole zone that is passed over since a few of its endpoints crashed.
@@ -168,11 +176,7 @@
     let is_dark =
         |entry: &EndpointEntry| ["e200", "e201", "e202", "e203", "e204"].contains(&entry.id.as_str());
     scene.play(Duration::from_secs(2), is_dark);
-    let before = scene.sound;
-    scene.play(Duration::from_secs(4), is_dark);
-    let sent = scene.sound - before;
-    let share = 4_000 / PAUSE.as_millis() as usize / ZONES;
-    assert!(sent >= share / 2, "{sent} requests went to the zone's other endpoints, its share is {share}");
+    scene.assert_share(is_dark);
 }
 
 /// Guards against a refusal where the only endpoint with the model has just missed a connection.
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -16,6 +16,7 @@
 use carobwick_core::gateway::DemandTable;
 use carobwick_core::gateway::EngineOrder;
 use carobwick_core::gateway::EngineRegistry;
+use carobwick_core::gateway::EngineSpec;
 use carobwick_core::gateway::LoadBoard;
 use carobwick_core::gateway::ModelPlacer;
 use carobwick_core::gateway::OrderReply;
@@ -279,11 +280,7 @@
         }
     }
 
-    fn with_spec<T>(
-        &self,
-        service: &ServiceId,
-        act: impl FnOnce(&carobwick_core::gateway::EngineSpec) -> T,
-    ) -> Option<T> {
+    fn with_spec<T>(&self, service: &ServiceId, act: impl FnOnce(&EngineSpec) -> T) -> Option<T> {
         let table = self.state.table.borrow().clone()?;
         table.services.get(service)?.engine.as_ref().map(act)
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use carobwick_core::LoadReport;
 use carobwick_core::gateway::Failure;
 use carobwick_core::gateway::Step;
 use carobwick_core::gateway::Verdict;
@@ -42,7 +43,7 @@
 struct Source {
     body: Incoming,
     send: Send,
-    head_load: Option<carobwick_core::LoadReport>,
+    head_load: Option<LoadReport>,
     timer: Pin<Box<Sleep>>,
     started: bool,
 }
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -109,19 +109,25 @@
     LeaderNote { record, peers: "127.0.0.1:2".parse().unwrap() }
 }
 
+/// Starts an election in which `n2` leads, and waits until that is known.
+async fn follow_n2() -> (Rc<NoteStore>, Rc<Election>) {
+    let (store, settings) = (Rc::new(NoteStore::default()), Rc::new(settings()));
+    *store.note.borrow_mut() = Some(note("n2"));
+    let election = Rc::new(Election::new(&settings));
+    let shared: Rc<dyn Store> = Rc::clone(&store) as Rc<dyn Store>;
+    tokio::task::spawn_local(Rc::clone(&election).run(settings, shared));
+    while election.leader() != Some(note("n2")) {
+        tokio::task::yield_now().await;
+    }
+    (store, election)
+}
+
 /// Guards against a stopping instance that refuses its last requests for want of a model, since it follows the leader of
 /// before its stop.
 #[tokio::test]
 async fn a_stopping_instance_still_sees_a_new_leader() {
     let work = async {
-        let (store, settings) = (Rc::new(NoteStore::default()), Rc::new(settings()));
-        *store.note.borrow_mut() = Some(note("n2"));
-        let election = Rc::new(Election::new(&settings));
-        let shared: Rc<dyn Store> = Rc::clone(&store) as Rc<dyn Store>;
-        tokio::task::spawn_local(Rc::clone(&election).run(settings, shared));
-        while election.leader() != Some(note("n2")) {
-            tokio::task::yield_now().await;
-        }
+        let (store, election) = follow_n2().await;
         election.resign();
         *store.note.borrow_mut() = Some(note("n3"));
         election.moved_from(&note("n2")).await;
@@ -137,14 +143,7 @@
 #[tokio::test]
 async fn following_ends_when_the_leader_is_another() {
     let work = async {
-        let (store, settings) = (Rc::new(NoteStore::default()), Rc::new(settings()));
-        *store.note.borrow_mut() = Some(note("n2"));
-        let election = Rc::new(Election::new(&settings));
-        let shared: Rc<dyn Store> = Rc::clone(&store) as Rc<dyn Store>;
-        tokio::task::spawn_local(Rc::clone(&election).run(settings, shared));
-        while election.leader() != Some(note("n2")) {
-            tokio::task::yield_now().await;
-        }
+        let (store, election) = follow_n2().await;
         assert!(election.moved_from(&note("n2")).now_or_never().is_none(), "it still leads");
         *store.note.borrow_mut() = Some(note("n3"));
         election.moved_from(&note("n2")).await;
--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -50,8 +50,10 @@
 use indexmap::IndexMap;
 use tokio::task::LocalSet;
 
-/// Longest time that a test waits for a state; shorter than a follower's watch of the configuration.
+/// Longest time that a test waits for a state; shorter than a follower's watch of the configuration, which waits 30 s.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// The same where an instance without a leader must not wait for its watch, which takes 10 s.
+const SHORT_PATIENCE: Duration = Duration::from_secs(9);
 const DRAIN: Duration = Duration::from_secs(2);
 const APPLY: Duration = Duration::from_secs(2);
 
@@ -202,12 +204,16 @@
 }
 
 async fn wait_until(holds: impl Fn() -> bool) {
+    wait_for(PATIENCE, holds).await;
+}
+
+async fn wait_for(patience: Duration, holds: impl Fn() -> bool) {
     let waited = async {
         while !holds() {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     };
-    tokio::time::timeout(PATIENCE, waited).await.expect("the state is reached");
+    tokio::time::timeout(patience, waited).await.expect("the state is reached");
 }
 
 /// Guards against a lost answer that holds up the list of endpoints: requests went to endpoints that had left, since a read
@@ -227,13 +233,15 @@
     }
 }
 
-/// Guards against a leader that learns of a new configuration late, and its followers with it.
+/// Guards against a leader that learns of a new configuration late, and its followers with it, also when its watch is the
+/// long one that it began before it led.
 #[tokio::test]
 async fn a_leader_gives_up_a_watch_of_the_configuration_without_an_answer() {
     let work = async {
         let store = Rc::new(SilentStore { leads: true, ..SilentStore::default() });
         let _gateway = start("n1", &store).await;
-        wait_until(|| store.config_wait.get().is_some_and(|wait| wait <= APPLY / 4)).await;
+        let is_short = || store.config_wait.get().is_some_and(|wait| wait <= APPLY / 4);
+        wait_for(SHORT_PATIENCE, is_short).await;
         let reads = store.configs.get();
         wait_until(|| store.configs.get() > reads).await;
     };
@@ -251,7 +259,8 @@
         let _leader = start("n1", &first).await;
         wait_until(|| content.leader.borrow().is_some()).await;
         let _follower = start("n2", &second).await;
-        wait_until(|| second.config_wait.get().is_some()).await;
+        // Only the leader's word ends such a watch while the test waits.
+        wait_until(|| second.config_wait.get() > Some(PATIENCE)).await;
         let reads = second.configs.get();
         content.version.set(2);
         wait_until(|| second.configs.get() > reads).await;
