A new leader tells the number of instances only when all had time to connect

Cause: found in reading the change. Each instance takes an equal part of the retry slack by the number that the leader tells. When all instances start at once, the first to connect were told 2, 3 and so on, and the leader itself took the whole slack, so the parts added up to several times the bound (BUDGET) for the first window.

Ruled out: the memory of larger numbers within the window, which only helps an instance that knows one.

Change: `sharing_instances`; a leader of less than 3 s tells no number, and an instance has one repeat until it is told, or goes on with the number of before. An instance that connects again is no longer counted twice.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -10,6 +10,9 @@
 /// Part of the slack, in repeats, of an instance that does not know how many share it.
 const OWN_SLACK: f64 = 1.0;
 
+/// Time in which the instances find a new leader and connect to it.
+const JOINING: Duration = Duration::from_secs(3);
+
 /// Bound on repeated sends to one service, over all instances.
 #[data]
 #[derive(Copy)]
@@ -22,6 +25,13 @@
     pub slack: f64,
 }
 
+/// Returns how many instances share the slack, by the followers of a leader.
+///
+/// A leader of a moment ago knows few of its followers, and shares by their number would add up to several times the slack.
+pub fn sharing_instances(followers: usize, leading: Duration) -> Option<u32> {
+    (leading >= JOINING).then(|| followers as u32 + 1)
+}
+
 /// Part of the retry budget of one service that an instance may use without asking the others.
 ///
 /// Each instance counts its own requests against the ratio and takes an equal part of the slack. The parts of all
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 
 pub use crate::budget::RetryShare;
 pub use crate::budget::RetryTerms;
+pub use crate::budget::sharing_instances;
 pub use adapters::plan_adapter;
 pub use balance::Balancer;
 pub use balance::Choice;
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -35,8 +35,12 @@
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::locate;
 use carobwick_core::gateway::next_step;
+use carobwick_core::gateway::sharing_instances;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
 
 fn at(millis: u64) -> Time {
@@ -238,6 +242,34 @@
     assert!(repeats > requests / 6, "{repeats} of {requests}");
 }
 
+/// Guards against shares that add up to several times the slack while the instances connect to their first leader: each was
+/// told the number of those that had come before it.
+#[test]
+fn shares_add_up_while_the_instances_connect() {
+    let terms = RetryTerms { ratio: 0.2, window: Duration::from_secs(10), slack: 56.0 };
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    for _ in 0..50 {
+        let mut joins: Vec<u64> = (0..7).map(|_| random.random_range(0..2_500)).collect();
+        joins.push(0);
+        let mut shares: Vec<RetryShare> = joins.iter().map(|_| RetryShare::new(terms)).collect();
+        let mut repeats = 0;
+        for now in (0..10_000).step_by(50) {
+            let joined = joins.iter().filter(|join| **join <= now).count();
+            let told = sharing_instances(joined - 1, Duration::from_millis(now));
+            for (share, join) in shares.iter_mut().zip(&joins) {
+                let is_told = *join <= now && (now % 500 == 0 || now - join < 50);
+                if let Some(instances) = told.filter(|_| is_told) {
+                    share.set_instances(instances, at(now));
+                }
+                while share.take(at(now)) {
+                    repeats += 1;
+                }
+            }
+        }
+        assert!(repeats <= 56, "{repeats} repeats without a request, {joins:?}");
+    }
+}
+
 /// Guards against more repeats in some span of the window than the requests of that span allow, at a steady rate and
 /// while it rises and falls.
 #[test_case(|_| 4; "steady")]
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -23,6 +23,7 @@
 use carobwick_core::gateway::Roster;
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::plan_adapter;
+use carobwick_core::gateway::sharing_instances;
 use carobwick_runtime::now;
 use indexmap::IndexMap;
 use tokio::sync::Notify;
@@ -102,19 +103,26 @@
     }
 
     /// Adds an instance that follows this leader and tells it what it has to know.
-    pub fn join(&self, instance: InstanceId, to: mpsc::UnboundedSender<Frame>) {
-        let instances = self.followers.borrow().len() as u32 + 2;
-        tell(&to, encoded(&FromLeader::Instances(instances)));
+    pub fn join(&self, instance: &InstanceId, to: mpsc::UnboundedSender<Frame>) {
+        self.followers.borrow_mut().insert(instance.clone(), to);
+        let followers = self.followers.borrow();
+        let to = &followers[instance];
+        tell(to, encoded(&FromLeader::Instances(self.instances())));
         if let Some(table) = self.state.table.borrow().as_ref() {
-            tell(&to, encoded(&FromLeader::Config(table.version)));
+            tell(to, encoded(&FromLeader::Config(table.version)));
         }
         for (id, record) in self.registry.borrow().iter() {
             // Of the other engines the instance knows by itself what their entries say.
             if let Some(holding) = record.told.clone() {
-                tell(&to, encoded(&FromLeader::Engine { endpoint: id.clone(), run: record.run, holding }));
+                tell(to, encoded(&FromLeader::Engine { endpoint: id.clone(), run: record.run, holding }));
             }
         }
-        self.followers.borrow_mut().insert(instance, to);
+    }
+
+    /// Returns how many instances share the retry budget, once all had time to connect.
+    fn instances(&self) -> Option<u32> {
+        let since = self.election.since()?;
+        sharing_instances(self.followers.borrow().len(), now() - since)
     }
 
     /// Returns whether this instance leads.
@@ -141,9 +149,11 @@
     pub fn beat(&self) {
         let mut followers = self.followers.borrow_mut();
         followers.retain(|_, to| !to.is_closed());
-        let instances = followers.len() as u32 + 1;
         drop(followers);
-        self.state.set_instances(instances);
+        let instances = self.instances();
+        if let Some(instances) = instances {
+            self.state.set_instances(instances);
+        }
         self.tell_all(&FromLeader::Instances(instances));
         let loads = self.loads.borrow_mut().take();
         if !loads.is_empty() {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -41,8 +41,8 @@
 /// Message of the leader to an instance.
 #[data]
 pub(crate) enum FromLeader {
-    /// Instances that share the retry budget; also a sign of life.
-    Instances(u32),
+    /// Instances that share the retry budget, once all had time to connect; also a sign of life.
+    Instances(Option<u32>),
     /// Loads that endpoints reported to any instance.
     Loads(Vec<SharedLoad>),
     /// What an engine offers.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -67,7 +67,7 @@
         return Ok(());
     }
     let (sender, mut receiver) = mpsc::unbounded_channel::<Frame>();
-    coordinator.join(instance.clone(), sender);
+    coordinator.join(&instance, sender);
     let writer = async {
         while let Some(frame) = receiver.recv().await {
             write_encoded(&mut to, &frame).await?;
@@ -174,10 +174,11 @@
 
 fn take(state: &State, election: &Election, message: FromLeader) {
     match message {
-        FromLeader::Instances(instances) => {
+        FromLeader::Instances(Some(instances)) => {
             state.set_instances(instances);
             election.set_instances(instances);
         }
+        FromLeader::Instances(None) => {}
         FromLeader::Engine { endpoint, run, holding } => {
             state.roster.borrow_mut().told(&endpoint, run, &holding, now());
             state.changed.notify_waiters();
