The gateway checks I1, I4 and I5 where they could be violated

Loads of models that do not fit, reruns of a request that may have run and refusals of one now stop the task.

--- a/crates/core/src/gateway/placer.rs
+++ b/crates/core/src/gateway/placer.rs
@@ -375,6 +375,7 @@
             self.add(victim, zone, -1);
             EngineAction::Unload(victim.clone())
         } else {
+            assert!(self.rows[model].size <= engine.free, "I1: {model} does not fit on {}", chosen.id);
             if chosen.is_cold {
                 pace.take();
             }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -152,6 +152,10 @@
 
     /// Does so, and goes on after an event of an interrupted stream.
     pub async fn attempt_from(&mut self, choice: &Choice, resume: Option<&str>) -> Result<Reply, Failure> {
+        assert!(
+            self.progress.runs == 0 || self.route.may_rerun(),
+            "I5: rerun of a request that may have run"
+        );
         let mut send = Send::start(&self.state, &self.service, &self.call, self.print, choice);
         let Some(left) = self.left() else { return Err(Failure::Unsent) };
         match self.state.pool.take(choice, CONNECT.min(left)).await {
@@ -401,6 +405,7 @@
         );
         match step {
             Step::Refuse | Step::Again => {
+                assert_eq!(self.progress.runs, 0, "I4: a refused request may have run");
                 OwnAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "no endpoint took the request")
                     .after(COME_BACK)
                     .response()
