--- /dev/null
+++ b/crates/core/tests/endpoint_fixture/mod.rs
@@ -0,0 +1,23 @@
+//! An entry of the list of endpoints, for tests of the gateway's decisions.
+
+use carobwick_core::EndpointId;
+use carobwick_core::EndpointState;
+use carobwick_core::Incarnation;
+use carobwick_core::gateway::EndpointEntry;
+use carobwick_core::gateway::Holding;
+
+/// Returns the first entry of a live endpoint's first run, with eight slots.
+pub fn endpoint(id: EndpointId, service: &str, zone: &str, holding: Holding) -> EndpointEntry {
+    EndpointEntry {
+        id,
+        run: Incarnation(1),
+        heartbeat: 1,
+        service: service.parse().unwrap(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        slots: 8,
+        state: EndpointState::Live,
+        remaining: None,
+        holding,
+    }
+}
--- a/crates/core/tests/engine_orders.rs
+++ b/crates/core/tests/engine_orders.rs
@@ -1,10 +1,11 @@
 //! Orders to engines: seeded runs against engines whose answers are lost, whose reports lag and which apply orders late.
 
+mod endpoint_fixture;
+
 use std::time::Duration;
 
 use carobwick_core::Bytes;
 use carobwick_core::EndpointId;
-use carobwick_core::EndpointState;
 use carobwick_core::Incarnation;
 use carobwick_core::Millis;
 use carobwick_core::ModelId;
@@ -28,6 +29,7 @@
 use carobwick_core::gateway::OrderReply;
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::plan_adapter;
+use endpoint_fixture::endpoint;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use rand::Rng;
@@ -187,18 +189,10 @@
         for (index, (id, engine)) in self.engines.iter().enumerate() {
             let age = self.random.random_range(0..5_000);
             let seen = engine.past.iter().rfind(|(at, _)| at + age <= now).or(engine.past.first());
-            let entry = EndpointEntry {
-                id: id.clone(),
-                run: Incarnation(1),
-                heartbeat: now,
-                service: self.service.clone(),
-                addr: "127.0.0.1:1".parse().unwrap(),
-                zone: format!("z{}", index % 3).parse().unwrap(),
-                slots: 8,
-                state: EndpointState::Live,
-                remaining: None,
-                holding: seen.map(|(_, state)| state.holding.clone()).unwrap_or_default(),
-            };
+            let holding = seen.map(|(_, state)| state.holding.clone()).unwrap_or_default();
+            let zone = format!("z{}", index % 3);
+            let entry = endpoint(id.clone(), self.service.as_str(), &zone, holding);
+            let entry = EndpointEntry { heartbeat: now, ..entry };
             self.registry.listed(&entry, time(now));
         }
     }
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! Decisions of the gateway: routes, the list of endpoints, choice of endpoint, retries and suspects.
 
+mod endpoint_fixture;
+
 use std::time::Duration;
 
 use carobwick_core::Bytes;
@@ -36,6 +38,7 @@
 use carobwick_core::gateway::locate;
 use carobwick_core::gateway::next_step;
 use carobwick_core::gateway::sharing_instances;
+use endpoint_fixture::endpoint;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use rand::Rng;
@@ -76,18 +79,8 @@
 fn entry(id: &str, run: u64, heartbeat: u64, state: EndpointState) -> EndpointEntry {
     let mut holding = Holding::default();
     holding.models.insert("m".parse().unwrap(), IndexSet::new());
-    EndpointEntry {
-        id: id.parse().unwrap(),
-        run: Incarnation(run),
-        heartbeat,
-        service: "s".parse().unwrap(),
-        addr: "127.0.0.1:1".parse().unwrap(),
-        zone: "z".parse().unwrap(),
-        slots: 8,
-        state,
-        remaining: None,
-        holding,
-    }
+    let entry = endpoint(id.parse().unwrap(), "s", "z", holding);
+    EndpointEntry { run: Incarnation(run), heartbeat, state, ..entry }
 }
 
 fn live(roster: &Roster) -> Vec<String> {
--- a/crates/core/tests/model_placer.rs
+++ b/crates/core/tests/model_placer.rs
@@ -1,10 +1,11 @@
 //! Which engines hold which models: more models than places, shifts of demand, few requests.
 
+mod endpoint_fixture;
+
 use std::time::Duration;
 
 use carobwick_core::Bytes;
 use carobwick_core::EndpointId;
-use carobwick_core::EndpointState;
 use carobwick_core::Incarnation;
 use carobwick_core::Millis;
 use carobwick_core::ModelId;
@@ -14,7 +15,6 @@
 use carobwick_core::Tokens;
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::DemandTable;
-use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::EngineAction;
 use carobwick_core::gateway::EngineOrder;
 use carobwick_core::gateway::EngineRegistry;
@@ -25,6 +25,7 @@
 use carobwick_core::gateway::ModelSize;
 use carobwick_core::gateway::OrderReply;
 use carobwick_core::gateway::Weights;
+use endpoint_fixture::endpoint;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use rand::Rng;
@@ -106,18 +107,8 @@
 
     fn list(&mut self) {
         for (index, (id, engine)) in self.engines.iter().enumerate() {
-            let entry = EndpointEntry {
-                id: id.clone(),
-                run: Incarnation(1),
-                heartbeat: 1,
-                service: self.service.clone(),
-                addr: "127.0.0.1:1".parse().unwrap(),
-                zone: format!("z{}", index % 3).parse().unwrap(),
-                slots: 64,
-                state: EndpointState::Live,
-                remaining: None,
-                holding: engine.holding.clone(),
-            };
+            let zone = format!("z{}", index % 3);
+            let entry = endpoint(id.clone(), self.service.as_str(), &zone, engine.holding.clone());
             self.registry.listed(&entry, Time::ZERO);
         }
     }
--- a/crates/core/tests/reach.rs
+++ b/crates/core/tests/reach.rs
@@ -1,9 +1,9 @@
 //! Choice of endpoints by an instance that a cut keeps from those of another zone.
 
+mod endpoint_fixture;
+
 use std::time::Duration;
 
-use carobwick_core::EndpointState;
-use carobwick_core::Incarnation;
 use carobwick_core::Time;
 use carobwick_core::gateway::Balancer;
 use carobwick_core::gateway::Call;
@@ -14,6 +14,7 @@
 use carobwick_core::gateway::Ticket;
 use carobwick_core::gateway::Verdict;
 use carobwick_core::gateway::Weights;
+use endpoint_fixture::endpoint;
 use indexmap::IndexSet;
 
 /// Time after which a connection that is not made is given up.
@@ -134,18 +135,7 @@
 fn entry(zone: &str, id: &str) -> EndpointEntry {
     let mut holding = Holding::default();
     holding.models.insert("m".parse().unwrap(), IndexSet::new());
-    EndpointEntry {
-        id: id.parse().unwrap(),
-        run: Incarnation(1),
-        heartbeat: 1,
-        service: "s".parse().unwrap(),
-        addr: "127.0.0.1:1".parse().unwrap(),
-        zone: zone.parse().unwrap(),
-        slots: 16,
-        state: EndpointState::Live,
-        remaining: None,
-        holding,
-    }
+    endpoint(id.parse().unwrap(), "s", zone, holding)
 }
 
 /// Guards against a cut between zones that costs a connection's time for each of the endpoints behind it, and again
