--- a/crates/core/tests/model_placer.rs
+++ b/crates/core/tests/model_placer.rs
@@ -230,6 +230,20 @@
     assert!(fleet.loads <= 48, "{} loads", fleet.loads);
 }
 
+/// Guards against a busy model that stays on one engine while models that nobody asks for hold the other places.
+///
+/// 4 engines have 8 places for 9 models; 4 of them are asked for, one of these much more after 20 s.
+#[test]
+fn idle_models_make_room_for_a_rising_one_where_models_outnumber_places() {
+    let mut fleet = Fleet::new(4, 9, |engine| vec![engine, 4 + engine]);
+    fleet.play(0..20_000, |index, _| if (4..8).contains(&index) { 1.0 } else { 0.0 });
+    fleet.play(20_000..30_000, |index, _| if index == 4 { 40.0 } else { f64::from((5..8).contains(&index)) });
+    assert!(fleet.copies(4) >= 3, "{} copies", fleet.copies(4));
+    for index in 5..8 {
+        assert!(fleet.copies(index) > 0, "m{index} is asked for and on no engine");
+    }
+}
+
 /// Guards against models that nobody asks for being dropped although there are places for all.
 #[test]
 fn all_models_stay_on_engines_where_places_suffice() {
