The line of an adopted configuration says whether a read or a watch brought it

The logs of the CONFIG incident could not tell an instance that waited for a lost answer from one that its leader told late: the line of the adopted version did not say how it was learnt. No change of behaviour.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -35,9 +35,16 @@
     after: Option<Revision>,
 }
 
+/// How a configuration was learnt.
+#[derive(Debug, Clone, Copy)]
+enum Source {
+    Read,
+    Watch,
+}
+
 /// What the reader does next.
 enum Turn {
-    Take(Snapshot<Option<Arc<RouteTable>>>),
+    Take(Source, Snapshot<Option<Arc<RouteTable>>>),
     /// Reads the whole configuration, since its watch may have lost its answer.
     Reread(&'static str),
 }
@@ -52,11 +59,11 @@
         let mut backoff = Backoff::new();
         loop {
             match self.turn().await {
-                Ok(Turn::Take(news)) => {
+                Ok(Turn::Take(source, news)) => {
                     backoff.reset();
                     self.after = Some(news.at);
                     if let Some(table) = news.value {
-                        self.adopt(table);
+                        self.adopt(source, table);
                     }
                 }
                 Ok(Turn::Reread(reason)) => {
@@ -74,7 +81,9 @@
 
     /// Reads the configuration, or waits for a change of it.
     async fn turn(&self) -> Result<Turn> {
-        let Some(after) = self.after else { return self.store.config().await.map(Turn::Take) };
+        let Some(after) = self.after else {
+            return self.store.config().await.map(|news| Turn::Take(Source::Read, news));
+        };
         let leads = self.coordinator.is_leading();
         let (wait, late) = (self.wait(), self.state.terms.get().apply.mul_f64(LATE_PART));
         let watch = timeout(wait + late, self.store.watch_config(after, wait));
@@ -82,7 +91,7 @@
             biased;
             news = watch => {
                 let silent = |_elapsed| Error::new(Category::Lost, "no answer to a watch in time");
-                news.map_err(silent)?.map(Turn::Take)
+                news.map_err(silent)?.map(|news| Turn::Take(Source::Watch, news))
             }
             () = self.overdue(late) => Ok(Turn::Reread("the leader has a newer one")),
             () = self.coordinator.until_leading(), if !leads => Ok(Turn::Reread("this instance leads now")),
@@ -112,12 +121,16 @@
     }
 
     /// Takes a configuration unless it is older than the one in force.
-    fn adopt(&self, table: Arc<RouteTable>) {
+    fn adopt(&self, source: Source, table: Arc<RouteTable>) {
         let mut known = self.state.table.borrow_mut();
         if known.as_ref().is_some_and(|old| old.version >= table.version) {
             return;
         }
-        tracing::info!("config: version {} is in force, {} routes", table.version, table.routes().count());
+        tracing::info!(
+            "config: version {} is in force, {} routes, by a {source:?}",
+            table.version,
+            table.routes().count()
+        );
         self.state.meters.configured(table.version.0);
         let version = table.version;
         *known = Some(table);
