A watch of the configuration waits long only while the leader's word backs it

Callers could see: routes of an old version, for up to 10.5 s on an instance without a leader and for up to 30.5 s on one that had lost its leader while it waited. Class of fault: a wait whose answer may be lost, bounded by the liveness of another process.

Cause: since the leader's watch is short, and its followers wait 30 s because the leader tells them of a newer version. Nothing ended that wait when the leader was lost, and an instance without one waited 10 s. Ruled out: shorter watches for all instances (two calls a second each).

Change: `ConfigFreshness` keeps when the version in force was last known to be the newest, by an own answer or by the leader, which now sends its version with its age twice a second. A long watch is given up once that is 0.6 of configApplyMs ago, and short ones follow until there is a word again. New metric carobwick_config_age_seconds. The same cause was looked for elsewhere: the list is bounded by `ListCursor`, the leader's note by the end of its connections, calls of the election by the store client's 1.5 s.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 //! A [`RouteTable`] says which service answers a request, a [`Roster`] which endpoints exist, a [`Balancer`] which of
 //! them runs it, [`next_step`] what follows a failed send, and a [`RetryShare`] how many sends may be repeated. The
 //! leader of the region gives orders to engines as a [`ModelPlacer`], [`plan_adapter`] and its [`EngineRegistry`] say. A
-//! [`ListCursor`] says when an instance reads the list of endpoints itself.
+//! [`ListCursor`] says when an instance reads the list of endpoints itself, and [`ConfigFreshness`] how long it may go by the
+//! configuration that it has.
 
 mod adapters;
 mod balance;
@@ -11,6 +12,7 @@
 mod candidacy;
 mod copies;
 mod demand;
+mod freshness;
 mod list;
 mod loads;
 mod orders;
@@ -40,6 +42,8 @@
 pub use demand::DemandSample;
 pub use demand::DemandTable;
 pub use demand::ModelDemand;
+pub use freshness::ConfigFreshness;
+pub use freshness::WatchTerms;
 pub use list::ListCursor;
 pub use list::ListSource;
 pub use list::ListSpan;
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -41,6 +41,14 @@
     }
 }
 
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_sub(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
 impl Sub for Time {
     type Output = Duration;
 
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,7 +2,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use carobwick_core::Time;
 use carobwick_core::gateway::RouteTable;
+use carobwick_runtime::now;
 use tokio::time::timeout;
 
 use crate::Category;
@@ -15,19 +17,10 @@
 use crate::coordinator::Coordinator;
 use crate::state::State;
 
-/// Longest wait of a follower's watch; the leader says when there is a newer configuration.
-const FOLLOWER_WAIT: Duration = Duration::from_secs(30);
-/// Longest wait of a watch by an instance without a leader.
-const ALONE_WAIT: Duration = Duration::from_secs(10);
-/// Part of the time for a new configuration for which the leader's watch waits, which it is late by if an answer is lost.
-const LEADER_PART: f64 = 0.25;
-/// Part of the time for a new configuration for which an answer may be late.
-const LATE_PART: f64 = 0.25;
-
 /// Keeps the routes up to date.
 ///
-/// A connection on which an answer was lost stays silent although it is open. The leader's watch is short for this
-/// reason, and it tells the others which version is in force.
+/// A connection on which an answer was lost stays silent although it is open, so each watch is bounded. A follower's watch is long
+/// as long as the leader says which version is the newest.
 pub(crate) struct ConfigReader {
     state: Rc<State>,
     store: Rc<dyn Store>,
@@ -42,11 +35,21 @@
     Watch,
 }
 
+/// What the store answered.
+struct News {
+    source: Source,
+    /// When the answer was the newest state at the earliest.
+    since: Time,
+    snapshot: Snapshot<Option<Arc<RouteTable>>>,
+}
+
 /// What the reader does next.
 enum Turn {
-    Take(Source, Snapshot<Option<Arc<RouteTable>>>),
+    Take(News),
     /// Reads the whole configuration, since its watch may have lost its answer.
     Reread(&'static str),
+    /// Watches again on another connection, since nothing backs a long watch any more.
+    Rewatch,
 }
 
 impl ConfigReader {
@@ -59,17 +62,17 @@
         let mut backoff = Backoff::new();
         loop {
             match self.turn().await {
-                Ok(Turn::Take(source, news)) => {
+                Ok(Turn::Take(news)) => {
                     backoff.reset();
-                    self.after = Some(news.at);
-                    if let Some(table) = news.value {
-                        self.adopt(source, table);
-                    }
+                    self.take(news);
                 }
                 Ok(Turn::Reread(reason)) => {
                     tracing::info!("config: is read again: {reason}");
                     self.after = None;
                 }
+                Ok(Turn::Rewatch) => {
+                    tracing::debug!("config: no word of the leader, watches by itself");
+                }
                 Err(err) => {
                     tracing::info!("config: the store did not answer: {err}");
                     self.after = go_on(self.after, &err);
@@ -81,36 +84,43 @@
 
     /// Reads the configuration, or waits for a change of it.
     async fn turn(&self) -> Result<Turn> {
-        let Some(after) = self.after else {
-            return self.store.config().await.map(|news| Turn::Take(Source::Read, news));
-        };
+        let Some(after) = self.after else { return self.read().await.map(Turn::Take) };
         let leads = self.coordinator.is_leading();
-        let (wait, late) = (self.wait(), self.state.terms.get().apply.mul_f64(LATE_PART));
-        let watch = timeout(wait + late, self.store.watch_config(after, wait));
+        let terms = self.state.freshness.borrow().watch(leads, now());
+        let watch = timeout(terms.limit, self.watch(after, terms.wait));
         tokio::select! {
             biased;
             news = watch => {
                 let silent = |_elapsed| Error::new(Category::Lost, "no answer to a watch in time");
-                news.map_err(silent)?.map(|news| Turn::Take(Source::Watch, news))
+                news.map_err(silent)?.map(Turn::Take)
             }
-            () = self.overdue(late) => Ok(Turn::Reread("the leader has a newer one")),
+            () = self.overdue() => Ok(Turn::Reread("the leader has a newer one")),
             () = self.coordinator.until_leading(), if !leads => Ok(Turn::Reread("this instance leads now")),
+            () = self.until_stale(), if terms.backed => Ok(Turn::Rewatch),
         }
     }
 
-    fn wait(&self) -> Duration {
-        match (self.coordinator.is_leading(), self.state.has_leader()) {
-            (true, _) => self.state.terms.get().apply.mul_f64(LEADER_PART),
-            (false, true) => FOLLOWER_WAIT,
-            (false, false) => ALONE_WAIT,
-        }
+    async fn read(&self) -> Result<News> {
+        let since = now();
+        let snapshot = self.store.config().await?;
+        Ok(News { source: Source::Read, since, snapshot })
+    }
+
+    async fn watch(&self, after: Revision, wait: Duration) -> Result<News> {
+        let sent = now();
+        let snapshot = self.store.watch_config(after, wait).await?;
+        let waited = sent + wait;
+        // Without a change the store has waited before it answered.
+        let since = if snapshot.value.is_none() && now() >= waited { waited } else { sent };
+        Ok(News { source: Source::Watch, since, snapshot })
     }
 
     /// Waits until the leader has had a newer version for some time.
-    async fn overdue(&self, late: Duration) {
+    async fn overdue(&self) {
         loop {
             let told = self.state.told_version.notified();
             if self.state.is_outdated() {
+                let late = self.state.freshness.borrow().late();
                 tokio::time::sleep(late).await;
                 if self.state.take_outdated() {
                     return;
@@ -120,24 +130,37 @@
         }
     }
 
-    /// Takes a configuration unless it is older than the one in force.
-    fn adopt(&self, source: Source, table: Arc<RouteTable>) {
-        let mut known = self.state.table.borrow_mut();
-        if known.as_ref().is_some_and(|old| old.version >= table.version) {
-            return;
+    /// Waits until the configuration can no longer be taken for the newest.
+    async fn until_stale(&self) {
+        loop {
+            let trusted = self.state.freshness.borrow().trusted(now());
+            if trusted.is_zero() {
+                return;
+            }
+            tokio::time::sleep(trusted).await;
         }
-        tracing::info!(
-            "config: version {} is in force, {} routes, by a {source:?}",
-            table.version,
-            table.routes().count()
-        );
-        self.state.meters.configured(table.version.0);
+    }
+
+    fn take(&mut self, news: News) {
+        self.after = Some(news.snapshot.at);
+        let adopted = news.snapshot.value.is_some_and(|table| self.adopt(news.source, table));
+        self.state.freshness.borrow_mut().checked(news.since);
+        if adopted && self.coordinator.is_leading() {
+            self.coordinator.tell_version();
+        }
+    }
+
+    /// Takes a configuration unless it is older than the one in force, and returns whether it did.
+    fn adopt(&self, source: Source, table: Arc<RouteTable>) -> bool {
         let version = table.version;
-        *known = Some(table);
-        drop(known);
-        if self.coordinator.is_leading() {
-            self.coordinator.tell_version(version);
+        if self.state.version().is_some_and(|old| old >= version) {
+            return false;
         }
+        let routes = table.routes().count();
+        tracing::info!("config: version {version} is in force, {routes} routes, by a {source:?}");
+        self.state.meters.configured(version.0);
+        *self.state.table.borrow_mut() = Some(table);
+        true
     }
 }
 
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -7,9 +7,9 @@
 use carobwick_core::Fence;
 use carobwick_core::Incarnation;
 use carobwick_core::InstanceId;
+use carobwick_core::Millis;
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
-use carobwick_core::Version;
 use carobwick_core::ZoneId;
 use carobwick_core::gateway::AdapterWant;
 use carobwick_core::gateway::Choice;
@@ -108,8 +108,8 @@
         let followers = self.followers.borrow();
         let to = &followers[instance];
         tell(to, encoded(&FromLeader::Instances(self.instances())));
-        if let Some(table) = self.state.table.borrow().as_ref() {
-            tell(to, encoded(&FromLeader::Config(table.version)));
+        if let Some(news) = self.config_news() {
+            tell(to, encoded(&news));
         }
         for (id, record) in self.registry.borrow().iter() {
             // Of the other engines the instance knows by itself what their entries say.
@@ -141,11 +141,19 @@
     }
 
     /// Tells all instances which version of the configuration is in force.
-    pub fn tell_version(&self, version: Version) {
-        self.tell_all(&FromLeader::Config(version));
+    pub fn tell_version(&self) {
+        if let Some(news) = self.config_news() {
+            self.tell_all(&news);
+        }
+    }
+
+    fn config_news(&self) -> Option<FromLeader> {
+        let version = self.state.version()?;
+        let age = self.state.freshness.borrow().age(now())?;
+        Some(FromLeader::Config { version, age: Millis(age.as_millis() as u64) })
     }
 
-    /// Tells all instances how many they are, and the loads that any of them has seen.
+    /// Tells all instances how many they are, which configuration is in force, and the loads that any of them has seen.
     pub fn beat(&self) {
         let mut followers = self.followers.borrow_mut();
         followers.retain(|_, to| !to.is_closed());
@@ -155,6 +163,7 @@
             self.state.set_instances(instances);
         }
         self.tell_all(&FromLeader::Instances(instances));
+        self.tell_version();
         let loads = self.loads.borrow_mut().take();
         if !loads.is_empty() {
             self.state.take_loads(&loads);
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -51,8 +51,8 @@
     Loss { print: Fingerprint, endpoint: EndpointId, run: Incarnation },
     /// Changes of the list of endpoints.
     List(ListNews),
-    /// Version of the configuration that the leader has in force.
-    Config(Version),
+    /// Version of the configuration that the leader has in force, and the time since it was known to be the newest.
+    Config { version: Version, age: Millis },
 }
 
 /// Changes of the list of endpoints between two revisions of the store.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -22,6 +22,7 @@
     orders: Counter<u64>,
     leading: Gauge<u64>,
     version: Gauge<u64>,
+    config_age: Gauge<f64>,
     endpoints: Gauge<u64>,
     instances: Gauge<u64>,
 }
@@ -41,6 +42,7 @@
         let orders = meter.u64_counter("carobwick_orders");
         let leading = meter.u64_gauge("carobwick_leading");
         let version = meter.u64_gauge("carobwick_config_version");
+        let config_age = meter.f64_gauge("carobwick_config_age_seconds");
         let endpoints = meter.u64_gauge("carobwick_endpoints");
         let instances = meter.u64_gauge("carobwick_instances");
         Ok(Self {
@@ -53,14 +55,20 @@
             orders: orders.with_description("Orders to engines, by reply").build(),
             leading: leading.with_description("1 on the instance that gives orders").build(),
             version: version.with_description("Version of the configuration in force").build(),
+            config_age: config_age
+                .with_description("Time since the configuration in force was known to be the newest")
+                .build(),
             endpoints: endpoints.with_description("Endpoints in the list").build(),
             instances: instances.with_description("Instances that share the retry budget").build(),
             metrics,
         })
     }
 
-    /// Renders all metrics as text.
-    pub fn render(&self) -> String {
+    /// Renders all metrics as text, with the time since the configuration was known to be the newest.
+    pub fn render(&self, config_age: Option<Duration>) -> String {
+        if let Some(age) = config_age {
+            self.config_age.record(age.as_secs_f64(), &[]);
+        }
         self.metrics.render()
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -188,7 +188,7 @@
         }
         FromLeader::Loads(loads) => state.take_loads(&loads),
         FromLeader::List(news) => state.pass_list(news),
-        FromLeader::Config(version) => state.note_version(version),
+        FromLeader::Config { version, age } => state.note_version(version, age.duration()),
     }
 }
 
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use carobwick_runtime::now;
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
@@ -48,9 +49,14 @@
     let (status, text) = match question {
         Question::Ready if state.is_ready() => (StatusCode::OK, String::new()),
         Question::Ready => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
-        Question::Metrics => (StatusCode::OK, state.meters.render()),
+        Question::Metrics => (StatusCode::OK, metrics(state)),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = status;
     response
 }
+
+fn metrics(state: &State) -> String {
+    let age = state.freshness.borrow().age(now());
+    state.meters.render(age)
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use carobwick_core::Version;
 use carobwick_core::gateway::Balancer;
 use carobwick_core::gateway::Call;
+use carobwick_core::gateway::ConfigFreshness;
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::RetryShare;
 use carobwick_core::gateway::Roster;
@@ -57,6 +58,8 @@
     instances: Cell<Option<u32>>,
     samples: RefCell<IndexMap<(ServiceId, Weights), DemandSample>>,
     leader: RefCell<Option<mpsc::UnboundedSender<ToLeader>>>,
+    /// How long the configuration in force may be taken for the newest.
+    pub freshness: RefCell<ConfigFreshness>,
     /// Newest version of the configuration that the leader has told.
     told: Cell<Option<Version>>,
     /// Wakes the reader of the configuration.
@@ -83,6 +86,7 @@
         let balancer = Balancer::new(settings.zone.clone());
         Self {
             terms: Cell::new(settings.terms),
+            freshness: RefCell::new(ConfigFreshness::new(settings.terms.apply)),
             settings,
             wire,
             table: RefCell::default(),
@@ -113,6 +117,7 @@
     /// Takes over changed terms.
     pub fn set_terms(&self, terms: Terms) {
         self.terms.set(terms);
+        self.freshness.borrow_mut().set_apply(terms.apply);
         for share in self.shares.borrow_mut().values_mut() {
             share.set_terms(terms.retry);
         }
@@ -185,16 +190,23 @@
         let _closed = self.list.send(news);
     }
 
-    /// Takes the version of the configuration that the leader has in force.
-    pub fn note_version(&self, version: Version) {
+    /// Takes the version that the leader has in force, which was the newest `age` ago.
+    pub fn note_version(&self, version: Version, age: Duration) {
+        if Some(version) <= self.version() {
+            self.freshness.borrow_mut().checked(now() - age);
+        }
         self.told.set(Some(version));
         self.told_version.notify_waiters();
     }
 
+    /// Returns the version of the configuration in force.
+    pub fn version(&self) -> Option<Version> {
+        self.table.borrow().as_ref().map(|table| table.version)
+    }
+
     /// Returns whether the leader has a newer configuration.
     pub fn is_outdated(&self) -> bool {
-        let known = self.table.borrow().as_ref().map(|table| table.version);
-        self.told.get() > known
+        self.told.get() > self.version()
     }
 
     /// Returns whether the leader has a newer configuration, and no longer says so until the leader tells it again.
--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -267,3 +267,36 @@
     };
     LocalSet::new().run_until(work).await;
 }
+
+/// Guards against an instance without a leader that serves an old configuration while it waits for a lost answer.
+#[tokio::test]
+async fn an_instance_without_a_leader_gives_up_a_watch_of_the_configuration_without_an_answer() {
+    let work = async {
+        let store = Rc::new(SilentStore::default());
+        let _gateway = start("n1", &store).await;
+        wait_until(|| store.config_wait.get().is_some()).await;
+        let reads = store.configs.get();
+        wait_for(SHORT_PATIENCE, || store.configs.get() > reads).await;
+    };
+    LocalSet::new().run_until(work).await;
+}
+
+/// Guards against a follower that goes on waiting for a lost answer after the leader is gone whose word it relied on.
+#[tokio::test]
+async fn a_follower_that_loses_its_leader_gives_up_a_watch_of_the_configuration_without_an_answer() {
+    let work = async {
+        let content = Rc::new(Content::default());
+        let store =
+            |leads| Rc::new(SilentStore { content: Rc::clone(&content), leads, ..SilentStore::default() });
+        let (first, second) = (store(true), store(false));
+        let leader = start("n1", &first).await;
+        wait_until(|| content.leader.borrow().is_some()).await;
+        let _follower = start("n2", &second).await;
+        // Only the leader's word ends such a watch while the test waits.
+        wait_until(|| second.config_wait.get() > Some(PATIENCE)).await;
+        drop(leader);
+        let reads = second.configs.get();
+        wait_for(SHORT_PATIENCE, || second.configs.get() > reads).await;
+    };
+    LocalSet::new().run_until(work).await;
+}
