Endpoints that say that they leave, or that they want no request for some time, are heeded

Cause: two words of an endpoint were not read. An answer with `Server-Leaving` let requests go on to an endpoint until the list said so, which lags, and the time in an endpoint's 503 was dropped, so that it was asked again after 20 to 320 ms.

Change: `Wire::notice` reads both from any answer: of a request, a stream's head, an order or a report. - Leaving: `Roster::mark_leaving` (there, but not called before). The instance sends no new request or order there, closes its idle connections, wakes requests that wait, and tells the leader, which no longer counts the copies and tells the others; a new leader hears of it from each instance that connects. It holds for the run of the endpoint: an older or unchanged entry does not undo it, a new incarnation does. - Pause: `Rejection` in the balancer. The endpoint is passed over, also by reports and orders, until its time ends, five minutes at most. Then one request is let in, twice as many with each that it takes, half with each that it declines. A request without another endpoint waits if the pause ends within half of its time, and is refused at once with what is left of the pause otherwise. - A request checks both once more when its connection is there. New metric carobwick_endpoints_leaving. Weighed: sharing pauses between instances. The endpoint names a time to the instance that it turned away and goes on to serve the others; a shared word would take their requests away too.

Not done: an entry that is written after the leaving does not make the run usable again, since an entry does not say when it was written; `leaving_is_never_unlearnt` keeps it so.

--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -16,6 +16,7 @@
 use crate::gateway::LoadBoard;
 use crate::gateway::SharedLoad;
 use crate::gateway::reach::Reach;
+use crate::gateway::rejection::Rejection;
 use crate::load::EndpointLoad;
 use crate::load::LoadMark;
 use crate::routing::weight;
@@ -105,6 +106,8 @@
     failures: f64,
     parts: IndexMap<u64, Time>,
     open: IndexMap<Ticket, Open>,
+    /// A pause that the endpoint asked for, until it has recovered.
+    rejection: Option<Rejection>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -134,6 +137,8 @@
     /// Its breaker lets one request through.
     Probe,
     Blocked,
+    /// It asked for a pause.
+    Rejecting,
 }
 
 impl Balancer {
@@ -179,7 +184,7 @@
         let estimates: Vec<Estimate> =
             candidates.iter().map(|entry| self.estimate(call, entry, home == Some(&entry.id), now)).collect();
         let wanted = estimates.iter().map(|one| one.standing).min()?;
-        if wanted == Standing::Blocked {
+        if wanted >= Standing::Blocked {
             return None;
         }
         let fastest = estimates.iter().filter_map(|one| one.pace).fold(f64::INFINITY, f64::min);
@@ -238,6 +243,44 @@
         tally.pace = Some(known + WEIGHT * (pace - known));
     }
 
+    /// Notes that an endpoint took a request; returns whether it was let in after a pause.
+    pub fn accepted(&mut self, choice: &Choice) -> bool {
+        let Some(tally) = self.known(choice) else { return false };
+        let Some(rejection) = tally.rejection else { return false };
+        tally.rejection = rejection.accepted();
+        true
+    }
+
+    /// Notes that an endpoint wants no request from this instance for some time.
+    pub fn rejected(&mut self, choice: &Choice, pause: Duration, now: Time) {
+        let tally = self.tally(&choice.id, choice.run);
+        tally.rejection = Some(Rejection::new(tally.rejection, pause, now));
+    }
+
+    /// Returns whether an endpoint asked for a pause that has not ended.
+    pub fn is_paused(&self, id: &EndpointId, run: Incarnation, now: Time) -> bool {
+        self.tallies.get(id).is_some_and(|tally| tally.run == run && tally.is_paused(now))
+    }
+
+    /// Returns whether the run that a request was sent to takes up work again after a pause.
+    pub fn is_recovering(&self, choice: &Choice) -> bool {
+        let tally = self.tallies.get(&choice.id).filter(|tally| tally.run == choice.run);
+        tally.is_some_and(|tally| tally.rejection.is_some())
+    }
+
+    /// Returns the time until the first of some endpoints that asked for a pause takes a request; none if none did.
+    ///
+    /// The time is zero if one is taking up work again and has no room at the moment.
+    pub fn reopens<'a>(
+        &self,
+        candidates: impl Iterator<Item = &'a EndpointEntry>,
+        now: Time,
+    ) -> Option<Duration> {
+        let tallies =
+            candidates.filter_map(|entry| self.tallies.get(&entry.id).filter(|tally| tally.run == entry.run));
+        tallies.filter_map(|tally| tally.rejection).map(|rejection| rejection.left(now)).min()
+    }
+
     /// Notes how a request ended.
     pub fn finished(&mut self, choice: &Choice, ticket: Ticket, verdict: Verdict, now: Time) {
         if verdict == Verdict::Unreachable {
@@ -252,9 +295,9 @@
         tally.judge(verdict, now);
     }
 
-    /// Forgets endpoints that no longer exist.
-    pub fn retain(&mut self, exists: impl Fn(&EndpointId) -> bool) {
-        self.tallies.retain(|id, tally| !tally.open.is_empty() || exists(id));
+    /// Forgets endpoints that no longer exist, unless they may come back within a pause that they asked for.
+    pub fn retain(&mut self, exists: impl Fn(&EndpointId) -> bool, now: Time) {
+        self.tallies.retain(|id, tally| !tally.open.is_empty() || tally.is_paused(now) || exists(id));
         self.reach.retain(exists);
     }
 
@@ -293,6 +336,9 @@
     }
 
     fn standing(&self, entry: &EndpointEntry, tally: Option<&Tally>, now: Time) -> Standing {
+        if tally.is_some_and(|tally| !tally.admits(now)) {
+            return Standing::Rejecting;
+        }
         match tally.map_or(Gate::Pass, |tally| tally.breaker.gate(now)) {
             Gate::Pass if self.reach.is_doubted(&entry.zone, &entry.id, now) => Standing::Doubted,
             Gate::Pass => Standing::Sound,
@@ -325,9 +371,19 @@
             failures: 0.0,
             parts: IndexMap::new(),
             open: IndexMap::new(),
+            rejection: None,
         }
     }
 
+    fn is_paused(&self, now: Time) -> bool {
+        self.rejection.is_some_and(|rejection| !rejection.left(now).is_zero())
+    }
+
+    /// Returns whether the endpoint takes another request as far as its pause goes.
+    fn admits(&self, now: Time) -> bool {
+        self.rejection.is_none_or(|rejection| rejection.admits(self.open.len(), now))
+    }
+
     /// Returns the tokens of prefill that go before a new request.
     fn queue(&self, now: Time) -> f64 {
         self.backlog + self.load.total(now) * RUNNING_TOKENS
@@ -372,7 +428,11 @@
                 self.breaker.failed(now);
                 1.0
             }
-            Verdict::Declined | Verdict::Failed => 1.0,
+            Verdict::Declined => {
+                self.rejection = self.rejection.map(Rejection::declined);
+                1.0
+            }
+            Verdict::Failed => 1.0,
             // No failure of its own that would outlast the cut; the breaker ends the tries of an endpoint without others.
             Verdict::Unreachable => {
                 self.breaker.failed(now);
--- a/crates/core/src/gateway/roster.rs
+++ b/crates/core/src/gateway/roster.rs
@@ -207,14 +207,26 @@
         }
     }
 
-    /// Marks the run of an endpoint as leaving, as the endpoint itself said.
-    pub fn mark_leaving(&mut self, id: &EndpointId, run: Incarnation) {
-        self.left.insert((id.clone(), run));
+    /// Marks the run of an endpoint as leaving, as the endpoint itself said; returns whether that is news.
+    pub fn mark_leaving(&mut self, id: &EndpointId, run: Incarnation) -> bool {
+        let is_new = self.left.insert((id.clone(), run));
         if let Some(known) = self.entries.get_mut(id)
             && known.entry.run == run
         {
             known.entry.state = EndpointState::Leaving;
         }
+        is_new
+    }
+
+    /// Returns the endpoints that are leaving.
+    pub fn leaving(&self) -> impl Iterator<Item = (EndpointId, Incarnation)> {
+        let leaving = self.iter().filter(|entry| entry.state == EndpointState::Leaving);
+        leaving.map(|entry| (entry.id.clone(), entry.run))
+    }
+
+    /// Returns whether a run of an endpoint is known and takes new requests.
+    pub fn is_live(&self, id: &EndpointId, run: Incarnation) -> bool {
+        self.get(id).is_some_and(|entry| entry.run == run && entry.state == EndpointState::Live)
     }
 
     /// Returns an endpoint.
--- /dev/null
+++ b/crates/core/tests/rejection.rs
@@ -0,0 +1,214 @@
+//! Endpoints that ask to be left alone for some time: who is passed over, who waits, and how the load grows again.
+
+mod endpoint_fixture;
+
+use std::time::Duration;
+
+use carobwick_core::EndpointId;
+use carobwick_core::Incarnation;
+use carobwick_core::Time;
+use carobwick_core::gateway::Balancer;
+use carobwick_core::gateway::Call;
+use carobwick_core::gateway::Choice;
+use carobwick_core::gateway::EndpointEntry;
+use carobwick_core::gateway::Holding;
+use carobwick_core::gateway::PauseStep;
+use carobwick_core::gateway::Ticket;
+use carobwick_core::gateway::Verdict;
+use carobwick_core::gateway::pause_step;
+use endpoint_fixture::endpoint;
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+const PAUSE: Duration = Duration::from_secs(2);
+/// Longest pause that an answer may bring about.
+const BOUND: Duration = Duration::from_mins(5);
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Duration::from_millis(millis)
+}
+
+fn entry(id: &str) -> EndpointEntry {
+    endpoint(id.parse().unwrap(), "s", "z1", Holding::default())
+}
+
+fn balancer() -> Balancer {
+    Balancer::new("z1".parse().unwrap())
+}
+
+fn choose(balancer: &Balancer, entries: &[EndpointEntry], now: Time) -> Option<Choice> {
+    balancer.choose(&Call::default(), entries.iter(), now)
+}
+
+fn send(balancer: &mut Balancer, entries: &[EndpointEntry], now: Time) -> Option<(Choice, Ticket)> {
+    let choice = choose(balancer, entries, now)?;
+    let ticket = balancer.sent(&Call::default(), &choice, now);
+    Some((choice, ticket))
+}
+
+/// Sends requests until the endpoints take no more, 100 at most.
+fn fill(balancer: &mut Balancer, entries: &[EndpointEntry], now: Time) -> Vec<(Choice, Ticket)> {
+    (0..100).map_while(|_| send(balancer, entries, now)).collect()
+}
+
+/// An endpoint that has just asked for [`PAUSE`] at 0 ms.
+fn paused() -> (Balancer, Vec<EndpointEntry>, Choice) {
+    let mut balancer = balancer();
+    let entries = vec![entry("a")];
+    let (choice, ticket) = send(&mut balancer, &entries, at(0)).unwrap();
+    balancer.rejected(&choice, PAUSE, at(0));
+    balancer.finished(&choice, ticket, Verdict::Declined, at(0));
+    (balancer, entries, choice)
+}
+
+/// Guards against requests to an endpoint within the time for which it wants none.
+#[test]
+fn a_paused_endpoint_is_passed_over_until_its_time_ends() {
+    let (balancer, mut entries, _) = paused();
+    assert_eq!(choose(&balancer, &entries, at(1_999)), None);
+    assert_eq!(balancer.reopens(entries.iter(), at(500)), Some(Duration::from_millis(1_500)));
+    assert!(choose(&balancer, &entries, at(2_000)).is_some());
+    entries.push(entry("b"));
+    assert_eq!(choose(&balancer, &entries, at(500)).unwrap().id.as_str(), "b");
+}
+
+/// Guards against all requests that waited going to the endpoint at one moment, and against a rise that goes on although the
+/// endpoint declines.
+#[test]
+fn the_load_grows_with_what_the_endpoint_takes() {
+    let (mut balancer, entries, choice) = paused();
+    let now = at(2_000);
+    let mut admitted = Vec::new();
+    for _ in 0..4 {
+        let sent = fill(&mut balancer, &entries, now);
+        admitted.push(sent.len());
+        balancer.accepted(&choice);
+        for (choice, ticket) in sent {
+            balancer.finished(&choice, ticket, Verdict::Good, now);
+        }
+    }
+    assert_eq!(admitted, [1, 2, 4, 8]);
+    let (choice, ticket) = send(&mut balancer, &entries, now).unwrap();
+    balancer.finished(&choice, ticket, Verdict::Declined, now);
+    assert_eq!(fill(&mut balancer, &entries, now).len(), 8, "half of the room of 16");
+}
+
+/// Guards against a limit that stays for good once the endpoint has recovered.
+#[test]
+fn an_endpoint_that_takes_requests_recovers() {
+    let (mut balancer, entries, choice) = paused();
+    for _ in 0..6 {
+        assert!(balancer.accepted(&choice));
+    }
+    assert!(!balancer.is_recovering(&choice));
+    assert_eq!(balancer.reopens(entries.iter(), at(2_000)), None);
+}
+
+/// Guards against an endpoint that is lost for a day by one answer.
+#[test]
+fn a_pause_is_bounded() {
+    let (mut balancer, entries, choice) = paused();
+    balancer.rejected(&choice, Duration::MAX, at(0));
+    assert_eq!(balancer.reopens(entries.iter(), at(0)), Some(BOUND));
+    assert!(choose(&balancer, &entries, at(0) + BOUND).is_some());
+}
+
+/// Guards against a shorter wish that ends a longer one, in answers that overtake each other.
+#[test]
+fn a_shorter_pause_does_not_end_a_longer_one() {
+    let (mut balancer, entries, choice) = paused();
+    balancer.rejected(&choice, Duration::from_millis(100), at(10));
+    assert_eq!(choose(&balancer, &entries, at(1_999)), None);
+}
+
+/// Guards against the wish of a run of the endpoint that has ended.
+#[test]
+fn a_new_run_is_not_bound_by_the_wish_of_the_last() {
+    let (balancer, entries, _) = paused();
+    let restarted = EndpointEntry { run: Incarnation(entries[0].run.0 + 1), ..entries[0].clone() };
+    assert!(choose(&balancer, &[restarted], at(100)).is_some());
+}
+
+/// Guards against a wish that is forgotten while the entry of the endpoint lapses and comes back.
+#[test]
+fn a_pause_outlasts_a_lapsed_entry() {
+    let (mut balancer, entries, _) = paused();
+    balancer.retain(|_| false, at(100));
+    assert_eq!(choose(&balancer, &entries, at(200)), None);
+}
+
+/// Guards against requests that wait for longer than they have, and against refusals where the wait is short.
+#[test_case(400, 1_000, PauseStep::Wait(Duration::from_millis(400)) ; "the pause ends in time")]
+#[test_case(0, 1_000, PauseStep::Wait(Duration::from_secs(1)) ; "the endpoint has no room at the moment")]
+#[test_case(1_000, 1_000, PauseStep::Refuse(Duration::from_secs(1)) ; "the pause ends too late")]
+#[test_case(5_000, 0, PauseStep::Refuse(Duration::from_secs(5)) ; "it has waited long enough")]
+#[test_case(0, 0, PauseStep::Refuse(Duration::ZERO) ; "it has waited long enough for room")]
+fn a_request_waits_only_for_a_pause_that_ends_in_time(reopens: u64, patience: u64, step: PauseStep) {
+    assert_eq!(pause_step(Duration::from_millis(reopens), Duration::from_millis(patience)), step);
+}
+
+/// An instance that sends to endpoints, some of which reject with times.
+struct Instance {
+    balancer: Balancer,
+    open: Vec<(Choice, Ticket)>,
+    /// Until when each endpoint wants no request from this instance.
+    until: IndexMap<EndpointId, Time>,
+}
+
+impl Instance {
+    fn new() -> Self {
+        Self { balancer: balancer(), open: Vec::new(), until: IndexMap::new() }
+    }
+
+    /// Sends a request if there is an endpoint for it, and returns the pause that this violates.
+    fn send(&mut self, entries: &[EndpointEntry], now: Time) -> Option<(EndpointId, Time)> {
+        let (choice, ticket) = send(&mut self.balancer, entries, now)?;
+        let until = self.until.get(&choice.id).copied().filter(|until| now < *until);
+        let id = choice.id.clone();
+        self.open.push((choice, ticket));
+        until.map(|until| (id, until))
+    }
+
+    /// Ends one of the requests in flight; a third of the endpoints reject with times.
+    fn end(&mut self, rng: &mut ChaCha8Rng, now: Time) {
+        let (choice, ticket) = self.open.swap_remove(rng.random_range(0..self.open.len()));
+        let rejects = ["e0", "e1"].contains(&choice.id.as_str()) && rng.random_bool(0.5);
+        let verdict = if rejects {
+            let pause = Duration::from_millis(rng.random_range(100..4_000));
+            self.balancer.rejected(&choice, pause, now);
+            let until = self.until.entry(choice.id.clone()).or_default();
+            *until = (*until).max(now + pause);
+            Verdict::Declined
+        } else {
+            self.balancer.answered(&choice, ticket, None, now);
+            self.balancer.accepted(&choice);
+            Verdict::Good
+        };
+        self.balancer.finished(&choice, ticket, verdict, now);
+    }
+}
+
+/// Guards against any order of answers, sends and freezes by which an endpoint gets a request within its pause.
+#[test]
+fn no_instance_sends_within_a_pause() {
+    let entries: Vec<EndpointEntry> = (0..6).map(|index| entry(&format!("e{index}"))).collect();
+    for seed in 0..50 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut instances: Vec<Instance> = (0..20).map(|_| Instance::new()).collect();
+        let mut now = at(0);
+        for _ in 0..3_000 {
+            // An instance may be frozen for longer than any pause.
+            let step = if rng.random_bool(0.002) { 8_000 } else { rng.random_range(0..20) };
+            now = now + Duration::from_millis(step);
+            let index = rng.random_range(0..instances.len());
+            let instance = &mut instances[index];
+            assert_eq!(instance.send(&entries, now), None, "seed {seed} at {now:?}");
+            if !instance.open.is_empty() && rng.random_bool(0.7) {
+                instance.end(&mut rng, now);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -111,6 +111,9 @@
         if let Some(news) = self.config_news() {
             tell(to, encoded(&news));
         }
+        for (endpoint, run) in self.state.roster.borrow().leaving() {
+            tell(to, encoded(&FromLeader::Leaving { endpoint, run }));
+        }
         for (id, record) in self.registry.borrow().iter() {
             // Of the other engines the instance knows by itself what their entries say.
             if let Some(holding) = record.told.clone() {
@@ -171,6 +174,14 @@
         }
     }
 
+    fn tell_others(&self, from: &InstanceId, message: &FromLeader) {
+        let frame = encoded(message);
+        let followers = self.followers.borrow();
+        for (_, to) in followers.iter().filter(|(instance, _)| *instance != from) {
+            tell(to, frame.clone());
+        }
+    }
+
     fn tell_all(&self, message: &FromLeader) {
         let frame = encoded(message);
         for to in self.followers.borrow().values() {
@@ -195,10 +206,15 @@
             ToLeader::Want { service, weights, zone } => self.want(service, AdapterWant { weights, zone }),
             ToLeader::Loss { print, endpoint, run } => {
                 self.state.suspects.borrow_mut().lost(print, &endpoint, run, now());
-                let frame = encoded(&FromLeader::Loss { print, endpoint, run });
-                let followers = self.followers.borrow();
-                for (_, to) in followers.iter().filter(|(instance, _)| *instance != from) {
-                    tell(to, frame.clone());
+                self.tell_others(from, &FromLeader::Loss { print, endpoint, run });
+            }
+            ToLeader::Leaving { endpoint, run } => {
+                let is_own = *from == self.state.settings.instance;
+                if self.state.mark_leaving(&endpoint, run) || is_own {
+                    // Copies on an endpoint that leaves no longer count, so that the last one is loaded elsewhere in time.
+                    self.listed(&self.state.roster.borrow());
+                    self.tell_others(from, &FromLeader::Leaving { endpoint, run });
+                    self.wake.notify_one();
                 }
             }
         }
@@ -334,9 +350,13 @@
         };
         // The lease may have ended while the connection was made.
         let Some(fence) = self.authority() else { return OrderReply::Refused };
+        if !self.state.takes(&choice) {
+            return OrderReply::Refused;
+        }
         let request = self.state.wire.order(order, &self.state.settings.instance, fence);
         match link.exchange(request, ANSWER).await {
             Ok(response) => {
+                self.state.heed(&choice, self.state.wire.notice(response.status(), response.headers()));
                 self.state.pool.put(&choice, link, None);
                 self.state.wire.order_reply(response.status())
             }
@@ -361,6 +381,7 @@
         let exchange = async {
             let mut link = self.state.pool.take(&choice, CONNECT).await?;
             let response = link.exchange(request, ANSWER).await?;
+            self.state.heed(&choice, self.state.wire.notice(response.status(), response.headers()));
             self.state.pool.put(&choice, link, None);
             self.state.wire.report(response.body())
         };
@@ -388,6 +409,9 @@
     fn choice(&self, id: &EndpointId, run: Incarnation) -> Option<Choice> {
         let roster = self.state.roster.borrow();
         let entry = roster.get(id).filter(|entry| entry.run == run)?;
+        if self.state.balancer.borrow().is_paused(id, run, now()) {
+            return None;
+        }
         Some(Choice { id: id.clone(), run, addr: entry.addr, zone: entry.zone.clone(), cost: 0.0 })
     }
 }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -11,6 +11,7 @@
 use carobwick_core::gateway::Choice;
 use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::Failure;
+use carobwick_core::gateway::PauseStep;
 use carobwick_core::gateway::Progress;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::ServiceRoute;
@@ -18,6 +19,7 @@
 use carobwick_core::gateway::Verdict;
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::next_step;
+use carobwick_core::gateway::pause_step;
 use carobwick_runtime::now;
 use http::HeaderMap;
 use http::Method;
@@ -181,6 +183,10 @@
 
     async fn exchange(&self, send: &mut Send, resume: Option<&str>) -> Result<Response<Incoming>, Failure> {
         let Some(left) = self.left() else { return Err(Failure::Unsent) };
+        // It may have said that it leaves or wants a pause while the connection was made.
+        if !self.state.takes(&send.choice) {
+            return Err(Failure::Unsent);
+        }
         let request = self.request(&send.choice, left, resume);
         let Some(link) = send.link.as_mut() else { return Err(Failure::Unsent) };
         match tokio::time::timeout(left, link.send(request)).await {
@@ -226,6 +232,7 @@
     fn read_head(&self, mut send: Send, response: Response<Incoming>) -> Result<Reply, Failure> {
         let status = response.status();
         let head = self.state.wire.answer(&self.call, status, response.headers());
+        self.state.heed(&send.choice, self.state.wire.notice(status, response.headers()));
         send.keep = head.keep;
         send.reusable = !head.closes;
         let id = &send.choice.id;
@@ -244,7 +251,7 @@
                 {
                     self.state.roster.borrow_mut().missing(id, weights, now());
                 }
-                send.answered(head.load);
+                send.declined(head.load);
                 send.verdict = Verdict::Declined;
                 return Err(Failure::Declined);
             }
@@ -320,6 +327,18 @@
                 }
                 None => {}
             }
+            match self.pause(started) {
+                Some(PauseStep::Wait(time)) => {
+                    // Ends early when an endpoint takes requests again.
+                    let _elapsed = tokio::time::timeout(time, changed).await;
+                    continue;
+                }
+                Some(PauseStep::Refuse(retry)) => {
+                    let retry = retry.max(COME_BACK);
+                    break Placement::None { reason: "the endpoints have asked for a pause", retry };
+                }
+                None => {}
+            }
             let Some(weights) = self.call.weights.clone() else {
                 break Placement::None { reason: "no endpoint takes the request", retry: COME_BACK };
             };
@@ -364,15 +383,26 @@
 
     pub fn choose(&self) -> Option<Choice> {
         let roster = self.state.roster.borrow();
-        let holds = |entry: &&EndpointEntry| {
-            self.call.weights.as_ref().is_none_or(|weights| entry.holding.has(weights))
-        };
+        let holds = |entry: &&EndpointEntry| self.can_run(entry);
         let balancer = self.state.balancer.borrow();
         let fresh = roster.live(&self.service).filter(holds).filter(|entry| !self.tried.contains(&entry.id));
         let chosen = balancer.choose(&self.call, fresh, now());
         chosen.or_else(|| balancer.choose(&self.call, roster.live(&self.service).filter(holds), now()))
     }
 
+    /// Returns what follows if all endpoints that could answer the request asked for a pause.
+    fn pause(&self, started: Time) -> Option<PauseStep> {
+        let roster = self.state.roster.borrow();
+        let able = roster.live(&self.service).filter(|entry| self.can_run(entry));
+        let reopens = self.state.balancer.borrow().reopens(able, now())?;
+        let patience = ((self.deadline - started) / 2).saturating_sub(now() - started);
+        Some(pause_step(reopens, patience))
+    }
+
+    fn can_run(&self, entry: &EndpointEntry) -> bool {
+        self.call.weights.as_ref().is_none_or(|weights| entry.holding.has(weights))
+    }
+
     /// Returns how long a request waits for its model to be loaded, and none if the service does not have it.
     fn patience(&self) -> Option<Duration> {
         let spec = self.table.services.get(&self.service)?.engine.as_ref()?;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -222,8 +222,8 @@
             tracing::info!("list: {} endpoints are known", state.roster.borrow().iter().count());
         }
         let roster = state.roster.borrow();
-        state.meters.listed(roster.iter().count());
-        state.balancer.borrow_mut().retain(|id| roster.get(id).is_some());
+        state.count_endpoints();
+        state.balancer.borrow_mut().retain(|id| roster.get(id).is_some(), now());
         self.coordinator.listed(&roster);
         drop(roster);
         state.changed.notify_waiters();
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -36,6 +36,8 @@
     Want { service: ServiceId, weights: Weights, zone: ZoneId },
     /// An endpoint broke off under a request.
     Loss { print: Fingerprint, endpoint: EndpointId, run: Incarnation },
+    /// An endpoint said in an answer that it is leaving.
+    Leaving { endpoint: EndpointId, run: Incarnation },
 }
 
 /// Message of the leader to an instance.
@@ -49,6 +51,8 @@
     Engine { endpoint: EndpointId, run: Incarnation, holding: Holding },
     /// An endpoint broke off under a request of another instance.
     Loss { print: Fingerprint, endpoint: EndpointId, run: Incarnation },
+    /// An endpoint said to some instance that it is leaving.
+    Leaving { endpoint: EndpointId, run: Incarnation },
     /// Changes of the list of endpoints.
     List(ListNews),
     /// Version of the configuration that the leader has in force, and the time since it was known to be the newest.
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -24,6 +24,7 @@
     version: Gauge<u64>,
     config_age: Gauge<f64>,
     endpoints: Gauge<u64>,
+    leaving: Gauge<u64>,
     instances: Gauge<u64>,
 }
 
@@ -44,6 +45,7 @@
         let version = meter.u64_gauge("carobwick_config_version");
         let config_age = meter.f64_gauge("carobwick_config_age_seconds");
         let endpoints = meter.u64_gauge("carobwick_endpoints");
+        let departures = meter.u64_gauge("carobwick_endpoints_leaving");
         let instances = meter.u64_gauge("carobwick_instances");
         Ok(Self {
             requests: requests.with_description("Requests by route and outcome").build(),
@@ -59,6 +61,7 @@
                 .with_description("Time since the configuration in force was known to be the newest")
                 .build(),
             endpoints: endpoints.with_description("Endpoints in the list").build(),
+            leaving: departures.with_description("Endpoints in the list that are leaving").build(),
             instances: instances.with_description("Instances that share the retry budget").build(),
             metrics,
         })
@@ -120,9 +123,10 @@
         self.instances.record(u64::from(instances), &[]);
     }
 
-    /// Notes the length of the list of endpoints.
-    pub fn listed(&self, endpoints: usize) {
+    /// Notes the length of the list of endpoints, and how many of them are leaving.
+    pub fn listed(&self, endpoints: usize, leaving: usize) {
         self.endpoints.record(endpoints as u64, &[]);
+        self.leaving.record(leaving as u64, &[]);
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -143,6 +143,11 @@
     write_frame(&mut to, &ToLeader::Hello { instance: state.settings.instance.clone() }).await?;
     // One that does not lead any more, or not yet, ends the connection without a message.
     take(state, election, read(&mut from).await?);
+    // A new leader may not have heard of them; those it knows are no news to it.
+    let leaving: Vec<_> = state.roster.borrow().leaving().collect();
+    for (endpoint, run) in leaving {
+        write_frame(&mut to, &ToLeader::Leaving { endpoint, run }).await?;
+    }
     let (sender, mut receiver) = mpsc::unbounded_channel();
     state.set_leader(Some(sender));
     election.set_connected(true);
@@ -186,6 +191,9 @@
         FromLeader::Loss { print, endpoint, run } => {
             state.suspects.borrow_mut().lost(print, &endpoint, run, now());
         }
+        FromLeader::Leaving { endpoint, run } => {
+            state.mark_leaving(&endpoint, run);
+        }
         FromLeader::Loads(loads) => state.take_loads(&loads),
         FromLeader::List(news) => state.pass_list(news),
         FromLeader::Config { version, age } => state.note_version(version, age.duration()),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -72,6 +72,11 @@
         });
     }
 
+    /// Closes the idle connections to a run of an endpoint.
+    pub fn drop_run(&self, id: &EndpointId, run: Incarnation) {
+        self.idle.borrow_mut().retain(|(of, kept, _), _| of != id || *kept != run);
+    }
+
     fn pop(&self, choice: &Choice) -> Option<Link> {
         let now = now();
         let mut idle = self.idle.borrow_mut();
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -11,6 +11,7 @@
 use carobwick_core::LoadReport;
 use carobwick_core::gateway::Call;
 use carobwick_core::gateway::EndpointEntry;
+use carobwick_core::gateway::EndpointNotice;
 use carobwick_core::gateway::EngineOrder;
 use carobwick_core::gateway::EngineState;
 use carobwick_core::gateway::Listed;
@@ -43,6 +44,9 @@
     /// Reads the head of an endpoint's answer to a call.
     fn answer(&self, call: &Call, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
+    /// Reads what an endpoint says of itself in any of its answers.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> EndpointNotice;
+
     /// Builds the request that carries an order to an engine.
     fn order(&self, order: &EngineOrder, holder: &InstanceId, fence: Fence) -> Request<Full<Bytes>>;
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -74,6 +74,14 @@
     /// Notes the first event, or the head of a plain answer.
     pub fn answered(&self, load: Option<LoadReport>) {
         self.first.set(Some(now()));
+        self.declined(load);
+        if self.state.balancer.borrow_mut().accepted(&self.choice) {
+            self.state.changed.notify_waiters();
+        }
+    }
+
+    /// Notes an answer by which the endpoint did not run the request.
+    pub fn declined(&self, load: Option<LoadReport>) {
         self.state.balancer.borrow_mut().answered(&self.choice, self.ticket, load, now());
     }
 
@@ -121,5 +129,8 @@
         self.state.meters.sent(&self.service, self.verdict);
         let mut balancer = self.state.balancer.borrow_mut();
         balancer.finished(&self.choice, self.ticket, self.verdict, now());
+        if balancer.is_recovering(&self.choice) {
+            self.state.changed.notify_waiters();
+        }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,8 +11,10 @@
 use carobwick_core::Version;
 use carobwick_core::gateway::Balancer;
 use carobwick_core::gateway::Call;
+use carobwick_core::gateway::Choice;
 use carobwick_core::gateway::ConfigFreshness;
 use carobwick_core::gateway::DemandSample;
+use carobwick_core::gateway::EndpointNotice;
 use carobwick_core::gateway::RetryShare;
 use carobwick_core::gateway::Roster;
 use carobwick_core::gateway::RouteTable;
@@ -245,6 +247,43 @@
         }
     }
 
+    /// Takes what an endpoint says of itself in an answer; the leader and, by way of it, the others hear of a leaving.
+    ///
+    /// A pause is not shared: the endpoint names a time to the instance that it turned away.
+    pub fn heed(&self, choice: &Choice, notice: EndpointNotice) {
+        if let Some(pause) = notice.pause {
+            tracing::info!("gateway: {} wants no request for {pause:?}", choice.id);
+            self.balancer.borrow_mut().rejected(choice, pause, now());
+        }
+        if notice.leaves && self.mark_leaving(&choice.id, choice.run) {
+            self.tell_leader(ToLeader::Leaving { endpoint: choice.id.clone(), run: choice.run });
+        }
+    }
+
+    /// Sends an endpoint no new requests, since it is leaving; returns whether that is news.
+    pub fn mark_leaving(&self, id: &EndpointId, run: Incarnation) -> bool {
+        let is_new = self.roster.borrow_mut().mark_leaving(id, run);
+        if is_new {
+            tracing::info!("gateway: {id} says that it is leaving");
+            self.pool.drop_run(id, run);
+            self.count_endpoints();
+            self.changed.notify_waiters();
+        }
+        is_new
+    }
+
+    /// Notes the numbers of endpoints in the metrics.
+    pub fn count_endpoints(&self) {
+        let roster = self.roster.borrow();
+        self.meters.listed(roster.iter().count(), roster.leaving().count());
+    }
+
+    /// Returns whether a request may be sent to an endpoint that was chosen before.
+    pub fn takes(&self, choice: &Choice) -> bool {
+        self.roster.borrow().is_live(&choice.id, choice.run)
+            && !self.balancer.borrow().is_paused(&choice.id, choice.run, now())
+    }
+
     fn with_share<T>(&self, service: &ServiceId, act: impl FnOnce(&mut RetryShare) -> T) -> T {
         let mut shares = self.shares.borrow_mut();
         let share = shares.entry(service.clone()).or_insert_with(|| {
--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -20,6 +20,7 @@
 use carobwick_core::gateway::Call;
 use carobwick_core::gateway::CallerLimits;
 use carobwick_core::gateway::EndpointEntry;
+use carobwick_core::gateway::EndpointNotice;
 use carobwick_core::gateway::EngineOrder;
 use carobwick_core::gateway::InstanceSize;
 use carobwick_core::gateway::Listed;
@@ -147,6 +148,10 @@
         unreachable!("there are no endpoints")
     }
 
+    fn notice(&self, _status: StatusCode, _headers: &HeaderMap) -> EndpointNotice {
+        unreachable!("there are no endpoints")
+    }
+
     fn order(
         &self,
         _order: &EngineOrder,
