A request does not wait for an endpoint that fails after its pause

Cause: an endpoint that has asked for a pause keeps a bound on its load until it has recovered. If it crashed meanwhile and its breaker opened, requests without another endpoint took the bound for missing room and waited for half of their time; they were refused at once before pauses were heeded. Change: `Balancer::reopens` leaves out endpoints whose breaker is open.

--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -268,7 +268,7 @@
         tally.is_some_and(|tally| tally.rejection.is_some())
     }
 
-    /// Returns the time until the first of some endpoints that asked for a pause takes a request; none if none did.
+    /// Returns the time until the first of some endpoints that asked for a pause takes a request; none if none of them will.
     ///
     /// The time is zero if one is taking up work again and has no room at the moment.
     pub fn reopens<'a>(
@@ -278,7 +278,9 @@
     ) -> Option<Duration> {
         let tallies =
             candidates.filter_map(|entry| self.tallies.get(&entry.id).filter(|tally| tally.run == entry.run));
-        tallies.filter_map(|tally| tally.rejection).map(|rejection| rejection.left(now)).min()
+        // One that fails after its pause takes nothing either, for as long as its breaker is open.
+        let sound = tallies.filter(|tally| tally.breaker.gate(now) != Gate::Block);
+        sound.filter_map(|tally| tally.rejection).map(|rejection| rejection.left(now)).min()
     }
 
     /// Notes how a request ended.
--- a/crates/core/tests/rejection.rs
+++ b/crates/core/tests/rejection.rs
@@ -140,6 +140,19 @@
     assert_eq!(choose(&balancer, &entries, at(200)), None);
 }
 
+/// Guards against requests that wait for room at an endpoint that fails after its pause.
+#[test]
+fn nobody_waits_for_an_endpoint_whose_breaker_is_open() {
+    let (mut balancer, entries, _) = paused();
+    let mut now = at(2_000);
+    while let Some((choice, ticket)) = send(&mut balancer, &entries, now) {
+        balancer.finished(&choice, ticket, Verdict::Lost, now);
+        now = now + Duration::from_millis(10);
+        assert!(now < at(3_000), "the breaker does not open");
+    }
+    assert_eq!(balancer.reopens(entries.iter(), now), None);
+}
+
 /// Guards against requests that wait for longer than they have, and against refusals where the wait is short.
 #[test_case(400, 1_000, PauseStep::Wait(Duration::from_millis(400)) ; "the pause ends in time")]
 #[test_case(0, 1_000, PauseStep::Wait(Duration::from_secs(1)) ; "the endpoint has no room at the moment")]
