--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -253,22 +253,34 @@
     LocalSet::new().run_until(work).await;
 }
 
+/// A leader and a follower whose watch of the configuration only the leader's word ends while a test waits.
+struct Pair {
+    content: Rc<Content>,
+    leader: Gateway,
+    _follower: Gateway,
+    /// The follower's view of the store.
+    store: Rc<SilentStore>,
+}
+
+async fn start_pair() -> Pair {
+    let content = Rc::new(Content::default());
+    let view = |leads| Rc::new(SilentStore { content: Rc::clone(&content), leads, ..SilentStore::default() });
+    let (first, store) = (view(true), view(false));
+    let leader = start("n1", &first).await;
+    wait_until(|| content.leader.borrow().is_some()).await;
+    let follower = start("n2", &store).await;
+    wait_until(|| store.config_wait.get() > Some(PATIENCE)).await;
+    Pair { content, leader, _follower: follower, store }
+}
+
 /// Guards against a follower that serves an old configuration for as long as its watch waits for a lost answer.
 #[tokio::test]
 async fn a_follower_reads_the_configuration_that_its_leader_has() {
     let work = async {
-        let content = Rc::new(Content::default());
-        let store =
-            |leads| Rc::new(SilentStore { content: Rc::clone(&content), leads, ..SilentStore::default() });
-        let (first, second) = (store(true), store(false));
-        let _leader = start("n1", &first).await;
-        wait_until(|| content.leader.borrow().is_some()).await;
-        let _follower = start("n2", &second).await;
-        // Only the leader's word ends such a watch while the test waits.
-        wait_until(|| second.config_wait.get() > Some(PATIENCE)).await;
-        let reads = second.configs.get();
-        content.version.set(2);
-        wait_until(|| second.configs.get() > reads).await;
+        let pair = start_pair().await;
+        let reads = pair.store.configs.get();
+        pair.content.version.set(2);
+        wait_until(|| pair.store.configs.get() > reads).await;
     };
     LocalSet::new().run_until(work).await;
 }
@@ -290,18 +302,10 @@
 #[tokio::test]
 async fn a_follower_that_loses_its_leader_gives_up_a_watch_of_the_configuration_without_an_answer() {
     let work = async {
-        let content = Rc::new(Content::default());
-        let store =
-            |leads| Rc::new(SilentStore { content: Rc::clone(&content), leads, ..SilentStore::default() });
-        let (first, second) = (store(true), store(false));
-        let leader = start("n1", &first).await;
-        wait_until(|| content.leader.borrow().is_some()).await;
-        let _follower = start("n2", &second).await;
-        // Only the leader's word ends such a watch while the test waits.
-        wait_until(|| second.config_wait.get() > Some(PATIENCE)).await;
+        let Pair { leader, store, _follower, .. } = start_pair().await;
         drop(leader);
-        let reads = second.configs.get();
-        wait_for(SHORT_PATIENCE, || second.configs.get() > reads).await;
+        let reads = store.configs.get();
+        wait_for(SHORT_PATIENCE, || store.configs.get() > reads).await;
     };
     LocalSet::new().run_until(work).await;
 }
