Test that the last copy on an engine that says it is leaving is loaded elsewhere

The mark of the roster had no test as far as the placement of models goes. Eight models nobody asks for, each on one of four engines, and a fifth engine with room: the copy on the engine that leaves is loaded there. With the mark out it stays alone. Tried first with a request a second for each model: the placer then makes spare copies anyway and the test shows nothing.

--- a/crates/core/tests/model_placer.rs
+++ b/crates/core/tests/model_placer.rs
@@ -15,6 +15,7 @@
 use carobwick_core::Tokens;
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::DemandTable;
+use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::EngineAction;
 use carobwick_core::gateway::EngineOrder;
 use carobwick_core::gateway::EngineRegistry;
@@ -24,6 +25,7 @@
 use carobwick_core::gateway::ModelPlacer;
 use carobwick_core::gateway::ModelSize;
 use carobwick_core::gateway::OrderReply;
+use carobwick_core::gateway::Roster;
 use carobwick_core::gateway::Weights;
 use endpoint_fixture::endpoint;
 use indexmap::IndexMap;
@@ -106,13 +108,31 @@
     }
 
     fn list(&mut self) {
-        for (index, (id, engine)) in self.engines.iter().enumerate() {
-            let zone = format!("z{}", index % 3);
-            let entry = endpoint(id.clone(), self.service.as_str(), &zone, engine.holding.clone());
+        for entry in self.entries() {
             self.registry.listed(&entry, Time::ZERO);
         }
     }
 
+    fn entries(&self) -> Vec<EndpointEntry> {
+        let engines = self.engines.iter().enumerate();
+        let entry = |(index, (id, engine)): (usize, (&EndpointId, &Engine))| {
+            let zone = format!("z{}", index % 3);
+            endpoint(id.clone(), self.service.as_str(), &zone, engine.holding.clone())
+        };
+        engines.map(entry).collect()
+    }
+
+    /// Has an engine say in an answer that it is leaving, while its entry in the list says nothing of it.
+    fn leave(&mut self, engine: usize, now: u64) {
+        let mut roster = Roster::default();
+        roster.replace(self.entries(), time(now));
+        let id = self.engines.get_index(engine).unwrap().0;
+        roster.mark_leaving(id, Incarnation(1));
+        for entry in roster.iter() {
+            self.registry.listed(entry, time(now));
+        }
+    }
+
     /// Plays a span, with the requests per second of each model at a time.
     fn play(&mut self, span: std::ops::Range<u64>, rate: impl Fn(usize, u64) -> f64) {
         for now in span.step_by(TICK as usize) {
@@ -277,3 +297,19 @@
     fleet.play(10_000..25_000, |index, _| if index == 1 { 60.0 } else { 1.0 });
     assert!(fleet.copies(1) >= 6, "{} copies", fleet.copies(1));
 }
+
+/// Guards against a model whose only engine says that it is leaving, and that is loaded elsewhere only once that one is gone.
+#[test]
+fn the_last_copy_on_a_leaving_engine_is_loaded_elsewhere() {
+    let mut fleet =
+        Fleet::new(5, 8, |engine| if engine < 4 { vec![2 * engine, 2 * engine + 1] } else { vec![] });
+    let elsewhere = |fleet: &Fleet| {
+        let leaving = fleet.engines[1].holding.models.contains_key(&model(2));
+        fleet.copies(2) - usize::from(leaving)
+    };
+    fleet.play(0..12_000, |_, _| 0.0);
+    assert_eq!(elsewhere(&fleet), 0, "the copy is the only one");
+    fleet.leave(1, 12_000);
+    fleet.play(12_000..24_000, |_, _| 0.0);
+    assert_eq!(elsewhere(&fleet), 1);
+}
