Log and count what endpoints announce as their rate limit

Each instance now logs a limit when it changes, and serves carobwick_endpoints_limited and carobwick_limited_sends_total by kind of send.

--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -11,6 +11,7 @@
 use crate::ZoneId;
 use crate::breaker::Breaker;
 use crate::breaker::Permission;
+use crate::gateway::AnnouncedLimit;
 use crate::gateway::EndpointEntry;
 use crate::gateway::PendingLoads;
 use crate::gateway::RequestHead;
@@ -113,6 +114,8 @@
     in_flight: IndexMap<SendId, InFlight>,
     /// The pause that the endpoint requested, kept until the endpoint has recovered.
     rejection: Option<Rejection>,
+    /// The rate limit that the endpoint announced last.
+    limit: AnnouncedLimit,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -272,6 +275,23 @@
         stats.rejection = Some(Rejection::new(stats.rejection, pause, now));
     }
 
+    /// Records the rate limit that an endpoint announced in a response; returns whether it has changed.
+    pub fn record_limit(&mut self, choice: &Choice, limit: AnnouncedLimit) -> bool {
+        let stats = self.stats(&choice.id, choice.incarnation);
+        std::mem::replace(&mut stats.limit, limit) != limit
+    }
+
+    /// Returns whether an incarnation of an endpoint announces a rate limit.
+    pub fn is_limited(&self, choice: &Choice) -> bool {
+        let stats = self.endpoints.get(&choice.id).filter(|stats| stats.incarnation == choice.incarnation);
+        stats.is_some_and(|stats| stats.limit != AnnouncedLimit::Unlimited)
+    }
+
+    /// Returns the number of endpoints that announce a rate limit.
+    pub fn limited_count(&self) -> usize {
+        self.endpoints.values().filter(|stats| stats.limit != AnnouncedLimit::Unlimited).count()
+    }
+
     /// Returns whether an incarnation of an endpoint requested a pause that has not ended.
     pub fn is_paused(&self, id: &EndpointId, incarnation: Incarnation, now: Time) -> bool {
         self.endpoints.get(id).is_some_and(|stats| stats.incarnation == incarnation && stats.is_paused(now))
@@ -405,6 +425,7 @@
             recent_parts: IndexMap::new(),
             in_flight: IndexMap::new(),
             rejection: None,
+            limit: AnnouncedLimit::Unlimited,
         }
     }
 
--- a/crates/core/src/gateway/rejection.rs
+++ b/crates/core/src/gateway/rejection.rs
@@ -10,15 +10,6 @@
 /// Limit on requests in flight at which an endpoint counts as recovered.
 const RECOVERED_LIMIT: usize = 64;
 
-/// State of an endpoint that it announces in a response, independent of the result of the request.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct EndpointNotice {
-    /// Whether the endpoint is leaving.
-    pub leaving: bool,
-    /// Time for which the endpoint asks this instance to send no request.
-    pub pause: Option<Duration>,
-}
-
 /// What follows for a request if all endpoints that could run it have requested a pause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PauseStep {
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -34,6 +34,7 @@
 use crate::message::LeaderMessage;
 use crate::message::ListUpdate;
 use crate::message::encode_frame;
+use crate::meters::SendKind;
 use crate::state::State;
 
 /// Longest time between two planning passes of the leader.
@@ -372,6 +373,7 @@
         if !self.state.accepts_requests(&choice) {
             return OrderReply::Refused;
         }
+        self.state.count_send(&choice, SendKind::Order);
         let request = self.state.wire.order_request(order, &self.state.settings.instance, fence);
         match connection.exchange(request, ENGINE_RESPONSE_TIMEOUT).await {
             Ok(response) => {
@@ -402,6 +404,7 @@
         let request = self.state.wire.report_request(&id);
         let exchange = async {
             let mut connection = self.state.pool.take(&choice, CONNECT_TIMEOUT).await?;
+            self.state.count_send(&choice, SendKind::Report);
             let response = connection.exchange(request, ENGINE_RESPONSE_TIMEOUT).await?;
             self.state
                 .apply_notice(&choice, self.state.wire.parse_notice(response.status(), response.headers()));
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -26,6 +26,23 @@
     endpoints: Gauge<u64>,
     leaving: Gauge<u64>,
     instances: Gauge<u64>,
+    limited: Gauge<u64>,
+    limited_sends: Counter<u64>,
+}
+
+/// Kind of a message to an endpoint, as the metrics count it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SendKind {
+    /// First attempt of a request.
+    First,
+    /// Attempt after a failed one.
+    Retry,
+    /// Attempt that resumes a stream.
+    Resume,
+    /// Order to an engine.
+    Order,
+    /// Query of an engine's state.
+    Report,
 }
 
 impl Meters {
@@ -47,6 +64,8 @@
         let endpoints = meter.u64_gauge("carobwick_endpoints");
         let leaving_gauge = meter.u64_gauge("carobwick_endpoints_leaving");
         let instances = meter.u64_gauge("carobwick_instances");
+        let limited = meter.u64_gauge("carobwick_endpoints_limited");
+        let limited_sends = meter.u64_counter("carobwick_limited_sends");
         Ok(Self {
             requests: requests.with_description("Requests by route and outcome").build(),
             first_output: first_output
@@ -63,6 +82,10 @@
             endpoints: endpoints.with_description("Endpoints in the list").build(),
             leaving: leaving_gauge.with_description("Endpoints in the list that are leaving").build(),
             instances: instances.with_description("Instances that share the retry budget").build(),
+            limited: limited.with_description("Endpoints that announce a rate limit").build(),
+            limited_sends: limited_sends
+                .with_description("Sends to endpoints that announce a rate limit, by kind")
+                .build(),
             metrics,
         })
     }
@@ -110,6 +133,23 @@
         self.orders.add(1, &[KeyValue::new("reply", reply)]);
     }
 
+    /// Sets the number of endpoints that announce a rate limit.
+    pub fn set_limited(&self, endpoints: usize) {
+        self.limited.record(endpoints as u64, &[]);
+    }
+
+    /// Counts a send to an endpoint that announces a rate limit.
+    pub fn record_limited_send(&self, kind: SendKind) {
+        let kind = match kind {
+            SendKind::First => "first",
+            SendKind::Retry => "retry",
+            SendKind::Resume => "resume",
+            SendKind::Order => "order",
+            SendKind::Report => "report",
+        };
+        self.limited_sends.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Sets whether this instance is the leader.
     pub fn set_leading(&self, leading: bool) {
         self.leading.record(u64::from(leading), &[]);
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -39,6 +39,7 @@
 use crate::connection::SendError;
 use crate::endpoint_request::EndpointRequest;
 use crate::endpoint_request::EndpointResponse;
+use crate::meters::SendKind;
 use crate::platform::ResponseKind;
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
@@ -201,6 +202,7 @@
         if !self.state.accepts_requests(&attempt.choice) {
             return Err(SendFailure::Unsent);
         }
+        self.state.count_send(&attempt.choice, self.send_kind(last_event));
         let request = self.build_request(&attempt.choice, remaining, last_event);
         let Some(connection) = attempt.connection.as_mut() else { return Err(SendFailure::Unsent) };
         match tokio::time::timeout(remaining, connection.send(request)).await {
@@ -228,6 +230,14 @@
         }
     }
 
+    fn send_kind(&self, last_event: Option<&str>) -> SendKind {
+        match (last_event, self.progress.sends) {
+            (Some(_), _) => SendKind::Resume,
+            (None, 0) => SendKind::First,
+            (None, _) => SendKind::Retry,
+        }
+    }
+
     fn build_request(
         &self,
         choice: &Choice,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,7 @@
 use crate::message::FollowerMessage;
 use crate::message::ListUpdate;
 use crate::meters::Meters;
+use crate::meters::SendKind;
 use crate::pool::Pool;
 
 /// Least time between two requests for an adapter that is resident in other zones only.
@@ -262,6 +263,12 @@
             tracing::info!("gateway: {} requests a pause of {pause:?}", choice.id);
             self.balancer.borrow_mut().record_rejected(choice, pause, now());
         }
+        let mut balancer = self.balancer.borrow_mut();
+        if balancer.record_limit(choice, notice.limit) {
+            tracing::info!("gateway: {} announces a limit: {:?}", choice.id, notice.limit);
+            self.meters.set_limited(balancer.limited_count());
+        }
+        drop(balancer);
         if notice.leaving && self.mark_leaving(&choice.id, choice.incarnation) {
             self.send_to_leader(FollowerMessage::EndpointLeaving {
                 endpoint: choice.id.clone(),
@@ -270,6 +277,13 @@
         }
     }
 
+    /// Counts a send to an endpoint if the endpoint announces a rate limit.
+    pub fn count_send(&self, choice: &Choice, kind: SendKind) {
+        if self.balancer.borrow().is_limited(choice) {
+            self.meters.record_limited_send(kind);
+        }
+    }
+
     /// Marks an endpoint as leaving, so that it gets no new requests; returns whether it was not marked
     /// before.
     pub fn mark_leaving(&self, id: &EndpointId, incarnation: Incarnation) -> bool {
