--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -1,3 +1,5 @@
+mod limits;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,11 +13,11 @@
 use crate::ZoneId;
 use crate::breaker::Breaker;
 use crate::breaker::Permission;
-use crate::gateway::AnnouncedLimit;
 use crate::gateway::EndpointEntry;
 use crate::gateway::PendingLoads;
 use crate::gateway::RequestHead;
 use crate::gateway::SharedLoad;
+use crate::gateway::rate_limit::RateLimit;
 use crate::gateway::reachability::Reachability;
 use crate::gateway::rejection::Rejection;
 use crate::load::EndpointLoad;
@@ -114,8 +116,10 @@
     in_flight: IndexMap<SendId, InFlight>,
     /// The pause that the endpoint requested, kept until the endpoint has recovered.
     rejection: Option<Rejection>,
-    /// The rate limit that the endpoint announced last.
-    limit: AnnouncedLimit,
+    /// The rate limit of the endpoint.
+    limit: Option<RateLimit>,
+    /// Whether the endpoint has announced an invalid limit.
+    invalid_limit: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -145,7 +149,7 @@
     /// The circuit breaker permits one request.
     Probe,
     Blocked,
-    /// The endpoint requested a pause.
+    /// The endpoint requested a pause, or its rate limit is reached.
     Paused,
 }
 
@@ -179,7 +183,7 @@
     }
 
     /// Returns the endpoint with the lowest estimated cost, or none if all are blocked by their circuit
-    /// breakers or have requested a pause.
+    /// breakers, have requested a pause or have reached their rate limit.
     ///
     /// With many instances only a random sample of the endpoints is compared, together with the one that
     /// prefix affinity prefers. All instances see the same loads with the same delay and would otherwise send
@@ -275,23 +279,6 @@
         stats.rejection = Some(Rejection::new(stats.rejection, pause, now));
     }
 
-    /// Records the rate limit that an endpoint announced in a response; returns whether it has changed.
-    pub fn record_limit(&mut self, choice: &Choice, limit: AnnouncedLimit) -> bool {
-        let stats = self.stats(&choice.id, choice.incarnation);
-        std::mem::replace(&mut stats.limit, limit) != limit
-    }
-
-    /// Returns whether an incarnation of an endpoint announces a rate limit.
-    pub fn is_limited(&self, choice: &Choice) -> bool {
-        let stats = self.endpoints.get(&choice.id).filter(|stats| stats.incarnation == choice.incarnation);
-        stats.is_some_and(|stats| stats.limit != AnnouncedLimit::Unlimited)
-    }
-
-    /// Returns the number of endpoints that announce a rate limit.
-    pub fn limited_count(&self) -> usize {
-        self.endpoints.values().filter(|stats| stats.limit != AnnouncedLimit::Unlimited).count()
-    }
-
     /// Returns whether an incarnation of an endpoint requested a pause that has not ended.
     pub fn is_paused(&self, id: &EndpointId, incarnation: Incarnation, now: Time) -> bool {
         self.endpoints.get(id).is_some_and(|stats| stats.incarnation == incarnation && stats.is_paused(now))
@@ -303,8 +290,8 @@
         stats.is_some_and(|stats| stats.rejection.is_some())
     }
 
-    /// Returns the time until the first of the candidates that requested a pause accepts requests again, or
-    /// none if there is no such candidate.
+    /// Returns the time until the first of the candidates that requested a pause or limit their rate may
+    /// accept a request again, or none if there is no such candidate.
     ///
     /// The time is zero if the pause of a candidate has ended and its limit on requests in flight is reached.
     pub fn pause_remaining<'a>(
@@ -317,7 +304,7 @@
         });
         // An endpoint that fails after its pause accepts nothing either while its circuit breaker is open.
         let usable = endpoints.filter(|stats| stats.breaker.permission(now) != Permission::Block);
-        usable.filter_map(|stats| stats.rejection).map(|rejection| rejection.remaining(now)).min()
+        usable.filter_map(|stats| stats.wait(now)).min()
     }
 
     /// Records how a request ended.
@@ -334,10 +321,10 @@
         stats.record_outcome(outcome, now);
     }
 
-    /// Removes endpoints that no longer exist, except those with requests in flight and those within a pause
-    /// that they requested, which may be added again.
+    /// Removes endpoints that no longer exist, except those with requests in flight and those that paused
+    /// requests or limited their rate recently, which may be added again.
     pub fn retain(&mut self, exists: impl Fn(&EndpointId) -> bool, now: Time) {
-        self.endpoints.retain(|id, stats| !stats.in_flight.is_empty() || stats.is_paused(now) || exists(id));
+        self.endpoints.retain(|id, stats| stats.is_retained(now) || exists(id));
         self.reachability.retain(exists);
     }
 
@@ -425,7 +412,8 @@
             recent_parts: IndexMap::new(),
             in_flight: IndexMap::new(),
             rejection: None,
-            limit: AnnouncedLimit::Unlimited,
+            limit: None,
+            invalid_limit: false,
         }
     }
 
@@ -433,9 +421,10 @@
         self.rejection.is_some_and(|rejection| !rejection.remaining(now).is_zero())
     }
 
-    /// Returns whether the pause of the endpoint, if any, allows another request.
+    /// Returns whether the pause and the rate limit of the endpoint, if any, may allow another request.
     fn admits(&self, now: Time) -> bool {
-        self.rejection.is_none_or(|rejection| rejection.admits(self.in_flight.len(), now))
+        let is_paused = self.rejection.is_some_and(|rejection| !rejection.admits(self.in_flight.len(), now));
+        !is_paused && self.may_have_token(now)
     }
 
     /// Returns the estimated queue before a new request, in prefill tokens.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -5,7 +5,8 @@
 //! and a [`RetryBudget`] bounds the number of retries. The leader of the region sends orders to engines,
 //! which a [`ModelPlacer`] and [`plan_adapter`] derive from its [`EngineRegistry`]. A [`ListCursor`] decides
 //! when an instance reads the list of endpoints from the store itself, and [`ConfigFreshness`] how long it
-//! may trust its configuration.
+//! may trust its configuration. Endpoints that limit the rate of requests get them only for tokens that the
+//! leader's [`TokenIssuer`] issues to all instances.
 
 mod adapters;
 mod balance;
@@ -20,6 +21,7 @@
 mod notice;
 mod orders;
 mod placer;
+mod rate_limit;
 mod reachability;
 mod registry;
 mod rejection;
@@ -27,6 +29,7 @@
 mod retry;
 mod suspects;
 mod table;
+mod token_issuer;
 
 pub use crate::budget::RetryBudget;
 pub use crate::budget::RetryTerms;
@@ -61,6 +64,7 @@
 pub use orders::EngineAction;
 pub use orders::EngineOrder;
 pub use placer::ModelPlacer;
+pub use rate_limit::LimitNews;
 pub use registry::EngineRecord;
 pub use registry::EngineRegistry;
 pub use registry::EngineState;
@@ -83,3 +87,5 @@
 pub use table::ServiceEntry;
 pub use table::ServiceRoute;
 pub use table::ServiceShare;
+pub use token_issuer::TokenIssuer;
+pub use token_issuer::TokenReply;
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -192,6 +192,7 @@
         arrived,
         progress: Progress::default(),
         tried: Vec::new(),
+        permit: None,
     })
 }
 
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -1,3 +1,5 @@
+mod tokens;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -29,6 +31,7 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use crate::coordinator::tokens::TermIssuer;
 use crate::election::Election;
 use crate::message::FollowerMessage;
 use crate::message::LeaderMessage;
@@ -68,6 +71,7 @@
     loads: RefCell<PendingLoads>,
     followers: RefCell<IndexMap<InstanceId, mpsc::UnboundedSender<Frame>>>,
     wake: Notify,
+    issuer: RefCell<TermIssuer>,
 }
 
 impl Coordinator {
@@ -83,6 +87,7 @@
             loads: RefCell::default(),
             followers: RefCell::default(),
             wake: Notify::new(),
+            issuer: RefCell::default(),
         }
     }
 
@@ -96,6 +101,7 @@
         let table = self.state.route_table.borrow();
         let mut registry = self.registry.borrow_mut();
         registry.retain(|id| endpoints.get(id).is_some());
+        self.retain_limits(|id| endpoints.get(id).is_some());
         for entry in endpoints.iter() {
             let service = table.as_ref().and_then(|table| table.services.get(&entry.service));
             if service.is_some_and(|service| service.engine.is_some()) {
@@ -116,6 +122,9 @@
         for (endpoint, incarnation) in self.state.endpoints.borrow().leaving() {
             send_frame(sender, encode_message(&LeaderMessage::EndpointLeaving { endpoint, incarnation }));
         }
+        for message in self.limit_messages() {
+            send_frame(sender, encode_message(&message));
+        }
         for (id, record) in self.registry.borrow().iter() {
             // For all other engines, the follower knows the resident models from their entries in the list.
             if let Some(resident) = record.published.clone() {
@@ -224,6 +233,12 @@
                     &LeaderMessage::EndpointLost { fingerprint, endpoint, incarnation },
                 );
             }
+            FollowerMessage::EndpointLimit { endpoint, incarnation, limit, age } => {
+                self.handle_limit(from, &endpoint, incarnation, limit, age);
+            }
+            FollowerMessage::RequestToken { ticket, endpoint, incarnation, limit, age } => {
+                self.handle_token_request(from, ticket, &endpoint, incarnation, limit, age);
+            }
             FollowerMessage::EndpointLeaving { endpoint, incarnation } => {
                 let is_own = *from == self.state.settings.instance;
                 if self.state.mark_leaving(&endpoint, incarnation) || is_own {
@@ -340,8 +355,14 @@
         table.services.get(service)?.engine.as_ref().map(f)
     }
 
-    /// Sends an order in its own task and records the reply.
+    /// Sends an order in its own task and records the reply. An order to an engine that has reached its rate
+    /// limit is left to a later planning pass.
     fn issue_order(self: Rc<Self>, order: EngineOrder) {
+        let target = self.find(&order.endpoint, order.incarnation);
+        if target.is_some_and(|choice| !self.admits_order(&choice)) {
+            tracing::debug!("leader: order {:?} to {} waits for a token", order.action, order.endpoint);
+            return;
+        }
         self.registry.borrow_mut().record_order(&order);
         self.broadcast_models(&order.endpoint);
         tokio::task::spawn_local(async move {
@@ -375,11 +396,13 @@
         }
         self.state.count_send(&choice, SendKind::Order);
         let request = self.state.wire.order_request(order, &self.state.settings.instance, fence);
+        let sent = now();
         match connection.exchange(request, ENGINE_RESPONSE_TIMEOUT).await {
             Ok(response) => {
                 self.state.apply_notice(
                     &choice,
                     self.state.wire.parse_notice(response.status(), response.headers()),
+                    sent,
                 );
                 self.state.pool.put(&choice, connection, None);
                 self.state.wire.parse_order_reply(response.status())
@@ -401,13 +424,17 @@
 
     async fn query_engine(self: Rc<Self>, id: EndpointId, incarnation: Incarnation) {
         let Some(choice) = self.find(&id, incarnation) else { return };
+        if !self.admits_report(&choice) {
+            return;
+        }
         let request = self.state.wire.report_request(&id);
         let exchange = async {
             let mut connection = self.state.pool.take(&choice, CONNECT_TIMEOUT).await?;
             self.state.count_send(&choice, SendKind::Report);
+            let sent = now();
             let response = connection.exchange(request, ENGINE_RESPONSE_TIMEOUT).await?;
-            self.state
-                .apply_notice(&choice, self.state.wire.parse_notice(response.status(), response.headers()));
+            let notice = self.state.wire.parse_notice(response.status(), response.headers());
+            self.state.apply_notice(&choice, notice, sent);
             self.state.pool.put(&choice, connection, None);
             self.state.wire.parse_report(response.body())
         };
--- /dev/null
+++ b/crates/gateway/src/coordinator/tokens.rs
@@ -0,0 +1,143 @@
+use carobwick_core::EndpointId;
+use carobwick_core::Incarnation;
+use carobwick_core::InstanceId;
+use carobwick_core::Leadership;
+use carobwick_core::Millis;
+use carobwick_core::Rate;
+use carobwick_core::Time;
+use carobwick_core::gateway::Balancer;
+use carobwick_core::gateway::Choice;
+use carobwick_core::gateway::TokenIssuer;
+use carobwick_core::gateway::TokenReply;
+use carobwick_runtime::now;
+
+use crate::coordinator::Coordinator;
+use crate::coordinator::encode_message;
+use crate::coordinator::send_frame;
+use crate::message::LeaderMessage;
+use crate::message::Ticket;
+use crate::permits::limit_text;
+
+/// Time after which an instance may ask for a token again if the leader's lease can't be relied on.
+const LEASE_RETRY: Millis = Millis(300);
+
+/// Issuer of tokens during one term of this instance as the leader.
+#[derive(Debug, Default)]
+pub(super) struct TermIssuer {
+    /// Start of the term.
+    since: Option<Time>,
+    issuer: TokenIssuer,
+}
+
+impl TermIssuer {
+    /// Returns the issuer of the term that began at `since`; a new one starts with the limits that this
+    /// instance knows.
+    fn of_term(&mut self, since: Option<Time>, balancer: &Balancer) -> &mut TokenIssuer {
+        if self.since != since {
+            let mut issuer = TokenIssuer::default();
+            for (id, incarnation, rate, heard) in balancer.limits() {
+                issuer.apply(id, incarnation, Some(rate), heard, now());
+            }
+            *self = Self { since, issuer };
+        }
+        &mut self.issuer
+    }
+}
+
+/// Rate limits of endpoints, which the leader enforces for all instances.
+impl Coordinator {
+    fn with_issuer<T>(&self, f: impl FnOnce(&mut TokenIssuer) -> T) -> T {
+        let mut term = self.issuer.borrow_mut();
+        f(term.of_term(self.election.leading_since(), &self.state.balancer.borrow()))
+    }
+
+    /// Handles the rate limit that an endpoint announced to an instance.
+    pub(super) fn handle_limit(
+        &self,
+        from: &InstanceId,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        limit: Option<Rate>,
+        age: Millis,
+    ) {
+        let heard = now() - age.duration();
+        let is_changed = self.with_issuer(|issuer| issuer.apply(endpoint, incarnation, limit, heard, now()));
+        self.publish_limit(from, endpoint, incarnation, is_changed);
+    }
+
+    /// Handles a request for a token.
+    pub(super) fn handle_token_request(
+        &self,
+        from: &InstanceId,
+        ticket: Ticket,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        limit: Rate,
+        age: Millis,
+    ) {
+        let heard = now() - age.duration();
+        let is_new = self.with_issuer(|issuer| issuer.learn(endpoint, incarnation, limit, heard, now()));
+        let reply = match self.election.leadership() {
+            Leadership::Leader(_) => self.with_issuer(|issuer| issuer.take(endpoint, incarnation, now())),
+            _ => TokenReply::Denied(LEASE_RETRY),
+        };
+        tracing::debug!("leader: token of {endpoint} for {from}: {reply:?}");
+        self.send_to(from, LeaderMessage::Token { ticket, reply });
+        let is_ended = self.with_issuer(|issuer| issuer.limit(endpoint, incarnation).is_none());
+        if is_new || is_ended {
+            self.publish_limit(from, endpoint, incarnation, is_new);
+        }
+    }
+
+    /// Sends the limit of an endpoint that is in force to all instances if it has changed, and otherwise to
+    /// the instance that reported another one.
+    fn publish_limit(
+        &self,
+        from: &InstanceId,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        is_changed: bool,
+    ) {
+        let limit = self.with_issuer(|issuer| issuer.limit(endpoint, incarnation));
+        let message = LeaderMessage::EndpointLimit { endpoint: endpoint.clone(), incarnation, limit };
+        if is_changed {
+            tracing::info!("leader: {endpoint} has {}", limit_text(limit));
+            self.state.set_limit(endpoint, incarnation, limit);
+            self.broadcast(&message);
+        } else {
+            self.send_to(from, message);
+        }
+    }
+
+    /// Returns the messages that tell a new follower the limits in force.
+    pub(super) fn limit_messages(&self) -> Vec<LeaderMessage> {
+        let message = |(endpoint, incarnation, limit): (&EndpointId, Incarnation, Rate)| {
+            LeaderMessage::EndpointLimit { endpoint: endpoint.clone(), incarnation, limit: Some(limit) }
+        };
+        self.with_issuer(|issuer| issuer.limits().map(message).collect())
+    }
+
+    /// Takes a token for an order; returns whether it may be sent.
+    pub(super) fn admits_order(&self, choice: &Choice) -> bool {
+        self.with_issuer(|issuer| issuer.take(&choice.id, choice.incarnation, now())) == TokenReply::Granted
+    }
+
+    /// Takes a token for a query of an engine's state; returns whether it may be sent.
+    pub(super) fn admits_report(&self, choice: &Choice) -> bool {
+        self.with_issuer(|issuer| issuer.take_for_report(&choice.id, choice.incarnation, now()))
+    }
+
+    /// Removes the limits of endpoints that no longer exist.
+    pub(super) fn retain_limits(&self, exists: impl Fn(&EndpointId) -> bool) {
+        self.with_issuer(|issuer| issuer.retain(exists));
+    }
+
+    /// Sends a message to an instance, which may be this one.
+    fn send_to(&self, instance: &InstanceId, message: LeaderMessage) {
+        if *instance == self.state.settings.instance {
+            self.state.receive_own_reply(message);
+        } else if let Some(sender) = self.followers.borrow().get(instance) {
+            send_frame(sender, encode_message(&message));
+        }
+    }
+}
--- a/crates/gateway/src/endpoint_request.rs
+++ b/crates/gateway/src/endpoint_request.rs
@@ -25,7 +25,7 @@
     fingerprint: Fingerprint,
     attempt_id: String,
     service: ServiceId,
-    sent_at: Time,
+    pub sent_at: Time,
     first_output: Cell<Option<Time>>,
     pub choice: Choice,
     send_id: SendId,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod message;
 mod meters;
 mod peers;
+mod permits;
 mod platform;
 mod pool;
 mod proxied_request;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,6 +3,7 @@
 use carobwick_core::Incarnation;
 use carobwick_core::InstanceId;
 use carobwick_core::Millis;
+use carobwick_core::Rate;
 use carobwick_core::ServiceId;
 use carobwick_core::Version;
 use carobwick_core::ZoneId;
@@ -10,8 +11,10 @@
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::ResidentModels;
 use carobwick_core::gateway::SharedLoad;
+use carobwick_core::gateway::TokenReply;
 use carobwick_core::gateway::Weights;
 use carobwick_derive::data;
+use carobwick_derive::key;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
@@ -38,8 +41,17 @@
     EndpointLost { fingerprint: Fingerprint, endpoint: EndpointId, incarnation: Incarnation },
     /// An endpoint announced in a response that it is leaving.
     EndpointLeaving { endpoint: EndpointId, incarnation: Incarnation },
+    /// An endpoint announced a rate limit in a response, or none, `age` ago.
+    EndpointLimit { endpoint: EndpointId, incarnation: Incarnation, limit: Option<Rate>, age: Millis },
+    /// A request needs a token of an endpoint with a rate limit, which the instance last heard of `age` ago.
+    RequestToken { ticket: Ticket, endpoint: EndpointId, incarnation: Incarnation, limit: Rate, age: Millis },
 }
 
+/// Number of a request for a token, which is unique at its instance.
+#[key]
+#[derive(Copy, Default)]
+pub(crate) struct Ticket(pub u64);
+
 /// Message from the leader to an instance.
 #[data]
 pub(crate) enum LeaderMessage {
@@ -54,6 +66,10 @@
     EndpointLost { fingerprint: Fingerprint, endpoint: EndpointId, incarnation: Incarnation },
     /// An endpoint announced to some instance that it is leaving.
     EndpointLeaving { endpoint: EndpointId, incarnation: Incarnation },
+    /// Rate limit of an endpoint that is in force, or none.
+    EndpointLimit { endpoint: EndpointId, incarnation: Incarnation, limit: Option<Rate> },
+    /// Reply to a request for a token.
+    Token { ticket: Ticket, reply: TokenReply },
     /// Changes of the list of endpoints.
     EndpointList(ListUpdate),
     /// Version of the leader's configuration, and the time since it was known to be the newest.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -154,11 +154,14 @@
     write_frame(&mut to, &FollowerMessage::Hello { instance: state.settings.instance.clone() }).await?;
     // An instance that is not the leader closes the connection without a message.
     handle_message(state, election, read_message(&mut from).await?);
-    // A new leader may not know the leaving endpoints; it ignores those that it does.
+    // A new leader may not know the leaving endpoints and the rate limits; it ignores those that it does.
     let leaving: Vec<_> = state.endpoints.borrow().leaving().collect();
     for (endpoint, incarnation) in leaving {
         write_frame(&mut to, &FollowerMessage::EndpointLeaving { endpoint, incarnation }).await?;
     }
+    for message in state.limit_messages() {
+        write_frame(&mut to, &message).await?;
+    }
     let (sender, mut receiver) = mpsc::unbounded_channel();
     state.set_leader_sender(Some(sender));
     election.set_connected(true);
@@ -205,6 +208,10 @@
         LeaderMessage::EndpointLeaving { endpoint, incarnation } => {
             state.mark_leaving(&endpoint, incarnation);
         }
+        LeaderMessage::EndpointLimit { endpoint, incarnation, limit } => {
+            state.set_limit(&endpoint, incarnation, limit);
+        }
+        LeaderMessage::Token { ticket, reply } => state.token_requests.complete(ticket, reply),
         LeaderMessage::Loads(loads) => state.receive_loads(&loads),
         LeaderMessage::EndpointList(update) => state.receive_list_update(update),
         LeaderMessage::ConfigVersion { version, age } => state.set_leader_version(version, age.duration()),
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -40,6 +40,8 @@
 use crate::endpoint_request::EndpointRequest;
 use crate::endpoint_request::EndpointResponse;
 use crate::meters::SendKind;
+use crate::permits::Admission;
+use crate::permits::SendPermit;
 use crate::platform::ResponseKind;
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
@@ -75,6 +77,8 @@
     pub deadline: Time,
     pub progress: Progress,
     pub tried: Vec<EndpointId>,
+    /// Permit for the next attempt, if its endpoint limits the rate of requests.
+    pub permit: Option<SendPermit>,
 }
 
 /// Endpoint for the next attempt of a request.
@@ -152,7 +156,8 @@
         next_step(&self.route, failure, exhausted)
     }
 
-    /// Sends the request to an endpoint and waits for the head of its response.
+    /// Sends the request to an endpoint that [`Self::admit`] has admitted, and waits for the head of its
+    /// response.
     pub async fn send_to(&mut self, choice: &Choice) -> Result<EndpointResponse, SendFailure> {
         self.send_after(choice, None).await
     }
@@ -193,13 +198,17 @@
     }
 
     async fn exchange(
-        &self,
+        &mut self,
         attempt: &mut EndpointRequest,
         last_event: Option<&str>,
     ) -> Result<Response<Incoming>, SendFailure> {
         let Some(remaining) = self.remaining_time() else { return Err(SendFailure::Unsent) };
-        // The endpoint may have announced that it is leaving, or a pause, while the connection was opened.
-        if !self.state.accepts_requests(&attempt.choice) {
+        // The endpoint may have announced that it is leaving, a pause or a limit while the connection was
+        // opened.
+        let permit = self.permit.take();
+        if !self.state.accepts_requests(&attempt.choice)
+            || !self.state.permits_send(&attempt.choice, permit.as_ref())
+        {
             return Err(SendFailure::Unsent);
         }
         self.state.count_send(&attempt.choice, self.send_kind(last_event));
@@ -269,7 +278,8 @@
     ) -> Result<EndpointResponse, SendFailure> {
         let status = response.status();
         let head = self.state.wire.parse_response(&self.head, status, response.headers());
-        self.state.apply_notice(&attempt.choice, self.state.wire.parse_notice(status, response.headers()));
+        let notice = self.state.wire.parse_notice(status, response.headers());
+        self.state.apply_notice(&attempt.choice, notice, attempt.sent_at);
         attempt.idle_timeout = head.idle_timeout;
         attempt.reusable = !head.closes;
         let id = &attempt.choice.id;
@@ -352,9 +362,10 @@
     /// Chooses an endpoint, or waits until the model is loaded on one.
     async fn place(&mut self) -> Placement {
         let started = now();
+        let state = Rc::clone(&self.state);
         let mut model_wait = None;
         let placement = loop {
-            let changed = self.state.endpoints_changed.notified();
+            let changed = state.endpoints_changed.notified();
             if self.remaining_time().is_none() {
                 break Placement::None { reason: "the time is used up", retry_after: RETRY_AFTER };
             }
@@ -366,6 +377,9 @@
                     continue;
                 }
                 Some(choice) => {
+                    if !self.admit(&choice).await {
+                        continue;
+                    }
                     self.request_local_adapter(&choice);
                     break Placement::Endpoint(choice);
                 }
@@ -379,7 +393,10 @@
                 }
                 Some(PauseStep::Refuse(retry_after)) => {
                     let retry_after = retry_after.max(RETRY_AFTER);
-                    break Placement::None { reason: "the endpoints have asked for a pause", retry_after };
+                    break Placement::None {
+                        reason: "the endpoints have asked for a pause or reached their limits",
+                        retry_after,
+                    };
                 }
                 None => {}
             }
@@ -430,6 +447,32 @@
         }
     }
 
+    /// Returns whether the request may be sent to an endpoint, for which a permit is taken if the endpoint
+    /// limits the rate of requests.
+    async fn admit(&mut self, choice: &Choice) -> bool {
+        match self.state.admit(choice).await {
+            Admission::Admitted(permit) => {
+                self.permit = permit;
+                true
+            }
+            Admission::Denied => {
+                tracing::info!("gateway: request {} gets no token of {}", self.head.attempt_id, choice.id);
+                false
+            }
+        }
+    }
+
+    /// Like [`Self::choose`], but passes over endpoints that have reached their rate limit.
+    pub async fn choose_admitted(&mut self) -> Option<Choice> {
+        while self.remaining_time().is_some() {
+            let choice = self.choose()?;
+            if self.admit(&choice).await {
+                return Some(choice);
+            }
+        }
+        None
+    }
+
     /// Chooses an endpoint that has the weights, preferably one that was not tried yet.
     pub fn choose(&self) -> Option<Choice> {
         let endpoints = self.state.endpoints.borrow();
@@ -441,8 +484,8 @@
         chosen.or_else(|| balancer.choose(&self.head, endpoints.live(&self.service).filter(capable), now()))
     }
 
-    /// Returns whether to wait or to refuse if all endpoints that can serve the request have asked for a
-    /// pause, or none otherwise.
+    /// Returns whether to wait or to refuse if all endpoints that can serve the request have asked for a pause
+    /// or reached their rate limits, or none otherwise.
     fn next_pause_step(&self, started: Time) -> Option<PauseStep> {
         let endpoints = self.state.endpoints.borrow();
         let capable = endpoints.live(&self.service).filter(|entry| self.can_serve(entry));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -34,6 +34,7 @@
 use crate::message::ListUpdate;
 use crate::meters::Meters;
 use crate::meters::SendKind;
+use crate::permits::TokenRequests;
 use crate::pool::Pool;
 
 /// Least time between two requests for an adapter that is resident in other zones only.
@@ -60,6 +61,7 @@
     /// Number of instances that share the retry budget, once the leader has sent it.
     instances: Cell<Option<u32>>,
     demand: RefCell<IndexMap<(ServiceId, Weights), DemandSample>>,
+    pub token_requests: TokenRequests,
     leader_sender: RefCell<Option<mpsc::UnboundedSender<FollowerMessage>>>,
     /// Age of the configuration in force, by which it is decided when to read it again.
     pub freshness: RefCell<ConfigFreshness>,
@@ -104,6 +106,7 @@
             retry_budgets: RefCell::default(),
             instances: Cell::default(),
             demand: RefCell::default(),
+            token_requests: TokenRequests::default(),
             leader_sender: RefCell::default(),
             leader_version: Cell::default(),
             leader_version_changed: Notify::new(),
@@ -146,6 +149,11 @@
         }
     }
 
+    /// Returns the last known number of instances.
+    pub fn instances(&self) -> Option<u32> {
+        self.instances.get()
+    }
+
     /// Adds a request to the demand that is reported to the leader.
     pub fn count_demand(&self, service: &ServiceId, head: &RequestHead) {
         let Some(weights) = &head.weights else { return };
@@ -179,6 +187,8 @@
     /// Sets the channel for messages to the leader, or none without a connection to it.
     pub fn set_leader_sender(&self, sender: Option<mpsc::UnboundedSender<FollowerMessage>>) {
         *self.leader_sender.borrow_mut() = sender;
+        self.token_requests.clear();
+        self.balancer.borrow_mut().reset_shares(now());
         self.endpoints_changed.notify_waiters();
     }
 
@@ -254,21 +264,16 @@
         }
     }
 
-    /// Applies what an endpoint announces about itself in a response.
+    /// Applies what an endpoint announces about itself in a response to a request that was sent at `sent`.
     ///
     /// That it is leaving is sent to the leader, which broadcasts it. A pause is not shared, since it applies
     /// to the instance whose request was rejected.
-    pub fn apply_notice(&self, choice: &Choice, notice: EndpointNotice) {
+    pub fn apply_notice(&self, choice: &Choice, notice: EndpointNotice, sent: Time) {
         if let Some(pause) = notice.pause {
             tracing::info!("gateway: {} requests a pause of {pause:?}", choice.id);
             self.balancer.borrow_mut().record_rejected(choice, pause, now());
         }
-        let mut balancer = self.balancer.borrow_mut();
-        if balancer.record_limit(choice, notice.limit) {
-            tracing::info!("gateway: {} announces a limit: {:?}", choice.id, notice.limit);
-            self.meters.set_limited(balancer.limited_count());
-        }
-        drop(balancer);
+        self.hear_limit(choice, notice.limit, sent);
         if notice.leaving && self.mark_leaving(&choice.id, choice.incarnation) {
             self.send_to_leader(FollowerMessage::EndpointLeaving {
                 endpoint: choice.id.clone(),
@@ -279,7 +284,7 @@
 
     /// Counts a send to an endpoint if the endpoint announces a rate limit.
     pub fn count_send(&self, choice: &Choice, kind: SendKind) {
-        if self.balancer.borrow().is_limited(choice) {
+        if self.balancer.borrow().limit(choice).is_some() {
             self.meters.record_limited_send(kind);
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -188,7 +188,9 @@
             if self.proxied.on_failure(*failure, choice) != RetryStep::Again {
                 return Err(BodyError(reason.to_owned()));
             }
-            let Some(choice) = self.proxied.choose() else { return Err(BodyError(reason.to_owned())) };
+            let Some(choice) = self.proxied.choose_admitted().await else {
+                return Err(BodyError(reason.to_owned()));
+            };
             let last_event = self.last_event.clone();
             match self.proxied.send_after(&choice, last_event.as_deref()).await {
                 Ok(response) if response.response.status().is_success() => {
@@ -234,6 +236,7 @@
             deadline: self.deadline,
             progress: self.progress,
             tried: self.tried.clone(),
+            permit: None,
         }
     }
 }
