Move the choice and the wait for an endpoint to placement.rs

proxied_request.rs held over 450 lines of code with several jobs: it sends requests, reads responses, and waits for endpoints, tokens and models. The last part moves as it is; nothing else changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! # Tour
 //!
 //! [`Gateway::bind`] starts all tasks. `callers` accepts connections and turns each request into a
-//! `ProxiedRequest`, which chooses an endpoint, sends the request over a pooled [`Connection`], and returns
+//! `ProxiedRequest`, which chooses an endpoint (`placement`), sends the request over a pooled [`Connection`], and returns
 //! the response whole or, for a stream, as its events arrive. `config` keeps the routes up to date, `list`
 //! the endpoints, and `election` the lease of the region's leader. `coordinator` runs on the leader: it sends
 //! orders to engines and updates to the other instances, which connect to it through `peers`. The decisions
@@ -28,6 +28,7 @@
 mod meters;
 mod peers;
 mod permits;
+mod placement;
 mod platform;
 mod pool;
 mod proxied_request;
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -8,8 +8,6 @@
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
 use carobwick_core::gateway::Choice;
-use carobwick_core::gateway::EndpointEntry;
-use carobwick_core::gateway::PauseStep;
 use carobwick_core::gateway::Progress;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RetryStep;
@@ -17,9 +15,7 @@
 use carobwick_core::gateway::SendFailure;
 use carobwick_core::gateway::SendOutcome;
 use carobwick_core::gateway::ServiceRoute;
-use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::next_step;
-use carobwick_core::gateway::pause_step;
 use carobwick_runtime::now;
 use http::HeaderMap;
 use http::Method;
@@ -40,8 +36,8 @@
 use crate::endpoint_request::EndpointRequest;
 use crate::endpoint_request::EndpointResponse;
 use crate::meters::SendKind;
-use crate::permits::Admission;
 use crate::permits::SendPermit;
+use crate::placement::Placement;
 use crate::platform::ResponseKind;
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
@@ -52,11 +48,7 @@
 /// Timeout of connecting to an endpoint, after which another one is chosen.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Least `Retry-After` of a request that no endpoint accepts.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
-/// First delay before a request is sent again to an endpoint that has just declined it.
-const DECLINED_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time that a request waits for its model in addition to the model's load time.
-const MODEL_LOAD_MARGIN: Duration = Duration::from_secs(1);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Longest response that is buffered; streams are not.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
@@ -81,26 +73,6 @@
     pub permit: Option<SendPermit>,
 }
 
-/// Endpoint for the next attempt of a request.
-enum Placement {
-    Endpoint(Choice),
-    /// No endpoint can process the request in time.
-    None {
-        reason: &'static str,
-        retry_after: Duration,
-    },
-}
-
-/// Wait of a request for its model. Dropping it before it is finished means that the caller has cancelled the
-/// request.
-#[derive(Debug)]
-struct ModelWait {
-    attempt_id: String,
-    started: Time,
-    weights: Weights,
-    finished: bool,
-}
-
 impl ProxiedRequest {
     /// Processes the request, returns the response and counts it in the metrics.
     pub async fn run(self) -> Response<ResponseBody> {
@@ -359,154 +331,6 @@
         next_step(&self.route, SendFailure::Failed, progress) == RetryStep::Again
     }
 
-    /// Chooses an endpoint, or waits until the model is loaded on one.
-    async fn place(&mut self) -> Placement {
-        let started = now();
-        let state = Rc::clone(&self.state);
-        let mut model_wait = None;
-        let placement = loop {
-            let changed = state.endpoints_changed.notified();
-            if self.remaining_time().is_none() {
-                break Placement::None { reason: "the time is used up", retry_after: RETRY_AFTER };
-            }
-            match self.choose() {
-                Some(choice) if self.tried.contains(&choice.id) => {
-                    // No untried endpoint can serve the request, and this one has just declined it.
-                    tokio::time::sleep(DECLINED_RETRY_DELAY * (1 << self.tried.len().min(4))).await;
-                    self.tried.clear();
-                    continue;
-                }
-                Some(choice) => {
-                    if !self.admit(&choice).await {
-                        continue;
-                    }
-                    self.request_local_adapter(&choice);
-                    break Placement::Endpoint(choice);
-                }
-                None => {}
-            }
-            match self.next_pause_step(started) {
-                Some(PauseStep::Wait(time)) => {
-                    // Ends early when an endpoint accepts requests again.
-                    let _elapsed = tokio::time::timeout(time, changed).await;
-                    continue;
-                }
-                Some(PauseStep::Refuse(retry_after)) => {
-                    let retry_after = retry_after.max(RETRY_AFTER);
-                    break Placement::None {
-                        reason: "the endpoints have asked for a pause or reached their limits",
-                        retry_after,
-                    };
-                }
-                None => {}
-            }
-            let Some(weights) = self.head.weights.clone() else {
-                break Placement::None { reason: "no endpoint takes the request", retry_after: RETRY_AFTER };
-            };
-            let Some(limit) = self.model_wait_limit() else {
-                break Placement::None { reason: "the model is not served", retry_after: RETRY_AFTER };
-            };
-            let waited = now() - started;
-            if !self.state.has_leader() || waited >= limit {
-                break Placement::None { reason: "no endpoint holds the model", retry_after: RETRY_AFTER };
-            }
-            if model_wait.is_none() {
-                let attempt_id = self.head.attempt_id.clone();
-                model_wait =
-                    Some(ModelWait { attempt_id, started, weights: weights.clone(), finished: false });
-                self.state.request_weights(&self.service, weights);
-            }
-            if tokio::time::timeout(limit.saturating_sub(waited), changed).await.is_err() {
-                tracing::info!(
-                    "gateway: request {} timed out after waiting {limit:?} for its model",
-                    self.head.attempt_id
-                );
-            }
-        };
-        if let Some(model_wait) = &mut model_wait {
-            model_wait.finished = true;
-        }
-        placement
-    }
-
-    /// Requests an adapter that is resident in other zones only, so that it stays available in a partition
-    /// between zones.
-    fn request_local_adapter(&self, choice: &Choice) {
-        let Some(weights) = self.head.weights.as_ref().filter(|weights| weights.adapter.is_some()) else {
-            return;
-        };
-        let endpoints = self.state.endpoints.borrow();
-        let zone = &self.state.settings.zone;
-        let is_local = |entry: &EndpointEntry| entry.zone == *zone;
-        if endpoints.get(&choice.id).is_some_and(is_local) {
-            return;
-        }
-        let mut local = endpoints.live(&self.service).filter(|entry| is_local(entry));
-        if !local.any(|entry| entry.resident.has(weights)) && self.state.should_request_adapter(weights) {
-            self.state.request_weights(&self.service, weights.clone());
-        }
-    }
-
-    /// Returns whether the request may be sent to an endpoint, for which a permit is taken if the endpoint
-    /// limits the rate of requests.
-    async fn admit(&mut self, choice: &Choice) -> bool {
-        match self.state.admit(choice).await {
-            Admission::Admitted(permit) => {
-                self.permit = permit;
-                true
-            }
-            Admission::Denied => {
-                tracing::info!("gateway: request {} gets no token of {}", self.head.attempt_id, choice.id);
-                false
-            }
-        }
-    }
-
-    /// Like [`Self::choose`], but passes over endpoints that have reached their rate limit.
-    pub async fn choose_admitted(&mut self) -> Option<Choice> {
-        while self.remaining_time().is_some() {
-            let choice = self.choose()?;
-            if self.admit(&choice).await {
-                return Some(choice);
-            }
-        }
-        None
-    }
-
-    /// Chooses an endpoint that has the weights, preferably one that was not tried yet.
-    pub fn choose(&self) -> Option<Choice> {
-        let endpoints = self.state.endpoints.borrow();
-        let capable = |entry: &&EndpointEntry| self.can_serve(entry);
-        let balancer = self.state.balancer.borrow();
-        let untried =
-            endpoints.live(&self.service).filter(capable).filter(|entry| !self.tried.contains(&entry.id));
-        let chosen = balancer.choose(&self.head, untried, now());
-        chosen.or_else(|| balancer.choose(&self.head, endpoints.live(&self.service).filter(capable), now()))
-    }
-
-    /// Returns whether to wait or to refuse if all endpoints that can serve the request have asked for a pause
-    /// or reached their rate limits, or none otherwise.
-    fn next_pause_step(&self, started: Time) -> Option<PauseStep> {
-        let endpoints = self.state.endpoints.borrow();
-        let capable = endpoints.live(&self.service).filter(|entry| self.can_serve(entry));
-        let pause_remaining = self.state.balancer.borrow().pause_remaining(capable, now())?;
-        let limit = ((self.deadline - started) / 2).saturating_sub(now() - started);
-        Some(pause_step(pause_remaining, limit))
-    }
-
-    fn can_serve(&self, entry: &EndpointEntry) -> bool {
-        self.head.weights.as_ref().is_none_or(|weights| entry.resident.has(weights))
-    }
-
-    /// Returns the longest time to wait until the model is loaded, or none if the service does not have the
-    /// model.
-    fn model_wait_limit(&self) -> Option<Duration> {
-        let spec = self.table.services.get(&self.service)?.engine.as_ref()?;
-        let size = spec.models.get(&self.head.weights.as_ref()?.model)?;
-        let remaining = self.deadline - self.arrived;
-        Some((size.load_time.duration() + MODEL_LOAD_MARGIN).min(remaining / 2))
-    }
-
     fn refuse(&self, reason: &'static str, retry_after: Duration) -> Response<ResponseBody> {
         tracing::info!(
             "gateway: request {} on {} refused after {:?}: {reason} {}",
@@ -548,15 +372,3 @@
         }
     }
 }
-
-impl Drop for ModelWait {
-    fn drop(&mut self) {
-        if !self.finished {
-            let (attempt_id, weights) = (&self.attempt_id, &self.weights);
-            let waited = now() - self.started;
-            tracing::info!(
-                "gateway: request {attempt_id} cancelled by its caller after waiting {waited:?} for {weights}"
-            );
-        }
-    }
-}
