Load models and adapters elsewhere while their engines limit their rate

Callers: a model or adapter whose only copies are at engines that limit their rate was served at that rate only; the rest waited for tokens or was refused.

Cause: the placement counted a copy at a limited engine like any other, so nothing was loaded elsewhere, and an adapter that a limited engine offers counted as offered.

Change: engines with a limit count as copies only if all have one, and get no orders; a model that is requested and resident only there gets a copy before others grow, in free memory or for an extra copy of another model, never for its last one. A request that finds no token asks the leader for the adapter or model elsewhere and waits as long as it would for a model that is not resident. a_model_on_a_limited_engine_gets_a_copy_elsewhere and an_adapter_on_a_limited_engine_is_loaded_on_another_one fail without it.

--- a/crates/core/src/gateway/adapters.rs
+++ b/crates/core/src/gateway/adapters.rs
@@ -20,8 +20,8 @@
 ///
 /// Engines of the requesting zone are preferred, then those with the fewest adapters; if an engine offers the
 /// adapter already, only an engine of the requesting zone loads it. If no engine offers the adapter and none
-/// has the capacity for it, the least recently requested adapter is evicted. Returns none if no order is
-/// needed or none is possible now.
+/// has the capacity for it, the least recently requested adapter is evicted. Engines with a rate limit are
+/// used only if all have one. Returns none if no order is needed or none is possible now.
 pub fn plan_adapter(
     service: &ServiceId,
     spec: &EngineSpec,
@@ -33,13 +33,13 @@
     let wanted = &request.weights;
     let size = spec.models.get(&wanted.model)?.adapter;
     let candidates = || {
-        let candidates = registry.live(service);
+        let candidates = registry.unlimited(service);
         candidates.filter(|(_, record)| record.accepts_adapter_order(wanted))
     };
     let has_capacity = |record: &EngineRecord| {
         record.adapter_count() < spec.max_adapters as usize && record.used_memory(spec) + size <= spec.memory
     };
-    let is_offered = registry.live(service).any(|(_, record)| record.offers(wanted));
+    let is_offered = registry.unlimited(service).any(|(_, record)| record.offers(wanted));
     let with_capacity = candidates()
         .filter(|(_, record)| has_capacity(record) && (!is_offered || record.zone == request.zone));
     let with_capacity =
--- a/crates/core/src/gateway/balance/limits.rs
+++ b/crates/core/src/gateway/balance/limits.rs
@@ -7,6 +7,7 @@
 use crate::gateway::AnnouncedLimit;
 use crate::gateway::Balancer;
 use crate::gateway::Choice;
+use crate::gateway::EndpointEntry;
 use crate::gateway::LimitNews;
 use crate::gateway::balance::EndpointStats;
 use crate::gateway::rate_limit::RateLimit;
@@ -58,6 +59,14 @@
         })
     }
 
+    /// Returns whether one of the candidates limits the rate of requests.
+    pub fn any_limited<'a>(&self, mut candidates: impl Iterator<Item = &'a EndpointEntry>) -> bool {
+        candidates.any(|entry| {
+            let stats = self.endpoints.get(&entry.id).filter(|stats| stats.incarnation == entry.incarnation);
+            stats.is_some_and(|stats| stats.limit.is_some())
+        })
+    }
+
     /// Records that no request may be sent to an endpoint before `wait` has passed, since the leader has no
     /// token for it.
     pub fn record_denied(&mut self, choice: &Choice, wait: Duration, now: Time) {
--- a/crates/core/src/gateway/placer.rs
+++ b/crates/core/src/gateway/placer.rs
@@ -113,7 +113,10 @@
 #[derive(Debug, Clone, Copy)]
 struct ModelRow {
     demand: ModelDemand,
+    /// Copies on engines that are not limited in their rate of requests.
     copies: usize,
+    /// Whether there is a copy on an engine that limits the rate of requests.
+    has_limited: bool,
     wanted: usize,
     is_requested: bool,
     is_idle: bool,
@@ -133,6 +136,8 @@
 enum Need {
     /// It is requested and resident on no engine.
     Missing(f64),
+    /// It is requested and resident only on engines that limit the rate of requests.
+    Limited,
     /// It has fewer copies than its demand needs.
     Growth(f64),
     /// It is resident on no engine and is not requested.
@@ -176,13 +181,14 @@
         let first = demand.first_report().unwrap_or(now);
         let demands = demand.models(service, now);
         let total: f64 = demands.values().map(|demand| demand.rate).sum();
-        let live: Vec<(&EndpointId, &EngineRecord)> = registry.live(service).collect();
+        let live: Vec<(&EndpointId, &EngineRecord)> = registry.unlimited(service).collect();
         let row = |model: &ModelId, size: Bytes| {
             let demand = demands.get(model).copied().unwrap_or_default();
             let share = if total > 0.0 { demand.rate / total } else { 0.0 };
             ModelRow {
                 demand,
                 copies: 0,
+                has_limited: false,
                 wanted: wanted_copies(share, live.len()),
                 is_requested: demand.last_request.is_some_and(|last| now < last + REQUESTED_TIME),
                 is_idle: now >= demand.last_request.unwrap_or(first).max(first) + IDLE_TIME,
@@ -197,9 +203,16 @@
             zone_copies: IndexMap::new(),
             unloading: 0,
             is_warming_up: now < first + WARM_UP_TIME,
-            is_oversubscribed: models_per_engine(spec) * live.len() < spec.models.len(),
+            is_oversubscribed: models_per_engine(spec) * registry.live(service).count() < spec.models.len(),
             orders: Vec::new(),
         };
+        for (_, record) in registry.live(service).filter(|(id, _)| registry.is_limited(id)) {
+            for model in record.resident.models.keys() {
+                if let Some(row) = pass.rows.get_mut(model) {
+                    row.has_limited = true;
+                }
+            }
+        }
         for (_, record) in &live {
             pass.count_copies(record);
         }
@@ -257,9 +270,12 @@
     /// Returns the models that need a copy, most urgent first.
     fn needs(&self, presence: &IndexMap<ModelId, Presence>) -> Vec<(&'a ModelId, Need)> {
         let mut missing: Vec<(&ModelId, f64)> = Vec::new();
+        let mut limited: Vec<(&ModelId, f64)> = Vec::new();
         let mut growing: Vec<(&ModelId, f64)> = Vec::new();
         for (model, row) in &self.rows {
-            if row.copies == 0 && row.is_requested {
+            if row.copies == 0 && row.is_requested && row.has_limited {
+                limited.push((model, row.demand.rate));
+            } else if row.copies == 0 && row.is_requested {
                 let waited = match presence.get(*model) {
                     Some(Presence::Missing(since)) => (self.now - *since).as_secs_f64(),
                     Some(Presence::Resident(_)) | None => 0.0,
@@ -271,10 +287,12 @@
         }
         let by_value = |a: &(&ModelId, f64), b: &(&ModelId, f64)| b.1.total_cmp(&a.1);
         missing.sort_by(by_value);
+        limited.sort_by(by_value);
         growing.sort_by(by_value);
         let missing = missing.into_iter().map(|(model, value)| (model, Need::Missing(value)));
+        let limited = limited.into_iter().map(|(model, _)| (model, Need::Limited));
         let growing = growing.into_iter().map(|(model, value)| (model, self.growth(model, value)));
-        missing.chain(growing).collect()
+        missing.chain(limited).chain(growing).collect()
     }
 
     fn growth(&self, model: &ModelId, value: f64) -> Need {
@@ -377,13 +395,13 @@
         match need {
             _ if self.is_warming_up && !matches!(need, Need::Missing(_)) => None,
             Need::Absent if row.copies > 1 && row.is_idle => Some(EvictionCost::ExtraCopy),
-            Need::Absent | Need::Preload => None,
-            Need::Missing(_) | Need::Growth(_)
+            Need::Missing(_) | Need::Limited | Need::Growth(_)
                 if self.is_oversubscribed && row.copies <= 1 && row.is_idle =>
             {
                 Some(EvictionCost::IdleModel)
             }
-            Need::Missing(_) if row.copies > 1 => Some(EvictionCost::ExtraCopy),
+            Need::Missing(_) | Need::Limited if row.copies > 1 => Some(EvictionCost::ExtraCopy),
+            Need::Absent | Need::Preload | Need::Limited => None,
             Need::Missing(_) if !self.is_oversubscribed => None,
             Need::Missing(missing) => {
                 let is_evictable =
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -84,6 +84,8 @@
 #[derive(Debug, Default)]
 pub struct EngineRegistry {
     engines: IndexMap<EndpointId, EngineRecord>,
+    /// Engines that limit the rate of requests.
+    limited: IndexSet<EndpointId>,
 }
 
 impl EngineRegistry {
@@ -252,6 +254,29 @@
         self.iter().filter(move |(_, record)| record.service == *service && record.live)
     }
 
+    /// Returns the engines of a service that accept new requests without a rate limit, or all that accept
+    /// requests if each of them has a limit.
+    ///
+    /// Only these count as copies of models and adapters: a limit is far below what an engine can serve, and
+    /// orders count as requests.
+    pub fn unlimited<'a>(
+        &'a self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = (&'a EndpointId, &'a EngineRecord)> {
+        let all_limited = self.live(service).all(|(id, _)| self.is_limited(id));
+        self.live(service).filter(move |(id, _)| all_limited || !self.is_limited(id))
+    }
+
+    /// Sets which engines limit the rate of requests.
+    pub fn set_limited(&mut self, limited: IndexSet<EndpointId>) {
+        self.limited = limited;
+    }
+
+    /// Returns whether an engine limits the rate of requests.
+    pub fn is_limited(&self, id: &EndpointId) -> bool {
+        self.limited.contains(id)
+    }
+
     /// Returns the engines to query now and schedules the next query of each.
     pub fn take_due_queries(&mut self, now: Time) -> Vec<(EndpointId, Incarnation)> {
         let mut due = Vec::new();
--- a/crates/core/tests/engine_orders.rs
+++ b/crates/core/tests/engine_orders.rs
@@ -394,3 +394,30 @@
         }
     }
 }
+
+/// Guards against an adapter that is served at the rate of the only engine that holds it, although another one
+/// has its model and room.
+#[test]
+fn an_adapter_on_a_limited_engine_is_loaded_on_another_one() {
+    let adapter = Weights { model: model(0), adapter: Some("a0".parse().unwrap()) };
+    let service: ServiceId = "s".parse().unwrap();
+    let mut registry = EngineRegistry::default();
+    let ids: Vec<EndpointId> = (0..2).map(|index| format!("e{index}").parse().unwrap()).collect();
+    for (index, id) in ids.iter().enumerate() {
+        let adapters = adapter.adapter.iter().filter(|_| index == 0).cloned().collect();
+        let models = IndexMap::from([(model(0), adapters)]);
+        let resident = ResidentModels { models, ..ResidentModels::default() };
+        registry.apply_entry(&endpoint(id.clone(), service.as_str(), "z0", resident.clone()), time(0));
+        let state = EngineState { order_count: 0, resident, pending: IndexSet::new(), busy: false };
+        registry.apply_state(id, Incarnation(1), state, time(0));
+    }
+    let request = AdapterRequest { weights: adapter.clone(), zone: "z1".parse().unwrap() };
+    let plan = |registry: &EngineRegistry| {
+        plan_adapter(&service, &spec(), registry, &DemandTable::default(), &request, time(10))
+    };
+    registry.set_limited(IndexSet::from([ids[0].clone()]));
+    let order = plan(&registry).expect("the adapter is loaded on the other engine");
+    assert_eq!((order.endpoint, order.action), (ids[1].clone(), EngineAction::LoadAdapter(adapter)));
+    registry.set_limited(ids.into_iter().collect());
+    assert_eq!(plan(&registry), None, "all engines are limited, and one offers the adapter");
+}
--- a/crates/core/tests/model_placer.rs
+++ b/crates/core/tests/model_placer.rs
@@ -322,3 +322,24 @@
     fleet.run(12_000..24_000, |_, _| 0.0);
     assert_eq!(elsewhere(&fleet), 1);
 }
+
+/// Guards against a model that is served at the rate of its only engine, which limits it, although others have
+/// room; and against orders to such an engine, which count as requests.
+#[test]
+fn a_model_on_a_limited_engine_gets_a_copy_elsewhere() {
+    let mut fleet = Fleet::new(4, 5, |engine| vec![engine, engine + 1]);
+    let rate = |index: usize, _| if index == 0 { 0.5 } else { 2.0 };
+    fleet.run(0..12_000, rate);
+    assert_eq!(fleet.copies(0), 1, "the copy is the only one");
+    let limited = fleet.engines.get_index(0).unwrap().0.clone();
+    let before = fleet.engines[0].orders;
+    fleet.registry.set_limited(IndexSet::from([limited]));
+    fleet.run(12_000..18_000, rate);
+    let elsewhere = fleet.engines.values().skip(1);
+    let has_copy = |engine: &Engine| engine.resident.models.contains_key(&model(0));
+    assert!(elsewhere.into_iter().any(has_copy), "no copy without a limit");
+    assert_eq!(fleet.engines[0].orders, before, "orders to the limited engine");
+    for index in 0..5 {
+        assert!(fleet.copies(index) > 0, "m{index} is on no engine");
+    }
+}
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -108,6 +108,8 @@
                 registry.apply_entry(entry, now());
             }
         }
+        drop(registry);
+        self.update_limited_engines();
     }
 
     /// Adds a follower and sends it the current state.
@@ -298,12 +300,12 @@
         self.wake.notify_one();
     }
 
-    /// Returns whether a live engine offers a model or adapter, in the given zone or in any.
+    /// Returns whether an engine without a rate limit offers a model or adapter, in the given zone or in any.
     fn offers(&self, service: &ServiceId, weights: &Weights, zone: Option<&ZoneId>) -> bool {
         let registry = self.registry.borrow();
-        let mut live =
-            registry.live(service).filter(|(_, record)| zone.is_none_or(|zone| record.zone == *zone));
-        live.any(|(_, record)| record.offers(weights))
+        let mut engines =
+            registry.unlimited(service).filter(|(_, record)| zone.is_none_or(|zone| record.zone == *zone));
+        engines.any(|(_, record)| record.offers(weights))
     }
 
     fn load_adapters(self: Rc<Self>) {
--- a/crates/gateway/src/coordinator/tokens.rs
+++ b/crates/gateway/src/coordinator/tokens.rs
@@ -104,11 +104,19 @@
             tracing::info!("leader: {endpoint} has {}", limit_text(limit));
             self.state.set_limit(endpoint, incarnation, limit);
             self.broadcast(&message);
+            self.update_limited_engines();
+            self.wake.notify_one();
         } else {
             self.send_to(from, message);
         }
     }
 
+    /// Updates which engines the placement counts as limited.
+    pub(super) fn update_limited_engines(&self) {
+        let limited = self.with_issuer(|issuer| issuer.limits().map(|(id, ..)| id.clone()).collect());
+        self.registry.borrow_mut().set_limited(limited);
+    }
+
     /// Returns the messages that tell a new follower the limits in force.
     pub(super) fn limit_messages(&self) -> Vec<LeaderMessage> {
         let message = |(endpoint, incarnation, limit): (&EndpointId, Incarnation, Rate)| {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,6 +13,8 @@
 use crate::proxied_request::ProxiedRequest;
 use crate::proxied_request::RETRY_AFTER;
 
+/// Time after which a request that waits for another copy of its model looks for a token again.
+const OTHER_COPY_POLL: Duration = Duration::from_millis(200);
 /// First delay before a request is sent again to an endpoint that has just declined it.
 const DECLINED_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time that a request waits for its model in addition to the model's load time.
@@ -65,12 +67,20 @@
                 }
                 None => {}
             }
-            match self.next_pause_step(started) {
+            let pause_step = self.next_pause_step(started);
+            if pause_step.is_some() {
+                self.request_other_copy();
+            }
+            match pause_step {
                 Some(PauseStep::Wait(time)) => {
                     // Ends early when an endpoint accepts requests again.
                     let _elapsed = tokio::time::timeout(time, changed).await;
                     continue;
                 }
+                Some(PauseStep::Refuse(_)) if self.may_get_other_copy(started) => {
+                    let _elapsed = tokio::time::timeout(OTHER_COPY_POLL, changed).await;
+                    continue;
+                }
                 Some(PauseStep::Refuse(retry_after)) => {
                     let retry_after = retry_after.max(RETRY_AFTER);
                     break Placement::None {
@@ -122,11 +132,33 @@
             return;
         }
         let mut local = endpoints.live(&self.service).filter(|entry| is_local(entry));
-        if !local.any(|entry| entry.resident.has(weights)) && self.state.should_request_adapter(weights) {
+        if !local.any(|entry| entry.resident.has(weights)) && self.state.should_request_weights(weights) {
+            self.state.request_weights(&self.service, weights.clone());
+        }
+    }
+
+    /// Requests another copy of the model or adapter if endpoints that hold it have reached their rate limits.
+    fn request_other_copy(&self) {
+        let Some(weights) = &self.head.weights else { return };
+        if self.is_limited() && self.state.should_request_weights(weights) {
             self.state.request_weights(&self.service, weights.clone());
         }
     }
 
+    /// Returns whether an endpoint that can serve the request limits the rate of requests.
+    fn is_limited(&self) -> bool {
+        let endpoints = self.state.endpoints.borrow();
+        let capable = endpoints.live(&self.service).filter(|entry| self.can_serve(entry));
+        self.state.balancer.borrow().any_limited(capable)
+    }
+
+    /// Returns whether the leader may load another copy of the model while the request can wait, since those
+    /// that there are have reached their rate limits.
+    fn may_get_other_copy(&self, started: Time) -> bool {
+        let is_in_time = self.model_wait_limit().is_some_and(|limit| now() - started < limit);
+        is_in_time && self.state.has_leader() && self.is_limited()
+    }
+
     /// Returns whether the request may be sent to an endpoint, for which a permit is taken if the endpoint
     /// limits the rate of requests.
     async fn admit(&mut self, choice: &Choice) -> bool {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,8 +37,9 @@
 use crate::permits::TokenRequests;
 use crate::pool::Pool;
 
-/// Least time between two requests for an adapter that is resident in other zones only.
-const ADAPTER_REQUEST_INTERVAL: Duration = Duration::from_secs(3);
+/// Least time between two requests for the same model or adapter while it is resident, but in other zones only
+/// or at endpoints that limit their rate.
+const WEIGHTS_REQUEST_INTERVAL: Duration = Duration::from_secs(3);
 
 /// State shared by the tasks of one instance, all of which run on one thread.
 pub(crate) struct State {
@@ -71,8 +72,8 @@
     pub leader_version_changed: Notify,
     /// Sends the leader's updates to the reader of the list.
     list_updates: mpsc::UnboundedSender<ListUpdate>,
-    /// Time of the last request for each adapter that is resident in other zones only.
-    adapter_requests: RefCell<IndexMap<Weights, Time>>,
+    /// Time of the last request for each model or adapter that is resident somewhere.
+    weights_requests: RefCell<IndexMap<Weights, Time>>,
 }
 
 impl std::fmt::Debug for State {
@@ -111,7 +112,7 @@
             leader_version: Cell::default(),
             leader_version_changed: Notify::new(),
             list_updates,
-            adapter_requests: RefCell::default(),
+            weights_requests: RefCell::default(),
         }
     }
 
@@ -242,12 +243,13 @@
         self.send_to_leader(FollowerMessage::RequestWeights { service: service.clone(), weights, zone });
     }
 
-    /// Returns whether an adapter may be requested for this zone, and records the request. Limits the rate.
-    pub fn should_request_adapter(&self, weights: &Weights) -> bool {
-        let mut adapter_requests = self.adapter_requests.borrow_mut();
-        let is_due = adapter_requests.get(weights).is_none_or(|at| now() >= *at + ADAPTER_REQUEST_INTERVAL);
+    /// Returns whether a model or adapter that is resident somewhere may be requested, and records the request.
+    /// Limits the rate.
+    pub fn should_request_weights(&self, weights: &Weights) -> bool {
+        let mut weights_requests = self.weights_requests.borrow_mut();
+        let is_due = weights_requests.get(weights).is_none_or(|at| now() >= *at + WEIGHTS_REQUEST_INTERVAL);
         if is_due {
-            adapter_requests.insert(weights.clone(), now());
+            weights_requests.insert(weights.clone(), now());
         }
         is_due
     }
