Issue tokens in the order of priority and age, and deny at once what can't get one in time

Callers: with 20 requests for one endpoint that accepts 1 a second, those that got no token waited 2.0 s of the 2.5 s that they had before they were refused, and whoever asked at the right moment got the next token.

Cause: the leader denied each request with the time of the next token, whatever else waited for it, so all waiting requests asked again at that time, without regard to priority or age, until their time was up.

Change: a request with no other endpoint says how long it can wait, and the leader queues it by priority and age, over all instances. One whose turn comes too late is denied at once, as is one that a more urgent request displaces; the refusal names the time of its turn. A request that finds an endpoint without a limit meanwhile, or whose caller leaves, gives up its place.

--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -216,13 +216,7 @@
         let compared =
             weighted.iter().filter(|(entry, _)| preferred == Some(&entry.id) || sampled.contains(&&entry.id));
         let (entry, cost) = compared.copied().min_by(|(_, a), (_, b)| a.total_cmp(b))?;
-        Some(Choice {
-            id: entry.id.clone(),
-            incarnation: entry.incarnation,
-            addr: entry.addr,
-            zone: entry.zone.clone(),
-            cost,
-        })
+        Some(Choice::new(entry, cost))
     }
 
     /// Records that a request is sent to an endpoint and returns its identity for later calls.
@@ -400,6 +394,19 @@
     }
 }
 
+impl Choice {
+    /// Returns an endpoint as the one that is chosen.
+    pub fn new(entry: &EndpointEntry, cost: f64) -> Self {
+        Self {
+            id: entry.id.clone(),
+            incarnation: entry.incarnation,
+            addr: entry.addr,
+            zone: entry.zone.clone(),
+            cost,
+        }
+    }
+}
+
 impl EndpointStats {
     fn new(incarnation: Incarnation) -> Self {
         Self {
--- a/crates/core/src/gateway/balance/limits.rs
+++ b/crates/core/src/gateway/balance/limits.rs
@@ -4,6 +4,7 @@
 use crate::Incarnation;
 use crate::Rate;
 use crate::Time;
+use crate::breaker::Permission;
 use crate::gateway::AnnouncedLimit;
 use crate::gateway::Balancer;
 use crate::gateway::Choice;
@@ -67,6 +68,21 @@
         })
     }
 
+    /// Returns the candidate with a rate limit whose next token is expected first.
+    pub fn soonest_token<'a>(
+        &self,
+        candidates: impl Iterator<Item = &'a EndpointEntry>,
+        now: Time,
+    ) -> Option<Choice> {
+        let waits = candidates.filter_map(|entry| {
+            let stats =
+                self.endpoints.get(&entry.id).filter(|stats| stats.incarnation == entry.incarnation)?;
+            let is_usable = !stats.is_paused(now) && stats.breaker.permission(now) != Permission::Block;
+            Some((stats.limit.filter(|_| is_usable)?.wait(now), entry))
+        });
+        waits.min_by_key(|(wait, _)| *wait).map(|(_, entry)| Choice::new(entry, 0.0))
+    }
+
     /// Records that no request may be sent to an endpoint before `wait` has passed, since the leader has no
     /// token for it.
     pub fn record_denied(&mut self, choice: &Choice, wait: Duration, now: Time) {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod retry;
 mod suspects;
 mod table;
+mod token_bucket;
 mod token_issuer;
 
 pub use crate::budget::RetryBudget;
@@ -88,4 +89,7 @@
 pub use table::ServiceRoute;
 pub use table::ServiceShare;
 pub use token_issuer::TokenIssuer;
+pub use token_issuer::TokenReplies;
 pub use token_issuer::TokenReply;
+pub use token_issuer::TokenRequest;
+pub use token_issuer::TokenTicket;
--- a/crates/core/src/gateway/token_issuer.rs
+++ b/crates/core/src/gateway/token_issuer.rs
@@ -1,60 +1,65 @@
 use std::time::Duration;
 
 use carobwick_derive::data;
+use carobwick_derive::key;
 use indexmap::IndexMap;
 
 use crate::EndpointId;
 use crate::Incarnation;
+use crate::InstanceId;
 use crate::Millis;
 use crate::Rate;
 use crate::Time;
+use crate::gateway::token_bucket::TokenBucket;
 
-/// Time over which endpoints count the requests that they receive.
-const COUNT_WINDOW: Duration = Duration::from_secs(4);
-/// Time whose tokens an endpoint's bucket holds at most.
-const BURST_TIME: Duration = Duration::from_millis(500);
-/// Rate from which on a limit that the endpoint no longer names has ended.
-const RELEASE_RATE: Rate = Rate(64.0);
-/// Wait that is added to that for the next token, since the bucket is refilled in floating point.
-const WAIT_MARGIN: Duration = Duration::from_millis(1);
-/// Least time between two reports of a limited engine, in tokens of its bucket.
-const TOKENS_PER_REPORT: f64 = 4.0;
 /// Time after which an instance that knows another incarnation of an endpoint asks again.
 const STALE_RETRY: Duration = Duration::from_secs(1);
 
-/// Answer to a request for a token.
+/// Identifies a request for a token among those of all instances.
+#[key]
+pub struct TokenTicket {
+    /// Instance that asks.
+    pub instance: InstanceId,
+    /// Number that is unique at the instance.
+    pub number: u64,
+}
+
+/// Request of an instance for a token.
+#[data]
+pub struct TokenRequest {
+    /// Identity of the request.
+    pub ticket: TokenTicket,
+    /// Priority of the route; 0 is the highest.
+    pub priority: u8,
+    /// Time for which the caller's request has waited for a token already.
+    pub waited: Millis,
+    /// Time for which it can still wait.
+    pub max_wait: Millis,
+}
+
+/// Reply to a request for a token.
 #[data]
 #[derive(Copy)]
 pub enum TokenReply {
-    /// One request may be sent.
-    Granted,
+    /// One request may be sent; the token was issued this time after it had been requested.
+    Granted(Millis),
     /// No request may be sent; a token is expected after this time.
     Denied(Millis),
 }
 
+/// Replies that are due, with the requests for tokens that they answer.
+pub type TokenReplies = Vec<(TokenTicket, TokenReply)>;
+
 /// Issues the tokens without which no instance sends a request to an endpoint that limits its rate.
 ///
-/// The leader of the region issues them for all instances, so that their sum stays under the limit. A limit
-/// that falls applies at once. One that rises, or that the endpoint no longer names, applies after a window in
-/// which the lower one was in force; the rate then doubles with each response that allows more.
+/// The leader of the region issues them for all instances, so that their sum stays under the limit. Requests
+/// that can wait for a token get it in the order of their priority and age; one that can't be served in time
+/// is denied at once. A limit that falls applies at once. One that rises, or that the endpoint no longer
+/// names, applies after a window in which the lower one was in force; the rate then doubles with each response
+/// that allows more.
 #[derive(Debug, Default)]
 pub struct TokenIssuer {
-    buckets: IndexMap<EndpointId, Bucket>,
-}
-
-/// Token bucket of one incarnation of an endpoint.
-#[derive(Debug)]
-struct Bucket {
-    incarnation: Incarnation,
-    /// The limit in force, or none if it has ended.
-    rate: Option<Rate>,
-    /// Time of the response that was applied last.
-    heard: Time,
-    /// Time of the first response that allows a higher rate, with none since that does not.
-    higher_since: Option<Time>,
-    tokens: f64,
-    updated: Time,
-    next_report: Time,
+    buckets: IndexMap<EndpointId, TokenBucket>,
 }
 
 impl TokenIssuer {
@@ -72,7 +77,7 @@
             (Some(bucket), _) if bucket.incarnation > incarnation => false,
             (Some(bucket), _) if bucket.incarnation == incarnation => bucket.apply(limit, heard, now),
             (_, Some(rate)) => {
-                self.buckets.insert(id.clone(), Bucket::new(incarnation, rate, heard, now));
+                self.buckets.insert(id.clone(), TokenBucket::new(incarnation, rate, heard, now));
                 true
             }
             (_, None) => false,
@@ -92,118 +97,68 @@
         !is_known && self.apply(id, incarnation, Some(rate), heard, now)
     }
 
-    /// Takes a token for one request, if there is one.
-    pub fn take(&mut self, id: &EndpointId, incarnation: Incarnation, now: Time) -> TokenReply {
+    /// Handles a request for a token; returns the replies that are due, to this request or to others.
+    pub fn request(
+        &mut self,
+        id: &EndpointId,
+        incarnation: Incarnation,
+        request: TokenRequest,
+        now: Time,
+    ) -> TokenReplies {
         match self.buckets.get_mut(id) {
-            Some(bucket) if bucket.incarnation == incarnation => bucket.take(now),
-            Some(bucket) if bucket.incarnation > incarnation => denied(STALE_RETRY),
-            Some(_) | None => TokenReply::Granted,
+            Some(bucket) if bucket.incarnation == incarnation => bucket.request(request, now),
+            Some(bucket) if bucket.incarnation > incarnation => {
+                vec![(request.ticket, TokenReply::Denied(Millis(STALE_RETRY.as_millis() as u64)))]
+            }
+            Some(_) | None => vec![(request.ticket, TokenReply::Granted(Millis(0)))],
         }
     }
 
-    /// Takes a token for a query of an engine's state; returns whether it may be sent.
-    ///
-    /// Queries get a fraction of the tokens only.
-    pub fn take_for_report(&mut self, id: &EndpointId, incarnation: Incarnation, now: Time) -> bool {
-        match self.buckets.get_mut(id) {
-            Some(bucket) if bucket.incarnation == incarnation => bucket.take_for_report(now),
-            Some(_) | None => true,
+    /// Removes a request that waits for a token, since its caller has left or another endpoint runs it.
+    pub fn cancel(&mut self, id: &EndpointId, ticket: &TokenTicket) {
+        if let Some(bucket) = self.buckets.get_mut(id) {
+            bucket.cancel(ticket);
         }
     }
 
-    /// Returns the limit in force of an incarnation of an endpoint.
-    pub fn limit(&self, id: &EndpointId, incarnation: Incarnation) -> Option<Rate> {
-        self.buckets.get(id).filter(|bucket| bucket.incarnation == incarnation)?.rate
+    /// Returns the replies to waiting requests that are due.
+    pub fn advance(&mut self, now: Time) -> TokenReplies {
+        self.buckets.values_mut().flat_map(|bucket| bucket.advance(now)).collect()
     }
 
-    /// Returns all limits in force.
-    pub fn limits(&self) -> impl Iterator<Item = (&EndpointId, Incarnation, Rate)> {
-        self.buckets.iter().filter_map(|(id, bucket)| Some((id, bucket.incarnation, bucket.rate?)))
+    /// Returns the time at which the next token for a waiting request is there, or none without one.
+    pub fn next_token(&self) -> Option<Time> {
+        self.buckets.values().filter_map(TokenBucket::next_token).min()
     }
 
-    /// Removes endpoints that no longer exist.
-    pub fn retain(&mut self, exists: impl Fn(&EndpointId) -> bool) {
-        self.buckets.retain(|id, _| exists(id));
-    }
-}
-
-impl Bucket {
-    /// Creates an empty bucket, since the endpoint received requests just before.
-    fn new(incarnation: Incarnation, rate: Rate, heard: Time, now: Time) -> Self {
-        Self {
-            incarnation,
-            rate: Some(rate),
-            heard,
-            higher_since: None,
-            tokens: 0.0,
-            updated: now,
-            next_report: now,
-        }
+    /// Takes a token for an order, unless requests wait for one; returns whether it may be sent.
+    pub fn take_for_order(&mut self, id: &EndpointId, incarnation: Incarnation, now: Time) -> bool {
+        self.bucket_mut(id, incarnation).is_none_or(|bucket| bucket.take_for_order(now))
     }
 
-    fn apply(&mut self, limit: Option<Rate>, heard: Time, now: Time) -> bool {
-        if heard < self.heard {
-            return false;
-        }
-        self.heard = heard;
-        self.refill(now);
-        let before = self.rate;
-        self.rate = match (self.rate, limit) {
-            (None, None) => None,
-            (None, Some(rate)) => {
-                (self.tokens, self.higher_since) = (0.0, None);
-                Some(rate)
-            }
-            (Some(current), Some(rate)) if rate.0 <= current.0 => {
-                self.higher_since = None;
-                Some(rate)
-            }
-            (Some(current), higher) => self.raise(current, higher, heard),
-        };
-        self.rate != before
+    /// Takes a token for a query of an engine's state; returns whether it may be sent.
+    ///
+    /// Queries get a fraction of the tokens only.
+    pub fn take_for_report(&mut self, id: &EndpointId, incarnation: Incarnation, now: Time) -> bool {
+        self.bucket_mut(id, incarnation).is_none_or(|bucket| bucket.take_for_report(now))
     }
 
-    /// Returns the limit in force after a response that allows the rate `higher`, or any rate if that is
-    /// none.
-    fn raise(&mut self, current: Rate, higher: Option<Rate>, heard: Time) -> Option<Rate> {
-        let since = *self.higher_since.get_or_insert(heard);
-        if heard < since + COUNT_WINDOW {
-            return Some(current);
-        }
-        let doubled = Rate(current.0 * 2.0);
-        match higher {
-            Some(higher) => Some(Rate(doubled.0.min(higher.0))),
-            None => (doubled.0 < RELEASE_RATE.0).then_some(doubled),
-        }
+    /// Returns the limit in force of an incarnation of an endpoint.
+    pub fn limit(&self, id: &EndpointId, incarnation: Incarnation) -> Option<Rate> {
+        self.buckets.get(id).filter(|bucket| bucket.incarnation == incarnation)?.rate()
     }
 
-    fn refill(&mut self, now: Time) {
-        let rate = self.rate.map_or(0.0, |rate| rate.0);
-        let capacity = (rate * BURST_TIME.as_secs_f64()).max(1.0);
-        self.tokens = (self.tokens + (now - self.updated).as_secs_f64() * rate).min(capacity);
-        self.updated = now;
+    /// Returns all limits in force.
+    pub fn limits(&self) -> impl Iterator<Item = (&EndpointId, Incarnation, Rate)> {
+        self.buckets.iter().filter_map(|(id, bucket)| Some((id, bucket.incarnation, bucket.rate()?)))
     }
 
-    fn take(&mut self, now: Time) -> TokenReply {
-        self.refill(now);
-        let Some(rate) = self.rate else { return TokenReply::Granted };
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
-            return TokenReply::Granted;
-        }
-        denied(Duration::from_secs_f64((1.0 - self.tokens) / rate.0) + WAIT_MARGIN)
+    /// Removes endpoints that no longer exist, except those for which requests wait.
+    pub fn retain(&mut self, exists: impl Fn(&EndpointId) -> bool) {
+        self.buckets.retain(|id, bucket| bucket.next_token().is_some() || exists(id));
     }
 
-    fn take_for_report(&mut self, now: Time) -> bool {
-        let Some(rate) = self.rate else { return true };
-        if now < self.next_report || self.take(now) != TokenReply::Granted {
-            return false;
-        }
-        self.next_report = now + Duration::from_secs_f64(TOKENS_PER_REPORT / rate.0);
-        true
+    fn bucket_mut(&mut self, id: &EndpointId, incarnation: Incarnation) -> Option<&mut TokenBucket> {
+        self.buckets.get_mut(id).filter(|bucket| bucket.incarnation == incarnation)
     }
 }
-
-fn denied(wait: Duration) -> TokenReply {
-    TokenReply::Denied(Millis(wait.as_millis() as u64))
-}
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -7,6 +7,7 @@
 
 use carobwick_core::EndpointId;
 use carobwick_core::Incarnation;
+use carobwick_core::Millis;
 use carobwick_core::Rate;
 use carobwick_core::Time;
 use carobwick_core::gateway::AnnouncedLimit;
@@ -17,7 +18,10 @@
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::ResidentModels;
 use carobwick_core::gateway::TokenIssuer;
+use carobwick_core::gateway::TokenReplies;
 use carobwick_core::gateway::TokenReply;
+use carobwick_core::gateway::TokenRequest;
+use carobwick_core::gateway::TokenTicket;
 use endpoint_fixture::endpoint;
 use rand::Rng;
 use rand::SeedableRng;
@@ -68,6 +72,36 @@
     issuer.apply(&id(), INCARNATION, limit.map(Rate), at(millis), at(millis))
 }
 
+/// Requests a token for a request with the given number, priority and longest wait.
+fn request(issuer: &mut TokenIssuer, number: u64, priority: u8, max_wait: u64, millis: u64) -> TokenReplies {
+    let ticket = TokenTicket { instance: "i".parse().unwrap(), number };
+    let request = TokenRequest { ticket, priority, waited: Millis(0), max_wait: Millis(max_wait) };
+    issuer.request(&id(), INCARNATION, request, at(millis))
+}
+
+/// Returns the reply to a request that can't wait for a token.
+fn take(issuer: &mut TokenIssuer, millis: u64) -> TokenReply {
+    let replies = request(issuer, 0, 0, 0, millis);
+    assert_eq!(replies.len(), 1);
+    replies[0].1
+}
+
+fn is_granted(reply: TokenReply) -> bool {
+    matches!(reply, TokenReply::Granted(_))
+}
+
+/// Returns the numbers of the requests that get a token until the given time.
+fn granted_until(issuer: &mut TokenIssuer, millis: u64) -> Vec<u64> {
+    let mut granted = Vec::new();
+    while let Some(next) = issuer.next_token().filter(|next| *next <= at(millis)) {
+        let replies = issuer.advance(next);
+        granted.extend(
+            replies.into_iter().filter(|(_, reply)| is_granted(*reply)).map(|(ticket, _)| ticket.number),
+        );
+    }
+    granted
+}
+
 fn limit(issuer: &TokenIssuer) -> Option<f64> {
     issuer.limit(&id(), INCARNATION).map(|rate| rate.0)
 }
@@ -83,10 +117,10 @@
 #[test]
 fn tokens_are_issued_at_the_rate_of_the_limit() {
     let mut issuer = issuer();
-    let TokenReply::Denied(wait) = issuer.take(&id(), INCARNATION, at(0)) else { panic!("a token at once") };
+    let TokenReply::Denied(wait) = take(&mut issuer, 0) else { panic!("a token at once") };
     assert!((1_000..=1_002).contains(&wait.0), "{wait:?}");
-    assert_eq!(issuer.take(&id(), INCARNATION, at(wait.0)), TokenReply::Granted);
-    assert_ne!(issuer.take(&id(), INCARNATION, at(wait.0)), TokenReply::Granted);
+    assert!(is_granted(take(&mut issuer, wait.0)));
+    assert!(!is_granted(take(&mut issuer, wait.0)));
 }
 
 /// Guards against tokens that add up to more than the limit in some window, at any rate and after any idle
@@ -103,9 +137,10 @@
         for _ in 0..5_000 {
             let step = if rng.random_bool(0.002) { 10_000 } else { rng.random_range(0..20) };
             now = now + Duration::from_millis(step);
-            if issuer.take(&id(), INCARNATION, now) == TokenReply::Granted {
-                tokens.push(now);
-            }
+            let max_wait = rng.random_range(0..3_000) * u64::from(rng.random_bool(0.1));
+            let replies = request(&mut issuer, 0, 0, max_wait, now.millis());
+            let granted = replies.into_iter().filter(|(_, reply)| is_granted(*reply));
+            tokens.extend(granted.map(|_| now));
         }
         let allowed = 1.5 * rate * WINDOW.as_secs_f64() + 5.0;
         assert!(most_in_window(&tokens) as f64 <= allowed, "seed {seed}, rate {rate}");
@@ -159,7 +194,7 @@
     assert_eq!(limit(&issuer), Some(1.0));
     assert!(issuer.apply(&id(), Incarnation(2), Some(Rate(3.0)), at(2_000), at(2_000)));
     assert_eq!(issuer.limit(&id(), Incarnation(2)), Some(Rate(3.0)));
-    assert_ne!(issuer.take(&id(), INCARNATION, at(9_000)), TokenReply::Granted, "the former incarnation");
+    assert!(!is_granted(take(&mut issuer, 9_000)), "the former incarnation");
 }
 
 /// Guards against a limit that has ended and is in force again for an instance that did not hear of it.
@@ -172,7 +207,7 @@
     }
     assert_eq!(limit(&issuer), None);
     assert!(!issuer.learn(&id(), INCARNATION, Rate(1.0), at(900), at(6_000)));
-    assert_eq!(issuer.take(&id(), INCARNATION, at(6_000)), TokenReply::Granted);
+    assert!(is_granted(take(&mut issuer, 6_000)));
 }
 
 /// Guards against requests without limit under a leader that has not heard of it.
@@ -180,7 +215,52 @@
 fn a_token_request_tells_the_leader_of_a_limit() {
     let mut issuer = TokenIssuer::default();
     assert!(issuer.learn(&id(), INCARNATION, Rate(1.0), at(0), at(0)));
-    assert_ne!(issuer.take(&id(), INCARNATION, at(0)), TokenReply::Granted);
+    assert!(!is_granted(take(&mut issuer, 0)));
+}
+
+/// Guards against tokens that go to whoever asks at the right moment, before more urgent and older requests.
+#[test]
+fn waiting_requests_get_tokens_by_priority_and_age() {
+    let mut issuer = issuer();
+    for (number, priority) in [(1, 2), (2, 1), (3, 2), (4, 0)] {
+        assert_eq!(request(&mut issuer, number, priority, 10_000, number), []);
+    }
+    assert!(!is_granted(take(&mut issuer, 500)), "others wait");
+    assert_eq!(granted_until(&mut issuer, 4_100), [4, 2, 1, 3]);
+}
+
+/// Guards against a request that waits although others get all tokens until it has to be answered, against a
+/// wait that the refusal understates, and against a token that is issued without being asked for any more.
+#[test]
+fn a_request_that_can_not_get_a_token_in_time_is_denied_at_once() {
+    let mut issuer = issuer();
+    assert_eq!(request(&mut issuer, 1, 1, 1_500, 0), []);
+    let denied = request(&mut issuer, 2, 1, 1_500, 0);
+    assert!(matches!(denied[..], [(_, TokenReply::Denied(Millis(2_000..=2_002)))]), "{denied:?}");
+    let displaced = request(&mut issuer, 3, 0, 1_500, 100);
+    let [(ticket, TokenReply::Denied(Millis(1_900..=1_902)))] = &*displaced else {
+        panic!("{displaced:?}")
+    };
+    assert_eq!(ticket.number, 1, "a more urgent request goes first");
+    issuer.cancel(&id(), &TokenTicket { instance: "i".parse().unwrap(), number: 3 });
+    assert_eq!(issuer.next_token(), None);
+    assert!(is_granted(take(&mut issuer, 1_001)));
+}
+
+/// Guards against requests that wait for a token after the limit has ended.
+#[test]
+fn waiting_requests_are_sent_when_the_limit_ends() {
+    let mut issuer = issuer();
+    apply(&mut issuer, None, 100);
+    apply(&mut issuer, None, 4_100);
+    for number in 1..=9 {
+        request(&mut issuer, number, 0, 10_000, 4_100);
+    }
+    for millis in 4_101..4_110 {
+        apply(&mut issuer, None, millis);
+    }
+    assert_eq!(limit(&issuer), None);
+    assert_eq!(issuer.advance(at(4_110)).len(), 8, "the first one had the token that was left");
 }
 
 /// Guards against state queries that take the tokens of callers' requests.
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -72,6 +72,8 @@
     followers: RefCell<IndexMap<InstanceId, mpsc::UnboundedSender<Frame>>>,
     wake: Notify,
     issuer: RefCell<TermIssuer>,
+    /// Notifies the task that issues tokens of changed limits and waiting requests.
+    tokens_changed: Notify,
 }
 
 impl Coordinator {
@@ -88,6 +90,7 @@
             followers: RefCell::default(),
             wake: Notify::new(),
             issuer: RefCell::default(),
+            tokens_changed: Notify::new(),
         }
     }
 
@@ -238,9 +241,11 @@
             FollowerMessage::EndpointLimit { endpoint, incarnation, limit, age } => {
                 self.handle_limit(from, &endpoint, incarnation, limit, age);
             }
-            FollowerMessage::RequestToken { ticket, endpoint, incarnation, limit, age } => {
-                self.handle_token_request(from, ticket, &endpoint, incarnation, limit, age);
+            FollowerMessage::RequestToken { endpoint, incarnation, limit, age, request } => {
+                let heard = now() - age.duration();
+                self.handle_token_request(&endpoint, incarnation, limit, heard, request);
             }
+            FollowerMessage::CancelToken { endpoint, ticket } => self.cancel_token(&endpoint, &ticket),
             FollowerMessage::EndpointLeaving { endpoint, incarnation } => {
                 let is_own = *from == self.state.settings.instance;
                 if self.state.mark_leaving(&endpoint, incarnation) || is_own {
@@ -469,7 +474,7 @@
         if self.state.balancer.borrow().is_paused(id, incarnation, now()) {
             return None;
         }
-        Some(Choice { id: id.clone(), incarnation, addr: entry.addr, zone: entry.zone.clone(), cost: 0.0 })
+        Some(Choice::new(entry, 0.0))
     }
 }
 
--- a/crates/gateway/src/coordinator/tokens.rs
+++ b/crates/gateway/src/coordinator/tokens.rs
@@ -1,3 +1,6 @@
+use std::rc::Rc;
+use std::time::Duration;
+
 use carobwick_core::EndpointId;
 use carobwick_core::Incarnation;
 use carobwick_core::InstanceId;
@@ -8,18 +11,24 @@
 use carobwick_core::gateway::Balancer;
 use carobwick_core::gateway::Choice;
 use carobwick_core::gateway::TokenIssuer;
+use carobwick_core::gateway::TokenReplies;
 use carobwick_core::gateway::TokenReply;
+use carobwick_core::gateway::TokenRequest;
+use carobwick_core::gateway::TokenTicket;
 use carobwick_runtime::now;
 
 use crate::coordinator::Coordinator;
 use crate::coordinator::encode_message;
 use crate::coordinator::send_frame;
 use crate::message::LeaderMessage;
-use crate::message::Ticket;
 use crate::permits::limit_text;
 
 /// Time after which an instance may ask for a token again if the leader's lease can't be relied on.
 const LEASE_RETRY: Millis = Millis(300);
+/// Least time between two checks whether a token is there.
+const MIN_ISSUE_INTERVAL: Duration = Duration::from_millis(5);
+/// Longest time between two checks whether a token is there.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Issuer of tokens during one term of this instance as the leader.
 #[derive(Debug, Default)]
@@ -65,27 +74,58 @@
         self.publish_limit(from, endpoint, incarnation, is_changed);
     }
 
-    /// Handles a request for a token.
+    /// Handles a request for a token of an endpoint whose limit its instance last heard of at `heard`.
     pub(super) fn handle_token_request(
         &self,
-        from: &InstanceId,
-        ticket: Ticket,
         endpoint: &EndpointId,
         incarnation: Incarnation,
         limit: Rate,
-        age: Millis,
+        heard: Time,
+        request: TokenRequest,
     ) {
-        let heard = now() - age.duration();
+        let from = request.ticket.instance.clone();
         let is_new = self.with_issuer(|issuer| issuer.learn(endpoint, incarnation, limit, heard, now()));
-        let reply = match self.election.leadership() {
-            Leadership::Leader(_) => self.with_issuer(|issuer| issuer.take(endpoint, incarnation, now())),
-            _ => TokenReply::Denied(LEASE_RETRY),
-        };
-        tracing::debug!("leader: token of {endpoint} for {from}: {reply:?}");
-        self.send_to(from, LeaderMessage::Token { ticket, reply });
+        if self.may_issue() {
+            self.send_replies(
+                self.with_issuer(|issuer| issuer.request(endpoint, incarnation, request, now())),
+            );
+        } else {
+            self.send_replies(vec![(request.ticket, TokenReply::Denied(LEASE_RETRY))]);
+        }
         let is_ended = self.with_issuer(|issuer| issuer.limit(endpoint, incarnation).is_none());
         if is_new || is_ended {
-            self.publish_limit(from, endpoint, incarnation, is_new);
+            self.publish_limit(&from, endpoint, incarnation, is_new);
+        }
+        self.tokens_changed.notify_one();
+    }
+
+    /// Removes a request that waits for a token.
+    pub(super) fn cancel_token(&self, endpoint: &EndpointId, ticket: &TokenTicket) {
+        self.with_issuer(|issuer| issuer.cancel(endpoint, ticket));
+    }
+
+    /// Issues tokens to waiting requests while this instance is the leader, until the task is aborted.
+    pub async fn issue_tokens(self: Rc<Self>) {
+        loop {
+            let changed = self.tokens_changed.notified();
+            let next = self.with_issuer(|issuer| issuer.next_token());
+            let wait = next.map_or(IDLE_INTERVAL, |next| next - now()).max(MIN_ISSUE_INTERVAL);
+            let _elapsed = tokio::time::timeout(wait, changed).await;
+            if self.may_issue() {
+                self.send_replies(self.with_issuer(|issuer| issuer.advance(now())));
+            }
+        }
+    }
+
+    /// Returns whether this instance is the leader now, by its lease.
+    fn may_issue(&self) -> bool {
+        matches!(self.election.leadership(), Leadership::Leader(_))
+    }
+
+    fn send_replies(&self, replies: TokenReplies) {
+        for (ticket, reply) in replies {
+            tracing::debug!("leader: token for request {} of {}: {reply:?}", ticket.number, ticket.instance);
+            self.send_to(&ticket.instance, LeaderMessage::Token { number: ticket.number, reply });
         }
     }
 
@@ -106,6 +146,7 @@
             self.broadcast(&message);
             self.update_limited_engines();
             self.wake.notify_one();
+            self.tokens_changed.notify_one();
         } else {
             self.send_to(from, message);
         }
@@ -127,7 +168,7 @@
 
     /// Takes a token for an order; returns whether it may be sent.
     pub(super) fn admits_order(&self, choice: &Choice) -> bool {
-        self.with_issuer(|issuer| issuer.take(&choice.id, choice.incarnation, now())) == TokenReply::Granted
+        self.with_issuer(|issuer| issuer.take_for_order(&choice.id, choice.incarnation, now()))
     }
 
     /// Takes a token for a query of an engine's state; returns whether it may be sent.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -12,9 +12,10 @@
 use carobwick_core::gateway::ResidentModels;
 use carobwick_core::gateway::SharedLoad;
 use carobwick_core::gateway::TokenReply;
+use carobwick_core::gateway::TokenRequest;
+use carobwick_core::gateway::TokenTicket;
 use carobwick_core::gateway::Weights;
 use carobwick_derive::data;
-use carobwick_derive::key;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
@@ -44,14 +45,17 @@
     /// An endpoint announced a rate limit in a response, or none, `age` ago.
     EndpointLimit { endpoint: EndpointId, incarnation: Incarnation, limit: Option<Rate>, age: Millis },
     /// A request needs a token of an endpoint with a rate limit, which the instance last heard of `age` ago.
-    RequestToken { ticket: Ticket, endpoint: EndpointId, incarnation: Incarnation, limit: Rate, age: Millis },
+    RequestToken {
+        endpoint: EndpointId,
+        incarnation: Incarnation,
+        limit: Rate,
+        age: Millis,
+        request: TokenRequest,
+    },
+    /// A request no longer needs a token.
+    CancelToken { endpoint: EndpointId, ticket: TokenTicket },
 }
 
-/// Number of a request for a token, which is unique at its instance.
-#[key]
-#[derive(Copy, Default)]
-pub(crate) struct Ticket(pub u64);
-
 /// Message from the leader to an instance.
 #[data]
 pub(crate) enum LeaderMessage {
@@ -68,8 +72,8 @@
     EndpointLeaving { endpoint: EndpointId, incarnation: Incarnation },
     /// Rate limit of an endpoint that is in force, or none.
     EndpointLimit { endpoint: EndpointId, incarnation: Incarnation, limit: Option<Rate> },
-    /// Reply to a request for a token.
-    Token { ticket: Ticket, reply: TokenReply },
+    /// Reply to a request for a token with this number.
+    Token { number: u64, reply: TokenReply },
     /// Changes of the list of endpoints.
     EndpointList(ListUpdate),
     /// Version of the leader's configuration, and the time since it was known to be the newest.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -211,7 +211,7 @@
         LeaderMessage::EndpointLimit { endpoint, incarnation, limit } => {
             state.set_limit(&endpoint, incarnation, limit);
         }
-        LeaderMessage::Token { ticket, reply } => state.token_requests.complete(ticket, reply),
+        LeaderMessage::Token { number, reply } => state.token_requests.complete(number, reply),
         LeaderMessage::Loads(loads) => state.receive_loads(&loads),
         LeaderMessage::EndpointList(update) => state.receive_list_update(update),
         LeaderMessage::ConfigVersion { version, age } => state.set_leader_version(version, age.duration()),
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -11,6 +11,8 @@
 use carobwick_core::gateway::Choice;
 use carobwick_core::gateway::LimitNews;
 use carobwick_core::gateway::TokenReply;
+use carobwick_core::gateway::TokenRequest;
+use carobwick_core::gateway::TokenTicket;
 use carobwick_runtime::now;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
@@ -18,13 +20,12 @@
 
 use crate::message::FollowerMessage;
 use crate::message::LeaderMessage;
-use crate::message::Ticket;
 use crate::state::State;
 
 /// Time after its request for which a token may be used. The leader counts it as used, so it must reach the
 /// endpoint in about the window in which it was issued.
 const TOKEN_LIFETIME: Duration = Duration::from_millis(500);
-/// Timeout of the leader's reply, after which the token may arrive too late to be used.
+/// Time by which the leader's reply may exceed the wait that the request allows.
 const TOKEN_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which a token is requested again from a leader that did not reply.
 const TOKEN_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -46,25 +47,43 @@
     Denied,
 }
 
-/// Requests for tokens that the leader has not answered.
+/// How long a request can wait for a token, and in which order.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Patience {
+    /// Priority of the route; 0 is the highest.
+    pub priority: u8,
+    /// Time for which the request has waited already.
+    pub waited: Duration,
+    /// Time for which it can still wait.
+    pub max_wait: Duration,
+}
+
+/// Requests for tokens that the leader has not answered, by number.
 #[derive(Debug, Default)]
 pub(crate) struct TokenRequests {
     last: Cell<u64>,
-    waiting: RefCell<IndexMap<Ticket, oneshot::Sender<TokenReply>>>,
+    waiting: RefCell<IndexMap<u64, oneshot::Sender<TokenReply>>>,
+}
+
+/// A request for a token; dropping it without a reply tells the leader that no token is needed.
+struct OpenRequest<'a> {
+    state: &'a State,
+    endpoint: EndpointId,
+    ticket: TokenTicket,
 }
 
 impl TokenRequests {
-    fn open(&self) -> (Ticket, oneshot::Receiver<TokenReply>) {
-        let ticket = Ticket(self.last.get() + 1);
-        self.last.set(ticket.0);
+    fn open(&self) -> (u64, oneshot::Receiver<TokenReply>) {
+        let number = self.last.get() + 1;
+        self.last.set(number);
         let (sender, receiver) = oneshot::channel();
-        self.waiting.borrow_mut().insert(ticket, sender);
-        (ticket, receiver)
+        self.waiting.borrow_mut().insert(number, sender);
+        (number, receiver)
     }
 
     /// Passes on the leader's reply; a request that has been given up gets none.
-    pub fn complete(&self, ticket: Ticket, reply: TokenReply) {
-        if let Some(sender) = self.waiting.borrow_mut().swap_remove(&ticket) {
+    pub fn complete(&self, number: u64, reply: TokenReply) {
+        if let Some(sender) = self.waiting.borrow_mut().swap_remove(&number) {
             let _given_up = sender.send(reply);
         }
     }
@@ -75,25 +94,35 @@
     }
 }
 
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.state.token_requests.waiting.borrow_mut();
+        if waiting.swap_remove(&self.ticket.number).is_some() {
+            let (endpoint, ticket) = (self.endpoint.clone(), self.ticket.clone());
+            self.state.send_to_leader(FollowerMessage::CancelToken { endpoint, ticket });
+        }
+    }
+}
+
 /// Requests to endpoints that limit their rate.
 impl State {
     /// Decides whether a request may be sent to an endpoint; takes a token if the endpoint limits the rate of
-    /// requests.
-    pub async fn admit(&self, choice: &Choice) -> Admission {
+    /// requests, for which it waits as long as the request can.
+    pub async fn admit(&self, choice: &Choice, patience: Patience) -> Admission {
         let Some((limit, heard)) = self.balancer.borrow().limit(choice) else {
             return Admission::Admitted(None);
         };
         let asked = now();
-        let reply = match self.request_token(choice, limit, heard).await {
+        let reply = match self.request_token(choice, limit, heard, patience).await {
             Some(reply) => reply,
-            None if self.take_share(choice) => TokenReply::Granted,
+            None if self.take_share(choice) => TokenReply::Granted(Millis(0)),
             None => return Admission::Denied,
         };
         match reply {
-            TokenReply::Granted => Admission::Admitted(Some(SendPermit {
+            TokenReply::Granted(waited) => Admission::Admitted(Some(SendPermit {
                 endpoint: choice.id.clone(),
                 incarnation: choice.incarnation,
-                expires: asked + TOKEN_LIFETIME,
+                expires: asked + waited.duration() + TOKEN_LIFETIME,
             })),
             TokenReply::Denied(wait) => {
                 self.balancer.borrow_mut().record_denied(choice, wait.duration(), now());
@@ -112,20 +141,35 @@
     }
 
     /// Requests a token from the leader; returns none if there is no leader.
-    async fn request_token(&self, choice: &Choice, limit: Rate, heard: Time) -> Option<TokenReply> {
-        let (ticket, reply) = self.token_requests.open();
-        let is_sent = self.send_to_leader(FollowerMessage::RequestToken {
+    async fn request_token(
+        &self,
+        choice: &Choice,
+        limit: Rate,
+        heard: Time,
+        patience: Patience,
+    ) -> Option<TokenReply> {
+        if !self.has_leader() {
+            return None;
+        }
+        let (number, reply) = self.token_requests.open();
+        let ticket = TokenTicket { instance: self.settings.instance.clone(), number };
+        let open = OpenRequest { state: self, endpoint: choice.id.clone(), ticket: ticket.clone() };
+        let request = TokenRequest {
             ticket,
+            priority: patience.priority,
+            waited: millis(patience.waited),
+            max_wait: millis(patience.max_wait),
+        };
+        self.send_to_leader(FollowerMessage::RequestToken {
             endpoint: choice.id.clone(),
             incarnation: choice.incarnation,
             limit,
-            age: age_of(heard),
+            age: millis(now() - heard),
+            request,
         });
-        if !is_sent {
-            self.token_requests.clear();
-            return None;
-        }
-        match timeout(TOKEN_TIMEOUT, reply).await {
+        let result = timeout(patience.max_wait + TOKEN_TIMEOUT, reply).await;
+        drop(open);
+        match result {
             Ok(Ok(reply)) => Some(reply),
             Ok(Err(_connection_ended)) => None,
             Err(_elapsed) => {
@@ -133,7 +177,7 @@
                     "gateway: the leader does not reply to the request for a token of {}",
                     choice.id
                 );
-                Some(TokenReply::Denied(Millis(TOKEN_RETRY_DELAY.as_millis() as u64)))
+                Some(TokenReply::Denied(millis(TOKEN_RETRY_DELAY)))
             }
         }
     }
@@ -180,7 +224,7 @@
             LeaderMessage::EndpointLimit { endpoint, incarnation, limit } => {
                 self.set_limit(&endpoint, incarnation, limit);
             }
-            LeaderMessage::Token { ticket, reply } => self.token_requests.complete(ticket, reply),
+            LeaderMessage::Token { number, reply } => self.token_requests.complete(number, reply),
             _ => {}
         }
     }
@@ -190,7 +234,7 @@
         let balancer = self.balancer.borrow();
         let message = |(endpoint, incarnation, limit, heard): (&EndpointId, Incarnation, Rate, Time)| {
             let (endpoint, limit) = (endpoint.clone(), Some(limit));
-            FollowerMessage::EndpointLimit { endpoint, incarnation, limit, age: age_of(heard) }
+            FollowerMessage::EndpointLimit { endpoint, incarnation, limit, age: millis(now() - heard) }
         };
         balancer.limits().map(message).collect()
     }
@@ -205,6 +249,6 @@
     limit.map_or_else(|| "no rate limit".to_owned(), |rate| format!("a limit of {rate} requests per second"))
 }
 
-fn age_of(heard: Time) -> Millis {
-    Millis((now() - heard).as_millis() as u64)
+fn millis(time: Duration) -> Millis {
+    Millis(time.as_millis() as u64)
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -1,3 +1,4 @@
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use carobwick_runtime::now;
 
 use crate::permits::Admission;
+use crate::permits::Patience;
 use crate::proxied_request::ProxiedRequest;
 use crate::proxied_request::RETRY_AFTER;
 
@@ -30,6 +32,16 @@
     },
 }
 
+/// How the wait for a token ends.
+enum TokenWait {
+    /// The request may be sent to this endpoint.
+    Admitted(Choice),
+    /// An endpoint without a limit can serve the request.
+    OtherEndpoint,
+    /// There is no token in time.
+    Denied,
+}
+
 /// Wait of a request for its model. Dropping it before it is finished means that the caller has cancelled the
 /// request.
 #[derive(Debug)]
@@ -59,7 +71,7 @@
                     continue;
                 }
                 Some(choice) => {
-                    if !self.admit(&choice).await {
+                    if !self.admit(&choice, Duration::ZERO).await {
                         continue;
                     }
                     self.request_local_adapter(&choice);
@@ -67,20 +79,24 @@
                 }
                 None => {}
             }
-            let pause_step = self.next_pause_step(started);
-            if pause_step.is_some() {
+            if self.is_limited() {
                 self.request_other_copy();
+                match self.wait_for_token(started).await {
+                    TokenWait::Admitted(choice) => break Placement::Endpoint(choice),
+                    TokenWait::OtherEndpoint => continue,
+                    TokenWait::Denied if self.may_get_other_copy(started) => {
+                        let _elapsed = tokio::time::timeout(OTHER_COPY_POLL, changed).await;
+                        continue;
+                    }
+                    TokenWait::Denied => {}
+                }
             }
-            match pause_step {
+            match self.next_pause_step(started) {
                 Some(PauseStep::Wait(time)) => {
                     // Ends early when an endpoint accepts requests again.
                     let _elapsed = tokio::time::timeout(time, changed).await;
                     continue;
                 }
-                Some(PauseStep::Refuse(_)) if self.may_get_other_copy(started) => {
-                    let _elapsed = tokio::time::timeout(OTHER_COPY_POLL, changed).await;
-                    continue;
-                }
                 Some(PauseStep::Refuse(retry_after)) => {
                     let retry_after = retry_after.max(RETRY_AFTER);
                     break Placement::None {
@@ -159,10 +175,59 @@
         is_in_time && self.state.has_leader() && self.is_limited()
     }
 
+    /// Waits for a token of the endpoint whose next one is expected first, until it is known that there will be
+    /// none in time or until an endpoint without a limit can serve the request.
+    async fn wait_for_token(&mut self, started: Time) -> TokenWait {
+        let Some(choice) = self.soonest_token().filter(|_| self.state.has_leader()) else {
+            return TokenWait::Denied;
+        };
+        let state = Rc::clone(&self.state);
+        let max_wait = self.max_wait(started);
+        let mut admission = pin!(state.admit(&choice, self.patience(max_wait)));
+        loop {
+            let changed = state.endpoints_changed.notified();
+            if self.choose().is_some_and(|choice| state.balancer.borrow().limit(&choice).is_none()) {
+                return TokenWait::OtherEndpoint;
+            }
+            tokio::select! {
+                biased;
+                admission = &mut admission => {
+                    return if self.take_admission(&choice, admission) {
+                        TokenWait::Admitted(choice.clone())
+                    } else {
+                        TokenWait::Denied
+                    };
+                }
+                () = changed => {}
+            }
+        }
+    }
+
+    fn soonest_token(&self) -> Option<Choice> {
+        let endpoints = self.state.endpoints.borrow();
+        let capable = endpoints.live(&self.service).filter(|entry| self.can_serve(entry));
+        self.state.balancer.borrow().soonest_token(capable, now())
+    }
+
+    /// Returns how long the request waits for an endpoint that is there, from now on.
+    fn max_wait(&self, started: Time) -> Duration {
+        ((self.deadline - started) / 2).saturating_sub(now() - started)
+    }
+
+    fn patience(&self, max_wait: Duration) -> Patience {
+        Patience { priority: self.route.priority, waited: now() - self.arrived, max_wait }
+    }
+
     /// Returns whether the request may be sent to an endpoint, for which a permit is taken if the endpoint
     /// limits the rate of requests.
-    async fn admit(&mut self, choice: &Choice) -> bool {
-        match self.state.admit(choice).await {
+    async fn admit(&mut self, choice: &Choice, max_wait: Duration) -> bool {
+        let admission = self.state.admit(choice, self.patience(max_wait)).await;
+        self.take_admission(choice, admission)
+    }
+
+    /// Keeps the permit of an admission; returns whether the request may be sent.
+    fn take_admission(&mut self, choice: &Choice, admission: Admission) -> bool {
+        match admission {
             Admission::Admitted(permit) => {
                 self.permit = permit;
                 true
@@ -178,7 +243,7 @@
     pub async fn choose_admitted(&mut self) -> Option<Choice> {
         while self.remaining_time().is_some() {
             let choice = self.choose()?;
-            if self.admit(&choice).await {
+            if self.admit(&choice, Duration::ZERO).await {
                 return Some(choice);
             }
         }
@@ -202,8 +267,7 @@
         let endpoints = self.state.endpoints.borrow();
         let capable = endpoints.live(&self.service).filter(|entry| self.can_serve(entry));
         let pause_remaining = self.state.balancer.borrow().pause_remaining(capable, now())?;
-        let limit = ((self.deadline - started) / 2).saturating_sub(now() - started);
-        Some(pause_step(pause_remaining, limit))
+        Some(pause_step(pause_remaining, self.max_wait(started)))
     }
 
     fn can_serve(&self, entry: &EndpointEntry) -> bool {
