--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -238,9 +238,7 @@
     let denied = request(&mut issuer, 2, 1, 1_500, 0);
     assert!(matches!(denied[..], [(_, TokenReply::Denied(Millis(2_000..=2_002)))]), "{denied:?}");
     let displaced = request(&mut issuer, 3, 0, 1_500, 100);
-    let [(ticket, TokenReply::Denied(Millis(1_900..=1_902)))] = &*displaced else {
-        panic!("{displaced:?}")
-    };
+    let [(ticket, TokenReply::Denied(Millis(1_900..=1_902)))] = &*displaced else { panic!("{displaced:?}") };
     assert_eq!(ticket.number, 1, "a more urgent request goes first");
     issuer.cancel(&id(), &TokenTicket { instance: "i".parse().unwrap(), number: 3 });
     assert_eq!(issuer.next_token(), None);
