--- a/crates/core/src/gateway/adapters.rs
+++ b/crates/core/src/gateway/adapters.rs
@@ -21,7 +21,8 @@
 /// Engines of the requesting zone are preferred, then those with the fewest adapters; if an engine offers the
 /// adapter already, only an engine of the requesting zone loads it. If no engine offers the adapter and none
 /// has the capacity for it, the least recently requested adapter is evicted. Engines with a rate limit are
-/// used only if all have one. Returns none if no order is needed or none is possible now.
+/// used only if no other one has the model. Several adapters may be loaded on one engine without waiting for a
+/// report in between. Returns none if no order is needed or none is possible now.
 pub fn plan_adapter(
     service: &ServiceId,
     spec: &EngineSpec,
@@ -33,13 +34,13 @@
     let wanted = &request.weights;
     let size = spec.models.get(&wanted.model)?.adapter;
     let candidates = || {
-        let candidates = registry.unlimited(service);
-        candidates.filter(|(_, record)| record.accepts_adapter_order(wanted))
+        let holders = registry.holders(service, &wanted.model);
+        holders.filter(|(_, record)| record.accepts_orders() && !record.offers(wanted))
     };
     let has_capacity = |record: &EngineRecord| {
         record.adapter_count() < spec.max_adapters as usize && record.used_memory(spec) + size <= spec.memory
     };
-    let is_offered = registry.unlimited(service).any(|(_, record)| record.offers(wanted));
+    let is_offered = registry.holders(service, &wanted.model).any(|(_, record)| record.offers(wanted));
     let with_capacity = candidates()
         .filter(|(_, record)| has_capacity(record) && (!is_offered || record.zone == request.zone));
     let with_capacity =
@@ -66,12 +67,3 @@
     let (_, id, record, weights) = oldest?;
     Some(EngineOrder::new(id, record, EngineAction::UnloadAdapter(weights)))
 }
-
-impl EngineRecord {
-    /// Returns whether the engine accepts an order on an adapter of this model now.
-    ///
-    /// Several adapters may be loaded on one engine without waiting for a report in between.
-    fn accepts_adapter_order(&self, wanted: &Weights) -> bool {
-        self.accepts_orders() && self.resident.models.contains_key(&wanted.model)
-    }
-}
--- a/crates/core/src/gateway/placer.rs
+++ b/crates/core/src/gateway/placer.rs
@@ -113,10 +113,9 @@
 #[derive(Debug, Clone, Copy)]
 struct ModelRow {
     demand: ModelDemand,
-    /// Copies on engines that are not limited in their rate of requests.
     copies: usize,
-    /// Whether there is a copy on an engine that limits the rate of requests.
-    has_limited: bool,
+    /// Copies on engines that do not limit the rate of requests.
+    unlimited: usize,
     wanted: usize,
     is_requested: bool,
     is_idle: bool,
@@ -126,6 +125,8 @@
 /// An engine that accepts an order.
 struct Engine<'a> {
     record: &'a EngineRecord,
+    /// Whether it limits the rate of requests.
+    is_limited: bool,
     free: Bytes,
     /// Demand on the engine, if the demand for each model is spread evenly over its copies.
     demand: f64,
@@ -136,7 +137,8 @@
 enum Need {
     /// It is requested and resident on no engine.
     Missing(f64),
-    /// It is requested and resident only on engines that limit the rate of requests.
+    /// It is requested and resident only on engines that limit the rate of requests. It gets a copy where there
+    /// is room, and no copy of a model in use is evicted for it.
     Limited,
     /// It has fewer copies than its demand needs.
     Growth(f64),
@@ -150,6 +152,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Candidate<'a> {
     id: &'a EndpointId,
+    is_limited: bool,
     evicted: Option<&'a ModelId>,
     eviction_cost: EvictionCost,
     is_cold: bool,
@@ -181,14 +184,16 @@
         let first = demand.first_report().unwrap_or(now);
         let demands = demand.models(service, now);
         let total: f64 = demands.values().map(|demand| demand.rate).sum();
-        let live: Vec<(&EndpointId, &EngineRecord)> = registry.unlimited(service).collect();
+        let live: Vec<(&EndpointId, &EngineRecord)> = registry.live(service).collect();
+        let all_limited = live.iter().all(|(id, _)| registry.is_limited(id));
+        let is_unlimited = |id: &EndpointId| all_limited || !registry.is_limited(id);
         let row = |model: &ModelId, size: Bytes| {
             let demand = demands.get(model).copied().unwrap_or_default();
             let share = if total > 0.0 { demand.rate / total } else { 0.0 };
             ModelRow {
                 demand,
                 copies: 0,
-                has_limited: false,
+                unlimited: 0,
                 wanted: wanted_copies(share, live.len()),
                 is_requested: demand.last_request.is_some_and(|last| now < last + REQUESTED_TIME),
                 is_idle: now >= demand.last_request.unwrap_or(first).max(first) + IDLE_TIME,
@@ -203,26 +208,19 @@
             zone_copies: IndexMap::new(),
             unloading: 0,
             is_warming_up: now < first + WARM_UP_TIME,
-            is_oversubscribed: models_per_engine(spec) * registry.live(service).count() < spec.models.len(),
+            is_oversubscribed: models_per_engine(spec) * live.len() < spec.models.len(),
             orders: Vec::new(),
         };
-        for (_, record) in registry.live(service).filter(|(id, _)| registry.is_limited(id)) {
-            for model in record.resident.models.keys() {
-                if let Some(row) = pass.rows.get_mut(model) {
-                    row.has_limited = true;
-                }
-            }
-        }
-        for (_, record) in &live {
-            pass.count_copies(record);
+        for (id, record) in &live {
+            pass.count_copies(record, is_unlimited(id));
         }
         for (id, record) in live.into_iter().filter(|(_, record)| record.accepts_orders()) {
-            pass.engines.insert(id, pass.engine_view(record));
+            pass.engines.insert(id, pass.engine_view(record, !is_unlimited(id)));
         }
         pass
     }
 
-    fn count_copies(&mut self, record: &'a EngineRecord) {
+    fn count_copies(&mut self, record: &'a EngineRecord, is_unlimited: bool) {
         let loading = match record.open_order.as_ref().map(|order| &order.action) {
             Some(EngineAction::Load(model)) if !record.resident.models.contains_key(model) => Some(model),
             Some(EngineAction::Unload(_)) => {
@@ -234,14 +232,15 @@
         for model in record.resident.models.keys().filter(|model| record.will_hold(model)).chain(loading) {
             let Some((_, model, row)) = self.rows.get_full_mut(model) else { continue };
             row.copies += 1;
+            row.unlimited += usize::from(is_unlimited);
             *self.zone_copies.entry((&record.zone, *model)).or_default() += 1;
         }
     }
 
-    fn engine_view(&self, record: &'a EngineRecord) -> Engine<'a> {
+    fn engine_view(&self, record: &'a EngineRecord, is_limited: bool) -> Engine<'a> {
         let free = Bytes(self.spec.memory.0.saturating_sub(record.used_memory(self.spec).0));
         let demand = record.resident.models.keys().map(|model| self.demand_per_copy(model)).sum();
-        Engine { record, free, demand }
+        Engine { record, is_limited, free, demand }
     }
 
     /// Returns the demand for a model per copy.
@@ -270,12 +269,9 @@
     /// Returns the models that need a copy, most urgent first.
     fn needs(&self, presence: &IndexMap<ModelId, Presence>) -> Vec<(&'a ModelId, Need)> {
         let mut missing: Vec<(&ModelId, f64)> = Vec::new();
-        let mut limited: Vec<(&ModelId, f64)> = Vec::new();
         let mut growing: Vec<(&ModelId, f64)> = Vec::new();
         for (model, row) in &self.rows {
-            if row.copies == 0 && row.is_requested && row.has_limited {
-                limited.push((model, row.demand.rate));
-            } else if row.copies == 0 && row.is_requested {
+            if row.copies == 0 && row.is_requested {
                 let waited = match presence.get(*model) {
                     Some(Presence::Missing(since)) => (self.now - *since).as_secs_f64(),
                     Some(Presence::Resident(_)) | None => 0.0,
@@ -287,12 +283,10 @@
         }
         let by_value = |a: &(&ModelId, f64), b: &(&ModelId, f64)| b.1.total_cmp(&a.1);
         missing.sort_by(by_value);
-        limited.sort_by(by_value);
         growing.sort_by(by_value);
         let missing = missing.into_iter().map(|(model, value)| (model, Need::Missing(value)));
-        let limited = limited.into_iter().map(|(model, _)| (model, Need::Limited));
         let growing = growing.into_iter().map(|(model, value)| (model, self.growth(model, value)));
-        missing.chain(limited).chain(growing).collect()
+        missing.chain(growing).collect()
     }
 
     fn growth(&self, model: &ModelId, value: f64) -> Need {
@@ -304,15 +298,22 @@
         }
     }
 
-    /// Loads one model that is resident on no engine, or the second copy of a requested one, if there is free
-    /// memory.
+    /// Loads one model that is resident on no engine, or only on engines that limit the rate of requests, or the
+    /// second copy of a requested one, if there is room.
     fn preload(&mut self, limiter: &mut LoadRateLimiter, presence: &IndexMap<ModelId, Presence>) {
         let absent = self.rows.iter().filter(|(_, row)| row.copies == 0);
         let mut preloads: Vec<(&ModelId, Need)> = absent.map(|(model, _)| (*model, Need::Absent)).collect();
-        let single = self.rows.iter().filter(|(_, row)| row.copies == 1 && row.is_requested);
-        let mut single: Vec<(&ModelId, f64)> = single.map(|(model, row)| (*model, row.demand.rate)).collect();
-        single.sort_by(|a, b| b.1.total_cmp(&a.1));
-        preloads.extend(single.into_iter().map(|(model, _)| (model, Need::Preload)));
+        let by_demand = |is_wanted: &dyn Fn(&ModelRow) -> bool| {
+            let rows = self.rows.iter().filter(|(_, row)| row.is_requested && is_wanted(row));
+            let mut models: Vec<(&ModelId, f64)> =
+                rows.map(|(model, row)| (*model, row.demand.rate)).collect();
+            models.sort_by(|a, b| b.1.total_cmp(&a.1));
+            models.into_iter().map(|(model, _)| model)
+        };
+        let limited = by_demand(&|row| row.copies > 0 && row.unlimited == 0);
+        preloads.extend(limited.map(|model| (model, Need::Limited)));
+        let single = by_demand(&|row| row.copies == 1);
+        preloads.extend(single.map(|model| (model, Need::Preload)));
         for (model, need) in preloads {
             if let Some(best) = self.best_candidate(model, need, true, presence) {
                 self.issue_order(model, best, limiter);
@@ -342,12 +343,14 @@
         let mut best: Option<Candidate<'a>> = None;
         for (id, engine) in &self.engines {
             let is_cold = !engine.record.resident.cached.contains(model);
-            if engine.record.resident.models.contains_key(model) || is_cold && !allow_cold {
+            let is_excluded = engine.is_limited && need.is_optional();
+            if engine.record.resident.models.contains_key(model) || is_cold && !allow_cold || is_excluded {
                 continue;
             }
             let zone_copies = self.zone_copies.get(&(&engine.record.zone, model)).copied().unwrap_or(0);
             let candidate = Candidate {
                 id,
+                is_limited: engine.is_limited,
                 evicted: None,
                 eviction_cost: EvictionCost::NoEviction,
                 is_cold,
@@ -394,13 +397,13 @@
         let value = row.demand.upper_bound / row.copies.max(1) as f64;
         match need {
             _ if self.is_warming_up && !matches!(need, Need::Missing(_)) => None,
-            Need::Absent if row.copies > 1 && row.is_idle => Some(EvictionCost::ExtraCopy),
-            Need::Missing(_) | Need::Limited | Need::Growth(_)
+            Need::Absent | Need::Limited if row.copies > 1 && row.is_idle => Some(EvictionCost::ExtraCopy),
+            Need::Missing(_) | Need::Growth(_)
                 if self.is_oversubscribed && row.copies <= 1 && row.is_idle =>
             {
                 Some(EvictionCost::IdleModel)
             }
-            Need::Missing(_) | Need::Limited if row.copies > 1 => Some(EvictionCost::ExtraCopy),
+            Need::Missing(_) if row.copies > 1 => Some(EvictionCost::ExtraCopy),
             Need::Absent | Need::Preload | Need::Limited => None,
             Need::Missing(_) if !self.is_oversubscribed => None,
             Need::Missing(missing) => {
@@ -444,11 +447,23 @@
     (spec.memory.0 / largest.max(1)) as usize
 }
 
+impl Need {
+    /// Returns whether the copy is of use only on an engine that does not limit the rate of requests.
+    fn is_optional(self) -> bool {
+        match self {
+            Self::Missing(_) | Self::Growth(_) => false,
+            Self::Limited | Self::Absent | Self::Preload => true,
+        }
+    }
+}
+
 impl Candidate<'_> {
     /// Compares two candidates for one model, best first. Cached weights load several times faster than those
     /// from the weight store.
     fn compare(&self, other: &Self) -> Ordering {
-        let key = |candidate: &Self| (candidate.is_cold, candidate.eviction_cost, candidate.zone_copies);
+        let key = |candidate: &Self| {
+            (candidate.is_limited, candidate.is_cold, candidate.eviction_cost, candidate.zone_copies)
+        };
         key(self).cmp(&key(other)).then(self.demand.total_cmp(&other.demand))
     }
 }
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -254,17 +254,16 @@
         self.iter().filter(move |(_, record)| record.service == *service && record.live)
     }
 
-    /// Returns the engines of a service that accept new requests without a rate limit, or all that accept
-    /// requests if each of them has a limit.
-    ///
-    /// Only these count as copies of models and adapters: a limit is far below what an engine can serve, and
-    /// orders count as requests.
-    pub fn unlimited<'a>(
+    /// Returns the engines of a service on which a model is resident: those without a rate limit, or all of
+    /// them if each has one.
+    pub fn holders<'a>(
         &'a self,
         service: &'a ServiceId,
+        model: &'a ModelId,
     ) -> impl Iterator<Item = (&'a EndpointId, &'a EngineRecord)> {
-        let all_limited = self.live(service).all(|(id, _)| self.is_limited(id));
-        self.live(service).filter(move |(id, _)| all_limited || !self.is_limited(id))
+        let holders = || self.live(service).filter(|(_, record)| record.resident.models.contains_key(model));
+        let all_limited = holders().all(|(id, _)| self.is_limited(id));
+        holders().filter(move |(id, _)| all_limited || !self.is_limited(id))
     }
 
     /// Sets which engines limit the rate of requests.
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -305,12 +305,13 @@
         self.wake.notify_one();
     }
 
-    /// Returns whether an engine without a rate limit offers a model or adapter, in the given zone or in any.
+    /// Returns whether an engine offers a model or adapter, in the given zone or in any. Engines with a rate
+    /// limit count only if no other one has the model.
     fn offers(&self, service: &ServiceId, weights: &Weights, zone: Option<&ZoneId>) -> bool {
         let registry = self.registry.borrow();
-        let mut engines =
-            registry.unlimited(service).filter(|(_, record)| zone.is_none_or(|zone| record.zone == *zone));
-        engines.any(|(_, record)| record.offers(weights))
+        let holders = registry.holders(service, &weights.model);
+        let mut in_zone = holders.filter(|(_, record)| zone.is_none_or(|zone| record.zone == *zone));
+        in_zone.any(|(_, record)| record.offers(weights))
     }
 
     fn load_adapters(self: Rc<Self>) {
