A name that the linter takes for another

The linter rejects limited beside limiter in ModelPlacer's preload, which added without a run of the linter; the binding is now called short. Nothing else changes.

--- a/crates/core/src/gateway/placer.rs
+++ b/crates/core/src/gateway/placer.rs
@@ -310,8 +310,8 @@
             models.sort_by(|a, b| b.1.total_cmp(&a.1));
             models.into_iter().map(|(model, _)| model)
         };
-        let limited = by_demand(&|row| row.copies > 0 && row.unlimited == 0);
-        preloads.extend(limited.map(|model| (model, Need::Limited)));
+        let short = by_demand(&|row| row.copies > 0 && row.unlimited == 0);
+        preloads.extend(short.map(|model| (model, Need::Limited)));
         let single = by_demand(&|row| row.copies == 1);
         preloads.extend(single.map(|model| (model, Need::Preload)));
         for (model, need) in preloads {
