Find the route of an IPv6 host without a port

Callers: a request with host [2001:db8::1] got 404. Cause: the host was cut at its last colon, which lies within the address when there is no port. The part after the last colon is a port only if it does not hold the closing bracket. No other place takes a port from a host (searched for splits at colons in crates/ and platform/). an_address_with_colons_has_its_route: the case without a port failed before (1 of 3), all pass.

--- a/crates/core/src/gateway/table.rs
+++ b/crates/core/src/gateway/table.rs
@@ -142,7 +142,7 @@
     /// Returns the route of a host with the longest prefix that matches the path. A port in `host` is
     /// ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<ServiceRoute>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let name = host_name(host);
         let routes = match self.hosts.get(name) {
             Some(routes) => routes,
             None => self.hosts.get(&name.to_ascii_lowercase())?,
@@ -156,6 +156,14 @@
     }
 }
 
+/// Returns a host without its port. An IPv6 address stands in brackets and contains colons itself.
+fn host_name(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if !port.contains(']') => name,
+        _ => host,
+    }
+}
+
 impl ServiceRoute {
     /// Returns the service that `draw`, a random number in `0.0..1.0`, selects by weight, or none if no
     /// service has a weight above zero.
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -115,6 +115,23 @@
     assert_eq!(found.map(|route| route.prefix.as_str()), expected);
 }
 
+/// Guards against an address that is cut at one of its colons, so that its route is not found.
+#[test_case("[2001:db8::1]")]
+#[test_case("[2001:db8::1]:80")]
+#[test_case("[2001:DB8::1]:80")]
+fn an_address_with_colons_has_its_route(host: &str) {
+    let limits = CallerLimits {
+        max_head: Bytes(1),
+        max_body: Bytes(1),
+        head_timeout: Millis(1),
+        idle_timeout: Millis(1),
+    };
+    let host_route =
+        ServiceRoute { host: "[2001:db8::1]".to_owned(), ..route(RouteKind::Idempotent, false, 1) };
+    let routes = RouteTable::new(Version(1), limits, indexmap::IndexMap::new(), vec![host_route]);
+    assert!(routes.find(host, "/x/y").is_some());
+}
+
 /// Guards against a split that sends more or less than its share to a service.
 #[test]
 fn split_follows_the_weights() {
