Accept connections with backoff at all listeners of the gateway

A process without file descriptors: the listener of the readiness check and the metrics failed in a loop without a pause, with a log line each time, on the one thread that also serves requests; that of callers failed 20 times a second. Not done: a budget that keeps the process within its descriptors before it gets there.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -40,6 +40,7 @@
 use crate::head_inspector::HeadCheck;
 use crate::head_inspector::HeadInspector;
 use crate::head_inspector::InspectedStream;
+use crate::listener;
 use crate::proxied_request::ProxiedRequest;
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
@@ -54,8 +55,6 @@
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
 /// Smallest buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
-/// Delay after a failed accept, such as one for lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// `Retry-After` of a response for lack of a configuration or a service.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` of a convicted request.
@@ -71,20 +70,12 @@
     connections: TaskTracker,
 ) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, peer) = tokio::select! {
+            accepted = listener::accept(&listener, "gateway") => accepted,
             () = closing.cancelled() => return,
         };
-        match accepted {
-            Ok((stream, peer)) => {
-                let connection = serve(Rc::clone(&state), stream, peer, closing.clone());
-                connections.spawn_local(connection);
-            }
-            Err(err) => {
-                tracing::warn!("gateway: can't accept a connection: {err}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+        let connection = serve(Rc::clone(&state), stream, peer, closing.clone());
+        connections.spawn_local(connection);
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -71,12 +71,7 @@
             ListReader::new(Rc::clone(&state), Rc::clone(&store), Rc::clone(&coordinator), list_updates);
         tasks.spawn_local(reader.run());
         tasks.spawn_local(Rc::clone(&election).run(Rc::clone(&shared_settings), store));
-        tasks.spawn_local(peers::accept(
-            Rc::clone(&state),
-            Rc::clone(&coordinator),
-            Rc::clone(&election),
-            peers,
-        ));
+        tasks.spawn_local(peers::accept(Rc::clone(&coordinator), Rc::clone(&election), peers));
         tasks.spawn_local(peers::follow(Rc::clone(&state), Rc::clone(&coordinator), Rc::clone(&election)));
         tasks.spawn_local(Rc::clone(&coordinator).issue_tokens());
         tasks.spawn_local(coordinator.run());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod gateway;
 mod head_inspector;
 mod list;
+mod listener;
 mod message;
 mod meters;
 mod peers;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,6 +16,7 @@
 use crate::coordinator::Coordinator;
 use crate::coordinator::Frame;
 use crate::election::Election;
+use crate::listener;
 use crate::message::FollowerMessage;
 use crate::message::LeaderMessage;
 use crate::message::read_frame;
@@ -28,31 +29,19 @@
 /// Time without a message after which a connection between instances is closed.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Delay before the next attempt to connect to the leader, and after a failed accept.
+/// Delay before the next attempt to connect to the leader.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Accepts connections of other instances.
-pub(crate) async fn accept(
-    state: Rc<State>,
-    coordinator: Rc<Coordinator>,
-    election: Rc<Election>,
-    listener: TcpListener,
-) {
+pub(crate) async fn accept(coordinator: Rc<Coordinator>, election: Rc<Election>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let (coordinator, election) = (Rc::clone(&coordinator), Rc::clone(&election));
-                tokio::task::spawn_local(async move {
-                    if let Err(err) = serve_follower(coordinator, election, stream).await {
-                        tracing::debug!("peers: {peer}: {err}");
-                    }
-                });
+        let (stream, peer) = listener::accept(&listener, "peers").await;
+        let (coordinator, election) = (Rc::clone(&coordinator), Rc::clone(&election));
+        tokio::task::spawn_local(async move {
+            if let Err(err) = serve_follower(coordinator, election, stream).await {
+                tracing::debug!("peers: {peer}: {err}");
             }
-            Err(err) => {
-                tracing::warn!("peers: can't accept a connection at {}: {err}", state.settings.peers);
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-        }
+        });
     }
 }
 
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+use crate::listener;
 use crate::state::State;
 
 /// Page that a port serves for every request.
@@ -25,14 +26,7 @@
 /// Serves a page until the task is aborted.
 pub(crate) async fn serve(state: Rc<State>, listener: TcpListener, page: StatusPage) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                tracing::warn!("ready: can't accept a connection: {err}");
-                tokio::task::yield_now().await;
-                continue;
-            }
-        };
+        let (stream, _) = listener::accept(&listener, "ready").await;
         let state = Rc::clone(&state);
         let service =
             service_fn(move |_request| std::future::ready(Ok::<_, Infallible>(respond(&state, page))));
