Write no frame between instances that the other side rejects

A message of more than 4 MiB was written and rejected by its reader, which ended the connection; a follower's report would end each connection to the leader again. encode_frame now has the bound of read_frame, and a follower leaves such a message out with a log line, as the leader did for other errors.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -95,13 +95,16 @@
 ///
 /// # Errors
 ///
-/// Fails with [`Category::Codec`] if the message can't be encoded.
+/// Fails with [`Category::Codec`] if the message can't be encoded or is too long for a frame.
 pub fn encode_frame<M: serde::Serialize>(message: &M) -> Result<Vec<u8>> {
     let mut frame = vec![0; 4];
     let body = bincode::serde::encode_to_vec(message, bincode::config::standard());
     frame.extend(body.map_err(|err| Error::new(Category::Codec, err.to_string()))?);
-    let length = (frame.len() - 4) as u32;
-    frame[..4].copy_from_slice(&length.to_be_bytes());
+    let length = frame.len() - 4;
+    if length > MAX_FRAME_BYTES {
+        return Err(frame_too_long(length));
+    }
+    frame[..4].copy_from_slice(&(length as u32).to_be_bytes());
     Ok(frame)
 }
 
@@ -131,15 +134,21 @@
 /// long or its message can't be decoded.
 pub async fn read_frame<M: serde::de::DeserializeOwned>(from: &mut (impl AsyncRead + Unpin)) -> Result<M> {
     let lost = |err: std::io::Error| Error::new(Category::Lost, err.to_string());
-    let codec = |text: String| Error::new(Category::Codec, text);
     let length = from.read_u32().await.map_err(lost)? as usize;
     if length > MAX_FRAME_BYTES {
-        return Err(codec(format!("frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES} bytes")));
+        return Err(frame_too_long(length));
     }
     let mut frame = vec![0; length];
     from.read_exact(&mut frame).await.map_err(lost)?;
     // The limit keeps a length inside a corrupt frame from allocating more memory than a frame can hold.
     let limited = bincode::config::standard().with_limit::<MAX_FRAME_BYTES>();
     let decoded = bincode::serde::decode_from_slice(&frame, limited);
-    decoded.map(|(message, _)| message).map_err(|err| codec(err.to_string()))
+    decoded.map(|(message, _)| message).map_err(|err| Error::new(Category::Codec, err.to_string()))
+}
+
+fn frame_too_long(length: usize) -> Error {
+    Error::new(
+        Category::Codec,
+        format!("frame of {length} bytes exceeds the limit of {MAX_FRAME_BYTES} bytes"),
+    )
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,7 @@
 
 use carobwick_core::InstanceId;
 use carobwick_runtime::now;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -19,6 +20,7 @@
 use crate::listener;
 use crate::message::FollowerMessage;
 use crate::message::LeaderMessage;
+use crate::message::encode_frame;
 use crate::message::read_frame;
 use crate::message::write_encoded;
 use crate::message::write_frame;
@@ -149,7 +151,7 @@
         write_frame(&mut to, &FollowerMessage::EndpointLeaving { endpoint, incarnation }).await?;
     }
     for message in state.limit_messages() {
-        write_frame(&mut to, &message).await?;
+        write_message(&mut to, &message).await?;
     }
     let (sender, mut receiver) = mpsc::unbounded_channel();
     state.set_leader_sender(Some(sender));
@@ -159,11 +161,11 @@
         let mut next_report = now() + REPORT_INTERVAL;
         loop {
             match timeout(next_report - now(), receiver.recv()).await {
-                Ok(Some(message)) => write_frame(&mut to, &message).await?,
+                Ok(Some(message)) => write_message(&mut to, &message).await?,
                 Ok(None) => return Ok(()),
                 Err(_) => {
                     next_report = now() + REPORT_INTERVAL;
-                    write_frame(&mut to, &state.take_report()).await?;
+                    write_message(&mut to, &state.take_report()).await?;
                 }
             }
         }
@@ -207,6 +209,18 @@
     }
 }
 
+/// Writes a message; one that is too long for a frame is left out, since it would end each connection to the
+/// leader again.
+async fn write_message(to: &mut (impl AsyncWrite + Unpin), message: &FollowerMessage) -> Result<()> {
+    match encode_frame(message) {
+        Ok(frame) => write_encoded(to, &frame).await,
+        Err(err) => {
+            tracing::error!("peers: can't encode a message: {err}");
+            Ok(())
+        }
+    }
+}
+
 async fn read_message<M: serde::de::DeserializeOwned>(
     from: &mut (impl tokio::io::AsyncRead + Unpin),
 ) -> Result<M> {
--- a/crates/gateway/tests/framing.rs
+++ b/crates/gateway/tests/framing.rs
@@ -1,9 +1,15 @@
 //! Parsing of request heads, event streams and messages between instances, under random input and
 //! fragmentation.
 
+use carobwick_core::EndpointState;
+use carobwick_core::Incarnation;
 use carobwick_core::InstanceId;
+use carobwick_core::Millis;
+use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::EndpointChange;
+use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::ResidentModels;
+use carobwick_core::gateway::Weights;
 use carobwick_gateway::EventFramer;
 use carobwick_gateway::HeadCheck;
 use carobwick_gateway::HeadInspector;
@@ -148,3 +154,67 @@
         "rejected after {rejected:?} fragments"
     );
 }
+
+/// Models of the largest fleet that is planned for.
+const MODELS: usize = 1_600;
+/// Engines of that fleet, one for each accelerator.
+const ENGINES: usize = 2_700;
+/// Adapters of each model.
+const ADAPTERS: usize = 4;
+
+fn weights(model: usize, adapter: usize) -> Weights {
+    let adapter = (adapter > 0).then(|| format!("a{adapter}").parse().unwrap());
+    Weights { model: format!("model-{model:012x}").parse().unwrap(), adapter }
+}
+
+/// Returns the entry of an engine that holds four models with their adapters, and copies of 40 others.
+fn engine_entry(index: usize) -> EndpointChange {
+    let resident = (0..4).map(|offset| {
+        let adapters = (1..=ADAPTERS).filter_map(|adapter| weights(0, adapter).adapter);
+        (weights((index + offset) % MODELS, 0).model, adapters.collect())
+    });
+    let cached = (0..40).map(|offset| weights((index + offset) % MODELS, 0).model);
+    EndpointChange::Updated(Box::new(EndpointEntry {
+        id: format!("i-{index:010x}").parse().unwrap(),
+        incarnation: Incarnation(1_779_350_902_375),
+        heartbeat: 1_000_000,
+        service: "large-language-models".parse().unwrap(),
+        addr: "10.250.250.250:65535".parse().unwrap(),
+        zone: "availability-zone-7".parse().unwrap(),
+        slots: 64,
+        state: EndpointState::Live,
+        remaining: Some(Millis(100_000)),
+        resident: ResidentModels { models: resident.collect(), cached: cached.collect() },
+    }))
+}
+
+/// Guards against messages of a large fleet that no instance accepts, so that its connection to the leader
+/// ends again and again.
+#[test]
+fn the_messages_of_a_large_fleet_fit_into_frames() {
+    let list: Vec<EndpointChange> = (0..ENGINES).map(engine_entry).collect();
+    let demand: Vec<DemandSample> = (0..MODELS * (ADAPTERS + 1))
+        .map(|index| DemandSample {
+            service: "large-language-models".parse().unwrap(),
+            weights: weights(index / (ADAPTERS + 1), index % (ADAPTERS + 1)),
+            requests: 100_000,
+            work: 1_000_000_000,
+        })
+        .collect();
+    let [mut list_frame, mut demand_frame] = [Vec::new(), Vec::new()];
+    block_on(write_frame(&mut list_frame, &list)).unwrap();
+    block_on(write_frame(&mut demand_frame, &demand)).unwrap();
+    println!("list {} bytes, demand {} bytes", list_frame.len(), demand_frame.len());
+    let read = block_on(read_frame::<Vec<EndpointChange>>(&mut list_frame.as_slice())).unwrap();
+    assert_eq!(read, list);
+    let read = block_on(read_frame::<Vec<DemandSample>>(&mut demand_frame.as_slice())).unwrap();
+    assert_eq!(read, demand);
+}
+
+/// Guards against a frame that is written although the other side rejects its length.
+#[test]
+fn a_frame_that_is_too_long_is_not_written() {
+    let mut frame = Vec::new();
+    assert!(block_on(write_frame(&mut frame, &vec![0_u8; (4 << 20) + 1])).is_err());
+    assert!(frame.is_empty());
+}
