Name RequestSpec and EntryHeaders after what they hold

RequestInfo (core) and ResponseInfo (entry) broke our rule against names that say little of a type's job. RequestInfo describes a request for admission and routing; ResponseInfo held the response headers that are meant for the entry. Renamed with their functions; no text that leaves a process, no stored field and no behaviour changes.

--- a/crates/bench/src/request.rs
+++ b/crates/bench/src/request.rs
@@ -2,7 +2,7 @@
 use carobwick_core::LoadReport;
 use carobwick_core::Priority;
 use carobwick_core::RequestId;
-use carobwick_core::RequestInfo;
+use carobwick_core::RequestSpec;
 use carobwick_core::RouteTarget;
 use carobwick_core::Time;
 use carobwick_core::Tokens;
@@ -50,10 +50,10 @@
     }
 
     /// Returns the request as a dispatcher sees it.
-    pub fn info(&self, index: usize, forwarded: bool) -> RequestInfo {
+    pub fn info(&self, index: usize, forwarded: bool) -> RequestSpec {
         let arrival = &self.arrival;
         let model = arrival.adapter.clone().unwrap_or_else(|| arrival.model.clone());
-        RequestInfo {
+        RequestSpec {
             request: RequestId(index as u64),
             target: RouteTarget::Model(model),
             caller: arrival.caller.clone(),
--- a/crates/core/src/active.rs
+++ b/crates/core/src/active.rs
@@ -2,7 +2,7 @@
 
 use crate::EndpointId;
 use crate::Incarnation;
-use crate::RequestInfo;
+use crate::RequestSpec;
 use crate::Time;
 use crate::ZoneId;
 use crate::load::LoadSnapshot;
@@ -15,7 +15,7 @@
 /// A request from its admission to its end.
 #[derive(Debug)]
 pub(crate) struct ActiveRequest {
-    pub info: RequestInfo,
+    pub info: RequestSpec,
     /// Group of its target, see [`TargetSpec`](crate::fleet::TargetSpec).
     pub group: usize,
     /// Number of the service of its target.
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -17,7 +17,7 @@
 use crate::Manifest;
 use crate::RefusalCode;
 use crate::RequestId;
-use crate::RequestInfo;
+use crate::RequestSpec;
 use crate::RouteTarget;
 use crate::RunStatus;
 use crate::Time;
@@ -108,7 +108,7 @@
     }
 
     /// Decides on a new request.
-    pub fn admit(&mut self, info: RequestInfo, now: Time) -> Decision {
+    pub fn admit(&mut self, info: RequestSpec, now: Time) -> Decision {
         self.quarantine.refresh(now);
         let refuse = |code| Decision::Refuse { code, run: RunStatus::No, retry_after: None };
         let Some(spec) = self.fleet.targets.get(&info.target) else { return refuse(RefusalCode::NotFound) };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -199,7 +199,7 @@
 pub use request::AttemptOutcome;
 pub use request::Decision;
 pub use request::RefusalCode;
-pub use request::RequestInfo;
+pub use request::RequestSpec;
 pub use request::RouteTarget;
 pub use request::RunStatus;
 pub use sync::Change;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -18,7 +18,7 @@
 
 /// Description of a request for admission and routing.
 #[data]
-pub struct RequestInfo {
+pub struct RequestSpec {
     /// Id of the request.
     pub request: RequestId,
     /// Model, adapter or service that the request is for.
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use carobwick_core::Manifest;
 use carobwick_core::Priority;
 use carobwick_core::RequestId;
-use carobwick_core::RequestInfo;
+use carobwick_core::RequestSpec;
 use carobwick_core::RouteTarget;
 use carobwick_core::Time;
 use carobwick_core::Tokens;
@@ -73,8 +73,8 @@
     }
 }
 
-pub fn request_info(request: u64) -> RequestInfo {
-    RequestInfo {
+pub fn request_spec(request: u64) -> RequestSpec {
+    RequestSpec {
         request: RequestId(request),
         target: RouteTarget::Model("m".parse().unwrap()),
         caller: "caller".parse().unwrap(),
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -11,7 +11,7 @@
 use carobwick_core::Priority;
 use carobwick_core::RefusalCode;
 use carobwick_core::RequestId;
-use carobwick_core::RequestInfo;
+use carobwick_core::RequestSpec;
 use carobwick_core::RouteTarget;
 use carobwick_core::RunStatus;
 use carobwick_core::Tokens;
@@ -19,7 +19,7 @@
 use carobwick_core::ZoneId;
 use common::Deployment;
 use common::complete;
-use common::request_info;
+use common::request_spec;
 use common::sent_to;
 use common::time;
 use test_case::test_case;
@@ -30,7 +30,7 @@
     let mut dispatcher = Deployment::new(4).dispatcher(DispatchPolicy::default());
     let mut used = Vec::new();
     for request in 0..20 {
-        used.push(sent_to(&dispatcher.admit(request_info(request), time(request * 100))));
+        used.push(sent_to(&dispatcher.admit(request_spec(request), time(request * 100))));
         complete(&mut dispatcher, request, request * 100 + 10, request * 100 + 50);
     }
     used.dedup();
@@ -42,7 +42,7 @@
 fn hot_prefix_spreads_over_endpoints() {
     let mut dispatcher = Deployment::new(4).dispatcher(DispatchPolicy::default());
     let mut used: Vec<_> =
-        (0..16).map(|request| sent_to(&dispatcher.admit(request_info(request), time(0))).0).collect();
+        (0..16).map(|request| sent_to(&dispatcher.admit(request_spec(request), time(0))).0).collect();
     used.sort();
     used.dedup();
     assert_eq!(used.len(), 4);
@@ -60,9 +60,9 @@
     }
     let mut dispatcher = deployment.dispatcher(DispatchPolicy::default());
     for request in 0..4 {
-        assert_eq!(sent_to(&dispatcher.admit(request_info(request), time(0))).0.as_str(), "a1");
+        assert_eq!(sent_to(&dispatcher.admit(request_spec(request), time(0))).0.as_str(), "a1");
     }
-    assert!(!matches!(dispatcher.admit(request_info(5), time(0)), Decision::Send { .. }));
+    assert!(!matches!(dispatcher.admit(request_spec(5), time(0)), Decision::Send { .. }));
 }
 
 /// Guards against sending adapter requests past the endpoint that holds the adapter, and against refusing
@@ -71,7 +71,7 @@
 fn adapter_prefers_its_holder_then_its_base() {
     let mut dispatcher = Deployment::new(2).dispatcher(DispatchPolicy::default());
     for request in 0..8 {
-        let mut adapter = request_info(request);
+        let mut adapter = request_spec(request);
         adapter.target = RouteTarget::Model("m:x".parse().unwrap());
         let (used, _) = sent_to(&dispatcher.admit(adapter, time(0)));
         assert_eq!(used.as_str(), if request < 4 { "a0" } else { "a1" });
@@ -84,9 +84,9 @@
     let mut deployment = Deployment::new(1);
     deployment.change_view("a", |view| view.endpoints[0].resident.clear());
     let mut dispatcher = deployment.dispatcher(DispatchPolicy::default());
-    let decision = dispatcher.admit(request_info(1), time(0));
+    let decision = dispatcher.admit(request_spec(1), time(0));
     assert_eq!(decision, Decision::Forward { zone: "b".parse().unwrap(), addr: "b:80".to_owned() });
-    let mut forwarded = request_info(2);
+    let mut forwarded = request_spec(2);
     forwarded.forwarded = true;
     let refused = dispatcher.admit(forwarded, time(0));
     assert!(matches!(refused, Decision::Refuse { code: RefusalCode::Unavailable, run: RunStatus::No, .. }));
@@ -101,12 +101,12 @@
     let mut dispatcher = deployment.dispatcher(DispatchPolicy::default());
     for request in 1_000..1_100 {
         let start = request * 1_000;
-        let _ = dispatcher.admit(request_info(request), time(start));
+        let _ = dispatcher.admit(request_spec(request), time(start));
         complete(&mut dispatcher, request, start + 20, start + 1_000);
     }
     let now = 2_000_000;
     let decisions: Vec<Decision> =
-        (1..20).map(|request| dispatcher.admit(request_info(request), time(now))).collect();
+        (1..20).map(|request| dispatcher.admit(request_spec(request), time(now))).collect();
     let sent = decisions.iter().filter(|decision| matches!(decision, Decision::Send { .. })).count();
     let waiting = decisions.iter().filter(|decision| **decision == Decision::Wait).count();
     // One slot becomes free every 250 ms, and the latency target is 3 s.
@@ -128,11 +128,11 @@
 fn burst_does_not_delay_others(caller: &str, priority: u8) {
     let mut dispatcher = Deployment::new(1).dispatcher(DispatchPolicy::default());
     for request in 0..20 {
-        let mut burst = request_info(request);
+        let mut burst = request_spec(request);
         burst.forwarded = true;
         dispatcher.admit(burst, time(0));
     }
-    let mut late = request_info(100);
+    let mut late = request_spec(100);
     late.forwarded = true;
     late.caller = caller.parse().unwrap();
     late.priority = Priority(priority);
@@ -149,7 +149,7 @@
     let mut retried = 0;
     for request in 0..400 {
         let now = time(request * 20);
-        if !matches!(dispatcher.admit(request_info(request), now), Decision::Send { .. }) {
+        if !matches!(dispatcher.admit(request_spec(request), now), Decision::Send { .. }) {
             dispatcher.record_finished(RequestId(request), AttemptOutcome::Cancelled, None, now);
             continue;
         }
@@ -166,7 +166,7 @@
 #[test]
 fn request_that_may_have_run_is_not_retried() {
     let mut dispatcher = Deployment::new(2).dispatcher(DispatchPolicy::default());
-    let mut payment = request_info(1);
+    let mut payment = request_spec(1);
     payment.repeatable = false;
     dispatcher.admit(payment, time(0));
     dispatcher.record_finished(RequestId(1), AttemptOutcome::NotRun, None, time(1));
@@ -185,12 +185,12 @@
 #[test]
 fn failing_endpoint_is_probed_once_at_a_time() {
     let mut dispatcher = Deployment::new(2).dispatcher(DispatchPolicy::default());
-    let (bad, _) = sent_to(&dispatcher.admit(request_info(0), time(0)));
+    let (bad, _) = sent_to(&dispatcher.admit(request_spec(0), time(0)));
     dispatcher.record_finished(RequestId(0), AttemptOutcome::Failed, None, time(0));
     let mut used = Vec::new();
     for request in 1..60 {
         let now = time(request * 50);
-        let (target, _) = sent_to(&dispatcher.admit(request_info(request), now));
+        let (target, _) = sent_to(&dispatcher.admit(request_spec(request), now));
         let failed = target == bad;
         used.push(failed);
         let outcome =
@@ -221,7 +221,7 @@
         let arrivals = [(now % 25 == 0, "flood", 0), (now % 1_000 == 500, "calm", 1)];
         for (_, caller, index) in arrivals.into_iter().filter(|(due, ..)| *due) {
             let request = now * 10 + index;
-            let new = RequestInfo { caller: caller.parse().unwrap(), ..request_info(request) };
+            let new = RequestSpec { caller: caller.parse().unwrap(), ..request_spec(request) };
             decisions.push((RequestId(request), dispatcher.admit(new, time(now))));
         }
         for (request, decision) in decisions {
@@ -246,7 +246,7 @@
 fn late_crash_report_excludes_requests_of_the_next_incarnation() {
     let mut deployment = Deployment::new(1);
     let mut dispatcher = deployment.dispatcher(DispatchPolicy::default());
-    let (id, first) = sent_to(&dispatcher.admit(request_info(1), time(0)));
+    let (id, first) = sent_to(&dispatcher.admit(request_spec(1), time(0)));
     dispatcher.record_sent(RequestId(1), time(0));
     dispatcher.record_finished(RequestId(1), AttemptOutcome::Failed, None, time(100));
     deployment.change_view("a", |view| {
@@ -254,11 +254,11 @@
         view.endpoints[&id].incarnation.0 += 1;
     });
     deployment.apply_to(&mut dispatcher);
-    let (_, second) = sent_to(&dispatcher.admit(request_info(2), time(200)));
+    let (_, second) = sent_to(&dispatcher.admit(request_spec(2), time(200)));
     dispatcher.record_sent(RequestId(2), time(200));
     dispatcher.record_finished(RequestId(2), AttemptOutcome::Failed, None, time(300));
-    assert_eq!(dispatcher.record_crash(&id, first, time(400)).fingerprints, [request_info(1).fingerprint]);
-    assert_eq!(dispatcher.record_crash(&id, second, time(500)).fingerprints, [request_info(2).fingerprint]);
+    assert_eq!(dispatcher.record_crash(&id, first, time(400)).fingerprints, [request_spec(1).fingerprint]);
+    assert_eq!(dispatcher.record_crash(&id, second, time(500)).fingerprints, [request_spec(2).fingerprint]);
 }
 
 /// Guards against convicting a harmless request of a crash whose actual cause is missing in the report: a
@@ -268,15 +268,15 @@
 #[test_case(false ; "still in flight when the crash is detected")]
 fn request_sent_with_a_stale_view_belongs_to_the_next_crash(broken: bool) {
     let mut dispatcher = Deployment::new(1).dispatcher(DispatchPolicy::default());
-    let (id, first) = sent_to(&dispatcher.admit(request_info(1), time(0)));
+    let (id, first) = sent_to(&dispatcher.admit(request_spec(1), time(0)));
     dispatcher.record_sent(RequestId(1), time(0));
     dispatcher.record_finished(RequestId(1), AttemptOutcome::Failed, None, time(100));
-    assert_eq!(dispatcher.record_crash(&id, first, time(200)).fingerprints, [request_info(1).fingerprint]);
-    sent_to(&dispatcher.admit(request_info(2), time(9_000)));
+    assert_eq!(dispatcher.record_crash(&id, first, time(200)).fingerprints, [request_spec(1).fingerprint]);
+    sent_to(&dispatcher.admit(request_spec(2), time(9_000)));
     dispatcher.record_sent(RequestId(2), time(9_000));
     if broken {
         dispatcher.record_finished(RequestId(2), AttemptOutcome::Failed, None, time(9_200));
     }
     let next = Incarnation(first.0 + 1);
-    assert_eq!(dispatcher.record_crash(&id, next, time(9_300)).fingerprints, [request_info(2).fingerprint]);
+    assert_eq!(dispatcher.record_crash(&id, next, time(9_300)).fingerprints, [request_spec(2).fingerprint]);
 }
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -8,11 +8,11 @@
 use carobwick_core::Dispatcher;
 use carobwick_core::RefusalCode;
 use carobwick_core::RequestId;
-use carobwick_core::RequestInfo;
+use carobwick_core::RequestSpec;
 use carobwick_core::RouteTarget;
 use carobwick_core::ServiceKind;
 use common::Deployment;
-use common::request_info;
+use common::request_spec;
 use common::time;
 
 /// Returns a deployment of zone `a` only.
@@ -46,7 +46,7 @@
         one_zone_deployment(2).dispatcher(DispatchPolicy { retry_ratio: 100.0, ..DispatchPolicy::default() });
     // Three consecutive failures open a breaker; a request fails once at each of the two endpoints.
     for request in [3, 4, 1] {
-        let decision = dispatcher.admit(request_info(request), time(100));
+        let decision = dispatcher.admit(request_spec(request), time(100));
         assert_eq!(fail_attempts(&mut dispatcher, request, decision, 100), Decision::Wait);
         if request != 1 {
             dispatcher.record_finished(RequestId(request), AttemptOutcome::Cancelled, None, time(100));
@@ -57,7 +57,7 @@
         let decision = poll_one(&mut dispatcher, now);
         fail_attempts(&mut dispatcher, 1, decision, now);
     }
-    assert_eq!(dispatcher.admit(request_info(2), time(1_250)), Decision::Wait);
+    assert_eq!(dispatcher.admit(request_spec(2), time(1_250)), Decision::Wait);
     let decision = poll_one(&mut dispatcher, 3_100);
     assert_eq!(fail_attempts(&mut dispatcher, 2, decision, 3_100), Decision::Wait);
     let decision = poll_one(&mut dispatcher, 3_200);
@@ -76,7 +76,7 @@
 fn retry_goes_to_another_zone_when_breakers_are_open() {
     let mut dispatcher =
         Deployment::new(1).dispatcher(DispatchPolicy { retry_ratio: 100.0, ..DispatchPolicy::default() });
-    let decision = dispatcher.admit(request_info(0), time(0));
+    let decision = dispatcher.admit(request_spec(0), time(0));
     let decision = fail_attempts(&mut dispatcher, 0, decision, 0);
     assert!(matches!(decision, Decision::Forward { .. }), "{decision:?}");
 }
@@ -87,7 +87,7 @@
 fn invalid_response_does_not_make_a_suspect() {
     let mut dispatcher =
         one_zone_deployment(3).dispatcher(DispatchPolicy { retry_ratio: 100.0, ..DispatchPolicy::default() });
-    let mut decision = dispatcher.admit(request_info(0), time(0));
+    let mut decision = dispatcher.admit(request_spec(0), time(0));
     for now in [10, 20] {
         common::sent_to(&decision);
         dispatcher.record_sent(RequestId(0), time(now));
@@ -104,7 +104,7 @@
     let deployment = one_zone_deployment(1);
     let mut dispatcher = deployment.dispatcher(DispatchPolicy::default());
     for request in 0..4 {
-        assert!(matches!(dispatcher.admit(request_info(request), time(0)), Decision::Send { .. }));
+        assert!(matches!(dispatcher.admit(request_spec(request), time(0)), Decision::Send { .. }));
         dispatcher.record_sent(RequestId(request), time(0));
     }
     // These four end after 0.5 s, so that a later request can expect a slot in time; the next four never end.
@@ -112,10 +112,10 @@
         common::complete(&mut dispatcher, request, 100, 500);
     }
     for request in 4..8 {
-        assert!(matches!(dispatcher.admit(request_info(request), time(500)), Decision::Send { .. }));
+        assert!(matches!(dispatcher.admit(request_spec(request), time(500)), Decision::Send { .. }));
         dispatcher.record_sent(RequestId(request), time(500));
     }
-    assert_eq!(dispatcher.admit(request_info(8), time(500)), Decision::Wait);
+    assert_eq!(dispatcher.admit(request_spec(8), time(500)), Decision::Wait);
     let no_decision = dispatcher.poll(time(1_000));
     assert_eq!(no_decision, [], "it can still meet its target");
     let decisions = dispatcher.poll(time(10_000));
@@ -144,7 +144,7 @@
         let requests = batch * 8..batch * 8 + 8;
         for request in requests.clone() {
             let target = RouteTarget::Service("desk".parse().unwrap());
-            let decision = dispatcher.admit(RequestInfo { target, ..request_info(request) }, time(batch * 5));
+            let decision = dispatcher.admit(RequestSpec { target, ..request_spec(request) }, time(batch * 5));
             assert!(matches!(decision, Decision::Send { .. }), "request {request}: {decision:?}");
         }
         for request in requests {
@@ -158,7 +158,7 @@
 #[test]
 fn only_holder_is_not_retried_at_once() {
     let mut dispatcher = one_zone_deployment(1).dispatcher(DispatchPolicy::default());
-    common::sent_to(&dispatcher.admit(request_info(1), time(0)));
+    common::sent_to(&dispatcher.admit(request_spec(1), time(0)));
     dispatcher.record_sent(RequestId(1), time(0));
     dispatcher.record_finished(RequestId(1), AttemptOutcome::Failed, None, time(100));
     assert_eq!(dispatcher.retry(RequestId(1), time(100)), Decision::Wait);
@@ -170,7 +170,7 @@
 #[test]
 fn retry_prefers_another_zone_to_the_only_holder() {
     let mut dispatcher = Deployment::new(1).dispatcher(DispatchPolicy::default());
-    common::sent_to(&dispatcher.admit(request_info(1), time(0)));
+    common::sent_to(&dispatcher.admit(request_spec(1), time(0)));
     dispatcher.record_finished(RequestId(1), AttemptOutcome::NotRun, None, time(100));
     let next = dispatcher.retry(RequestId(1), time(100));
     assert!(matches!(next, Decision::Forward { .. }), "{next:?}");
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -15,7 +15,7 @@
 use carobwick_core::Priority;
 use carobwick_core::RefusalCode;
 use carobwick_core::RequestId;
-use carobwick_core::RequestInfo;
+use carobwick_core::RequestSpec;
 use carobwick_core::RouteTarget;
 use carobwick_core::ZoneId;
 use carobwick_runtime::Node;
@@ -63,7 +63,7 @@
 
     /// Returns the target of a new request, after waiting in the dispatcher's queue if needed.
     pub async fn admit(&self, inbound: &InboundRequest) -> Result<AttemptTarget, Refusal> {
-        let info = RequestInfo {
+        let info = RequestSpec {
             request: inbound.request,
             target: inbound.target.clone(),
             caller: inbound.caller.clone(),
--- a/crates/entry/src/proxied_request.rs
+++ b/crates/entry/src/proxied_request.rs
@@ -215,15 +215,15 @@
     }
 
     fn on_head(&mut self, attempt: AttemptId, upstream_response: UpstreamResponse) -> DeliveryEvent {
-        let info = response::parse_info(&upstream_response.response);
+        let entry_headers = response::parse_entry_headers(&upstream_response.response);
         let status = upstream_response.response.status();
-        self.load_report = info.load;
+        self.load_report = entry_headers.load;
         if let (Some(AttemptTarget::Endpoint { id, .. }), Some(incarnation)) =
-            (&self.target, info.incarnation)
+            (&self.target, entry_headers.incarnation)
         {
             CrashDetector::record_incarnation(&self.context, id, incarnation);
         }
-        if info.declined {
+        if entry_headers.declined {
             self.outcome = AttemptOutcome::NotRun;
         } else if status.is_server_error() {
             self.check_for_crash();
@@ -240,9 +240,9 @@
         self.pending.clear();
         DeliveryEvent::Headers {
             attempt,
-            claimed: info.attempt,
+            claimed: entry_headers.attempt,
             status: status.as_u16(),
-            declined: info.declined,
+            declined: entry_headers.declined,
         }
     }
 
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -17,7 +17,7 @@
 
 /// Values of the response headers that are meant for the entry.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct ResponseInfo {
+pub(crate) struct EntryHeaders {
     pub attempt: Option<AttemptId>,
     pub declined: bool,
     pub load: Option<LoadReport>,
@@ -43,9 +43,9 @@
 }
 
 /// Parses the headers that are meant for the entry; an invalid one counts as missing.
-pub(crate) fn parse_info<B>(response: &Response<B>) -> ResponseInfo {
+pub(crate) fn parse_entry_headers<B>(response: &Response<B>) -> EntryHeaders {
     let headers = response.headers();
-    ResponseInfo {
+    EntryHeaders {
         attempt: parse_header(headers, &ATTEMPT_ID),
         declined: headers.get(RUN_STATUS).is_some_and(|value| value.as_bytes() == b"no"),
         load: parse_header(headers, &LOAD),
--- a/crates/proof/src/quarantine_cluster.rs
+++ b/crates/proof/src/quarantine_cluster.rs
@@ -14,7 +14,7 @@
 use carobwick_core::Manifest;
 use carobwick_core::Priority;
 use carobwick_core::RequestId;
-use carobwick_core::RequestInfo;
+use carobwick_core::RequestSpec;
 use carobwick_core::RouteTarget;
 use carobwick_core::Time;
 use carobwick_core::Tokens;
@@ -123,8 +123,8 @@
         cluster
     }
 
-    pub fn request_info(request: RequestId, fingerprint: Fingerprint, prefix: u64) -> RequestInfo {
-        RequestInfo {
+    pub fn request_spec(request: RequestId, fingerprint: Fingerprint, prefix: u64) -> RequestSpec {
+        RequestSpec {
             request,
             target: RouteTarget::Model("m".parse().expect("the id has only allowed characters")),
             caller: "caller".parse().expect("the id has only allowed characters"),
--- a/crates/proof/src/quarantine_run.rs
+++ b/crates/proof/src/quarantine_run.rs
@@ -228,8 +228,8 @@
         let prefix = self.rng.random_range(0..4);
         let request = Request { id, entry, kind, fingerprint, endpoint: None, ends_at: None };
         self.cluster.requests.insert(id, request);
-        let request_info = Cluster::request_info(id, fingerprint, prefix);
-        let decision = self.cluster.entries[entry].dispatcher.admit(request_info, self.now);
+        let request_spec = Cluster::request_spec(id, fingerprint, prefix);
+        let decision = self.cluster.entries[entry].dispatcher.admit(request_spec, self.now);
         self.apply_decision(id, decision);
     }
 
