Append the messages of limits and tokens to those that instances know

While instances are replaced one after the other, those of the version before decode a message by the position of its variant: the new ones stood before the list's changes and the configuration's version, so an old instance would have taken one for the other or closed its connection to a new leader with each of them. They stand last now, and an old instance meets one only once an endpoint names a limit. Found by reading the diff; no run of old beside new instances was made, and no test compares two versions.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,11 +3,12 @@
 //! # Tour
 //!
 //! [`Gateway::bind`] starts all tasks. `callers` accepts connections and turns each request into a
-//! `ProxiedRequest`, which chooses an endpoint (`placement`), sends the request over a pooled [`Connection`], and returns
-//! the response whole or, for a stream, as its events arrive. `config` keeps the routes up to date, `list`
-//! the endpoints, and `election` the lease of the region's leader. `coordinator` runs on the leader: it sends
-//! orders to engines and updates to the other instances, which connect to it through `peers`. The decisions
-//! are made by [`carobwick_core::gateway`], without I/O.
+//! `ProxiedRequest`, which chooses an endpoint (`placement`), takes a token if the endpoint limits its rate
+//! (`permits`), sends the request over a pooled [`Connection`], and returns the response whole or, for a
+//! stream, as its events arrive. `config` keeps the routes up to date, `list` the endpoints, and `election`
+//! the lease of the region's leader. `coordinator` runs on the leader: it sends orders to engines, issues
+//! tokens and sends updates to the other instances, which connect to it through `peers`. The decisions are
+//! made by [`carobwick_core::gateway`], without I/O.
 //!
 //! Two traits hide the platform: [`WireFormat`] encodes and decodes requests, responses and orders, and
 //! [`Store`] gives access to the persistent data. All tasks of a process run on one thread.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -29,7 +29,8 @@
 /// Largest frame between instances, without its length prefix.
 const MAX_FRAME_BYTES: usize = 4 << 20;
 
-/// Message from an instance to the leader.
+/// Message from an instance to the leader. A new variant goes last, since instances of the version before
+/// identify variants by their position.
 #[data]
 pub(crate) enum FollowerMessage {
     /// The first message of a connection.
@@ -56,7 +57,7 @@
     CancelToken { endpoint: EndpointId, ticket: TokenTicket },
 }
 
-/// Message from the leader to an instance.
+/// Message from the leader to an instance. A new variant goes last, as in [`FollowerMessage`].
 #[data]
 pub(crate) enum LeaderMessage {
     /// Number of instances that share the retry budget, once all had time to connect; also serves as a
@@ -70,14 +71,14 @@
     EndpointLost { fingerprint: Fingerprint, endpoint: EndpointId, incarnation: Incarnation },
     /// An endpoint announced to some instance that it is leaving.
     EndpointLeaving { endpoint: EndpointId, incarnation: Incarnation },
-    /// Rate limit of an endpoint that is in force, or none.
-    EndpointLimit { endpoint: EndpointId, incarnation: Incarnation, limit: Option<Rate> },
-    /// Reply to a request for a token with this number.
-    Token { number: u64, reply: TokenReply },
     /// Changes of the list of endpoints.
     EndpointList(ListUpdate),
     /// Version of the leader's configuration, and the time since it was known to be the newest.
     ConfigVersion { version: Version, age: Millis },
+    /// Rate limit of an endpoint that is in force, or none.
+    EndpointLimit { endpoint: EndpointId, incarnation: Incarnation, limit: Option<Rate> },
+    /// Reply to a request for a token with this number.
+    Token { number: u64, reply: TokenReply },
 }
 
 /// Changes of the list of endpoints between two revisions of the store.
