Log the prompt parts of requests that are lost before their first event

A request that is lost before its first event now logs the parts that it shares with others, and carobwick_losses_total counts losses by their source. Part ids become a type of their own.

--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -455,7 +455,7 @@
     fn cached_tokens(&self, request: &RequestHead, now: Time) -> f64 {
         let hash = weights_hash(request);
         let cached = request.prompt.iter().take_while(|part| {
-            self.recent_parts.get(&(part.id ^ hash)).is_some_and(|used| now < *used + CACHE_LIFETIME)
+            self.recent_parts.get(&(part.id.0 ^ hash)).is_some_and(|used| now < *used + CACHE_LIFETIME)
         });
         cached.map(|part| f64::from(part.tokens)).sum()
     }
@@ -463,8 +463,8 @@
     fn record_prompt(&mut self, request: &RequestHead, now: Time) {
         let hash = weights_hash(request);
         for part in &request.prompt {
-            self.recent_parts.shift_remove(&(part.id ^ hash));
-            self.recent_parts.insert(part.id ^ hash, now);
+            self.recent_parts.shift_remove(&(part.id.0 ^ hash));
+            self.recent_parts.insert(part.id.0 ^ hash, now);
         }
         let excess = self.recent_parts.len().saturating_sub(MAX_PROMPT_PARTS);
         self.recent_parts.drain(..excess);
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -72,6 +72,7 @@
 pub use registry::OrderReply;
 pub use rejection::PauseStep;
 pub use rejection::pause_step;
+pub use request_head::PartId;
 pub use request_head::PromptPart;
 pub use request_head::RequestHead;
 pub use request_head::Weights;
--- a/crates/core/src/gateway/request_head.rs
+++ b/crates/core/src/gateway/request_head.rs
@@ -33,12 +33,17 @@
     pub adapter: Option<ModelId>,
 }
 
+/// Hash of a part of a prompt; written in hexadecimal.
+#[key]
+#[derive(Copy)]
+pub struct PartId(pub u64);
+
 /// Part of a prompt that other requests may share.
 #[data]
 #[derive(Copy, Eq)]
 pub struct PromptPart {
     /// Hash that identifies the part.
-    pub id: u64,
+    pub id: PartId,
     /// Its length in tokens.
     pub tokens: u32,
 }
@@ -48,11 +53,17 @@
     pub fn affinity(&self) -> Option<u64> {
         match self.prompt.as_slice() {
             [] => None,
-            [only] => Some(only.id),
-            [.., shared, _own] => Some(shared.id),
+            [only] => Some(only.id.0),
+            [.., shared, _own] => Some(shared.id.0),
         }
     }
 
+    /// Returns the parts of the prompt that other requests may share, that is all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = PartId> {
+        let shared = self.prompt.split_last().map_or(&[][..], |(_own, shared)| shared);
+        shared.iter().map(|part| part.id)
+    }
+
     /// Returns the work of the request, in prefill tokens.
     ///
     /// A generated token takes a whole step of the batch, so it counts as ten tokens of the prompt.
@@ -61,6 +72,20 @@
     }
 }
 
+impl std::fmt::Display for PartId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl std::str::FromStr for PartId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 impl std::fmt::Display for Weights {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match &self.adapter {
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -19,6 +19,7 @@
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::EndpointTable;
+use carobwick_core::gateway::PartId;
 use carobwick_core::gateway::PendingLoads;
 use carobwick_core::gateway::Progress;
 use carobwick_core::gateway::PromptPart;
@@ -95,7 +96,8 @@
 
 fn request(shared: u64, own: u64) -> RequestHead {
     let weights = Weights { model: "m".parse().unwrap(), adapter: None };
-    let prompt = vec![PromptPart { id: shared, tokens: 4_000 }, PromptPart { id: own, tokens: 500 }];
+    let prompt =
+        vec![PromptPart { id: PartId(shared), tokens: 4_000 }, PromptPart { id: PartId(own), tokens: 500 }];
     RequestHead {
         weights: Some(weights),
         prompt,
--- a/crates/core/tests/reachability.rs
+++ b/crates/core/tests/reachability.rs
@@ -9,6 +9,7 @@
 use carobwick_core::gateway::Balancer;
 use carobwick_core::gateway::Choice;
 use carobwick_core::gateway::EndpointEntry;
+use carobwick_core::gateway::PartId;
 use carobwick_core::gateway::PromptPart;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::ResidentModels;
@@ -136,7 +137,10 @@
 /// Returns a request that shares its prompt prefix with others, so that each zone is the first choice of some
 /// requests.
 fn request(number: u64) -> RequestHead {
-    let prompt = vec![PromptPart { id: number % 50, tokens: 4_000 }, PromptPart { id: number, tokens: 400 }];
+    let prompt = vec![
+        PromptPart { id: PartId(number % 50), tokens: 4_000 },
+        PromptPart { id: PartId(number), tokens: 400 },
+    ];
     let weights = Weights { model: "m".parse().unwrap(), adapter: None };
     RequestHead {
         weights: Some(weights),
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -232,7 +232,9 @@
                 self.request_weights(service, AdapterRequest { weights, zone });
             }
             FollowerMessage::EndpointLost { fingerprint, endpoint, incarnation } => {
-                self.state.suspects.borrow_mut().record_loss(fingerprint, &endpoint, incarnation, now());
+                if *from != self.state.settings.instance {
+                    self.state.receive_loss(fingerprint, &endpoint, incarnation);
+                }
                 self.broadcast_except(
                     from,
                     &LeaderMessage::EndpointLost { fingerprint, endpoint, incarnation },
--- a/crates/gateway/src/endpoint_request.rs
+++ b/crates/gateway/src/endpoint_request.rs
@@ -7,6 +7,7 @@
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
 use carobwick_core::gateway::Choice;
+use carobwick_core::gateway::PartId;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::SendId;
 use carobwick_core::gateway::SendOutcome;
@@ -23,6 +24,8 @@
 pub(crate) struct EndpointRequest {
     state: Rc<State>,
     fingerprint: Fingerprint,
+    /// Parts of the prompt that other requests may share.
+    parts: Vec<PartId>,
     attempt_id: String,
     service: ServiceId,
     pub sent_at: Time,
@@ -58,6 +61,7 @@
         Self {
             state: Rc::clone(state),
             fingerprint,
+            parts: head.shared_parts().collect(),
             attempt_id: head.attempt_id.clone(),
             service: service.clone(),
             sent_at: now(),
@@ -97,9 +101,21 @@
     pub fn record_lost(&mut self) {
         self.outcome = SendOutcome::Lost;
         self.connection = None;
+        self.log_unstarted();
         self.state.report_lost_endpoint(self.fingerprint, &self.choice.id, self.choice.incarnation);
     }
 
+    /// Logs the parts of the prompt if the connection was lost before the first event. A part that crashes the
+    /// engine that begins to generate from it is among these.
+    fn log_unstarted(&self) {
+        if self.first_output.get().is_none() && !self.parts.is_empty() {
+            let (request, endpoint, parts) = (&self.attempt_id, &self.choice.id, part_list(&self.parts));
+            tracing::info!(
+                "gateway: request {request} lost {endpoint} before its first event, parts {parts}"
+            );
+        }
+    }
+
     /// Logs how the request ended at this endpoint; successes only at debug level, since they are most of the
     /// volume.
     fn log(&self) {
@@ -135,3 +151,8 @@
         }
     }
 }
+
+/// Returns parts of a prompt as text for the log.
+fn part_list(parts: &[PartId]) -> String {
+    parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+}
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -28,6 +28,16 @@
     instances: Gauge<u64>,
     limited: Gauge<u64>,
     limited_sends: Counter<u64>,
+    losses: Counter<u64>,
+}
+
+/// How an instance learns that the connection to an endpoint was lost during a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LossSource {
+    /// The request was its own.
+    Own,
+    /// Another instance reported it.
+    Reported,
 }
 
 /// Kind of a message to an endpoint, as the metrics count it.
@@ -66,6 +76,7 @@
         let instances = meter.u64_gauge("carobwick_instances");
         let limited = meter.u64_gauge("carobwick_endpoints_limited");
         let limited_sends = meter.u64_counter("carobwick_limited_sends");
+        let losses = meter.u64_counter("carobwick_losses");
         Ok(Self {
             requests: requests.with_description("Requests by route and outcome").build(),
             first_output: first_output
@@ -86,6 +97,9 @@
             limited_sends: limited_sends
                 .with_description("Sends to endpoints that announce a rate limit, by kind")
                 .build(),
+            losses: losses
+                .with_description("Requests during which an endpoint was lost, own and reported by others")
+                .build(),
             metrics,
         })
     }
@@ -107,6 +121,15 @@
         self.requests.add(1, &[route, KeyValue::new("outcome", outcome(status))]);
     }
 
+    /// Counts a request during which the connection to an endpoint was lost.
+    pub fn record_loss(&self, source: LossSource) {
+        let source = match source {
+            LossSource::Own => "own",
+            LossSource::Reported => "reported",
+        };
+        self.losses.add(1, &[KeyValue::new("source", source)]);
+    }
+
     /// Counts a send to an endpoint, by service and outcome.
     pub fn record_send(&self, service: &ServiceId, outcome: SendOutcome) {
         let outcome = match outcome {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -194,7 +194,7 @@
             state.endpoints_changed.notify_waiters();
         }
         LeaderMessage::EndpointLost { fingerprint, endpoint, incarnation } => {
-            state.suspects.borrow_mut().record_loss(fingerprint, &endpoint, incarnation, now());
+            state.receive_loss(fingerprint, &endpoint, incarnation);
         }
         LeaderMessage::EndpointLeaving { endpoint, incarnation } => {
             state.mark_leaving(&endpoint, incarnation);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,6 +32,7 @@
 use crate::WireFormat;
 use crate::message::FollowerMessage;
 use crate::message::ListUpdate;
+use crate::meters::LossSource;
 use crate::meters::Meters;
 use crate::meters::SendKind;
 use crate::permits::TokenRequests;
@@ -257,6 +258,7 @@
     /// Records that the connection to an endpoint was lost while it processed a request, and reports it to
     /// the leader.
     pub fn report_lost_endpoint(&self, fingerprint: Fingerprint, id: &EndpointId, incarnation: Incarnation) {
+        self.meters.record_loss(LossSource::Own);
         if self.suspects.borrow_mut().record_loss(fingerprint, id, incarnation, now()) {
             self.send_to_leader(FollowerMessage::EndpointLost {
                 fingerprint,
@@ -266,6 +268,12 @@
         }
     }
 
+    /// Records that another instance lost the connection to an endpoint while it processed a request.
+    pub fn receive_loss(&self, fingerprint: Fingerprint, id: &EndpointId, incarnation: Incarnation) {
+        self.meters.record_loss(LossSource::Reported);
+        self.suspects.borrow_mut().record_loss(fingerprint, id, incarnation, now());
+    }
+
     /// Applies what an endpoint announces about itself in a response to a request that was sent at `sent`.
     ///
     /// That it is leaving is sent to the leader, which broadcasts it. A pause is not shared, since it applies
