Suspect the parts of a prompt, and let one request at a time decide

Cause: suspicion knew whole requests only, by a hash of path and body. No two requests with the part are alike, so none was ever refused. The class of fault: a cause that many requests share was looked for in each of them alone, although each instance had read what they share.

An endpoint that ends counts against the shared parts of the requests that had no event there yet. The instance first makes sure that connections are refused, so that resets, cuts and responses that break off do not count. The first event of any request clears its parts at all instances. With two losses a part is suspected: its requests run one at a time in the whole system, as the leader permits, others wait for the outcome for a second and are refused then. A third loss in such a trial convicts it for two minutes, after which one trial decides again. A part is not convicted while another one that the request does not have explains all its losses, so those that always come with the deadly one can still be cleared. Losses reach all instances by way of the leader, and new leaders and followers as they connect. Whole requests and parts share a table.

Ruled out: that the part is cleared by turns (a stream without an event no longer clears anything) and that losses do not arrive (three crashes suffice with nine instances).

--- a/crates/core/src/gateway/suspects.rs
+++ b/crates/core/src/gateway/suspects.rs
@@ -1,61 +1,177 @@
 use std::time::Duration;
 
+use carobwick_derive::data;
+use carobwick_derive::key;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
 use crate::EndpointId;
 use crate::Fingerprint;
 use crate::Incarnation;
+use crate::Millis;
 use crate::Time;
+use crate::gateway::PartId;
 
-/// Number of endpoint incarnations that are lost during a request after which the request is convicted.
+/// Number of endpoint incarnations that end during requests with one suspect before it can be convicted.
 ///
-/// Two can be a coincidence while several endpoints fail. If three are lost during requests with the same
-/// path and body, the request is the cause.
+/// Two can be a coincidence while several endpoints fail.
 const CONVICTION_THRESHOLD: usize = 3;
-/// Time since the last loss after which the losses no longer count.
+/// Number of incarnations from which on a part of a prompt is suspected.
+const SUSPICION_THRESHOLD: usize = 2;
+/// Time since the last loss after which a suspect that was not tried is forgotten, and a conviction ends.
 const LOSS_LIFETIME: Duration = Duration::from_mins(2);
+/// Time since the last loss after which a part that was convicted is forgotten. Until then it is suspected again,
+/// so that one trial decides instead of a series of crashes.
+const RECORD_LIFETIME: Duration = Duration::from_mins(10);
+/// Most suspects that are kept, since callers choose the parts of their prompts.
+const MAX_SUSPECTS: usize = 4_096;
 
-/// Requests during which connections to endpoints broke, by fingerprint.
+/// Property of requests that may be the reason why endpoints end.
+#[key]
+#[derive(Copy)]
+pub enum Suspect {
+    /// Path and body.
+    Request(Fingerprint),
+    /// A part of the prompt that other requests may share.
+    Part(PartId),
+}
+
+/// Loss of an endpoint while it processed requests with some suspects.
+#[data]
+pub struct Loss {
+    /// What the requests had in common with others.
+    pub suspects: Vec<Suspect>,
+    /// Endpoint that was lost.
+    pub endpoint: EndpointId,
+    /// Incarnation that was lost.
+    pub incarnation: Incarnation,
+    /// Whether the request ran as a trial, that is after its parts had come under suspicion.
+    pub trial: bool,
+    /// Time since the loss.
+    pub age: Millis,
+}
+
+/// What is known of a request with some suspects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Verdict {
+    /// It may be sent.
+    Clear,
+    /// It may be sent as a trial, one at a time for each of its suspects.
+    Suspected,
+    /// It must be refused.
+    Convicted,
+}
+
+/// Requests and parts of prompts during which endpoints were lost.
+///
+/// A whole request is convicted by three losses. A part of a prompt is convicted by three losses of which the
+/// last was a trial, since requests share parts and several endpoints can fail at once. Parts that always come
+/// together can't be told apart; a request is then refused only if it has all of them, so that one with fewer
+/// can clear its own.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
-    losses: IndexMap<Fingerprint, Losses>,
+    losses: IndexMap<Suspect, Losses>,
 }
 
 #[derive(Debug, Default)]
 struct Losses {
     incarnations: IndexSet<(EndpointId, Incarnation)>,
     last: Time,
+    /// Whether an endpoint was lost during a trial.
+    tried: bool,
 }
 
 impl SuspectTable {
-    /// Records that the connection to an incarnation of an endpoint broke during a request; returns whether
-    /// this was not recorded before.
-    pub fn record_loss(
-        &mut self,
-        fingerprint: Fingerprint,
-        id: &EndpointId,
-        incarnation: Incarnation,
-        now: Time,
-    ) -> bool {
-        self.losses.retain(|_, losses| now < losses.last + LOSS_LIFETIME);
-        let losses = self.losses.entry(fingerprint).or_default();
-        losses.last = now;
-        losses.incarnations.insert((id.clone(), incarnation))
-    }
-
-    /// Clears a request that completed successfully.
-    pub fn clear(&mut self, fingerprint: Fingerprint) {
-        if !self.losses.is_empty() {
-            self.losses.swap_remove(&fingerprint);
+    /// Records a loss; returns whether it was not known before.
+    pub fn record_loss(&mut self, loss: &Loss, now: Time) -> bool {
+        self.losses.retain(|_, losses| now < losses.expiry());
+        let at = now - loss.age.duration();
+        let mut is_new = false;
+        for suspect in &loss.suspects {
+            self.make_room(suspect);
+            let losses = self.losses.entry(*suspect).or_default();
+            is_new |= losses.incarnations.insert((loss.endpoint.clone(), loss.incarnation));
+            is_new |= loss.trial && !losses.tried;
+            losses.tried |= loss.trial;
+            losses.last = losses.last.max(at);
         }
+        is_new
+    }
+
+    /// Clears a suspect, with which a request succeeded or began to; returns whether it was known.
+    pub fn clear(&mut self, suspect: Suspect) -> bool {
+        !self.losses.is_empty() && self.losses.swap_remove(&suspect).is_some()
+    }
+
+    /// Returns the verdict on a request with the given suspects.
+    pub fn verdict(&self, suspects: &[Suspect], now: Time) -> Verdict {
+        if self.losses.is_empty() {
+            return Verdict::Clear;
+        }
+        let verdicts = suspects.iter().map(|suspect| self.verdict_on(*suspect, suspects, now));
+        verdicts.max().unwrap_or(Verdict::Clear)
+    }
+
+    /// Returns the losses that count against parts of prompts, for an instance that does not know them.
+    pub fn part_losses(&self, now: Time) -> Vec<Loss> {
+        let is_part = |(suspect, losses): &(&Suspect, &Losses)| {
+            matches!(suspect, Suspect::Part(_)) && now < losses.expiry()
+        };
+        let entries = self.losses.iter().filter(is_part);
+        entries.flat_map(|(suspect, losses)| losses.to_messages(*suspect, now)).collect()
+    }
+
+    fn verdict_on(&self, suspect: Suspect, all: &[Suspect], now: Time) -> Verdict {
+        let known = self.losses.get(&suspect).filter(|losses| now < losses.expiry());
+        let Some(losses) = known else { return Verdict::Clear };
+        let count = losses.incarnations.len();
+        let may_convict = count >= CONVICTION_THRESHOLD && now < losses.last + LOSS_LIFETIME;
+        match suspect {
+            Suspect::Request(_) if may_convict => Verdict::Convicted,
+            Suspect::Part(_) if may_convict && losses.tried && !self.is_explained(losses, all, now) => {
+                Verdict::Convicted
+            }
+            Suspect::Part(_) if count >= SUSPICION_THRESHOLD => Verdict::Suspected,
+            Suspect::Request(_) | Suspect::Part(_) => Verdict::Clear,
+        }
+    }
+
+    /// Returns whether a part that is not among those of the request was lost in all of these cases too.
+    fn is_explained(&self, losses: &Losses, all: &[Suspect], now: Time) -> bool {
+        self.losses.iter().any(|(other, others)| {
+            matches!(other, Suspect::Part(_))
+                && now < others.expiry()
+                && !all.contains(other)
+                && losses.incarnations.is_subset(&others.incarnations)
+        })
+    }
+
+    /// Removes a suspect if the table is full: one with the fewest losses, of these the oldest.
+    fn make_room(&mut self, suspect: &Suspect) {
+        if self.losses.len() < MAX_SUSPECTS || self.losses.contains_key(suspect) {
+            return;
+        }
+        let weight = |losses: &Losses| (losses.incarnations.len(), losses.last);
+        let least = self.losses.iter().min_by_key(|(_, losses)| weight(losses));
+        if let Some(suspect) = least.map(|(suspect, _)| *suspect) {
+            self.losses.swap_remove(&suspect);
+        }
+    }
+}
+
+impl Losses {
+    fn expiry(&self) -> Time {
+        self.last + if self.tried { RECORD_LIFETIME } else { LOSS_LIFETIME }
     }
 
-    /// Returns whether a request is convicted of crashing endpoints and must be refused.
-    pub fn is_convicted(&self, fingerprint: Fingerprint, now: Time) -> bool {
-        let losses = self.losses.get(&fingerprint);
-        losses.is_some_and(|losses| {
-            losses.incarnations.len() >= CONVICTION_THRESHOLD && now < losses.last + LOSS_LIFETIME
+    fn to_messages(&self, suspect: Suspect, now: Time) -> impl Iterator<Item = Loss> {
+        let age = Millis((now - self.last).as_millis() as u64);
+        self.incarnations.iter().map(move |(endpoint, incarnation)| Loss {
+            suspects: vec![suspect],
+            endpoint: endpoint.clone(),
+            incarnation: *incarnation,
+            trial: self.tried,
+            age,
         })
     }
 }
--- a/crates/core/src/gateway/token_bucket.rs
+++ b/crates/core/src/gateway/token_bucket.rs
@@ -4,10 +4,10 @@
 use crate::Millis;
 use crate::Rate;
 use crate::Time;
+use crate::gateway::Ticket;
 use crate::gateway::TokenReplies;
 use crate::gateway::TokenReply;
 use crate::gateway::TokenRequest;
-use crate::gateway::TokenTicket;
 
 /// Time over which endpoints count the requests that they receive.
 const COUNT_WINDOW: Duration = Duration::from_secs(4);
@@ -40,7 +40,7 @@
 /// A request that waits for a token.
 #[derive(Debug)]
 struct Waiter {
-    ticket: TokenTicket,
+    ticket: Ticket,
     priority: u8,
     /// Since when the caller's request has waited.
     since: Time,
@@ -123,7 +123,7 @@
     }
 
     /// Removes a request that waits.
-    pub fn cancel(&mut self, ticket: &TokenTicket) {
+    pub fn cancel(&mut self, ticket: &Ticket) {
         self.waiters.retain(|waiter| waiter.ticket != *ticket);
     }
 
--- a/crates/core/src/gateway/token_issuer.rs
+++ b/crates/core/src/gateway/token_issuer.rs
@@ -15,9 +15,9 @@
 /// Time after which an instance that knows another incarnation of an endpoint asks again.
 const STALE_RETRY: Duration = Duration::from_secs(1);
 
-/// Identifies a request for a token among those of all instances.
+/// Identifies a request to the leader among those of all instances.
 #[key]
-pub struct TokenTicket {
+pub struct Ticket {
     /// Instance that asks.
     pub instance: InstanceId,
     /// Number that is unique at the instance.
@@ -28,7 +28,7 @@
 #[data]
 pub struct TokenRequest {
     /// Identity of the request.
-    pub ticket: TokenTicket,
+    pub ticket: Ticket,
     /// Priority of the route; 0 is the highest.
     pub priority: u8,
     /// Time for which the caller's request has waited for a token already.
@@ -48,7 +48,7 @@
 }
 
 /// Replies that are due, with the requests for tokens that they answer.
-pub type TokenReplies = Vec<(TokenTicket, TokenReply)>;
+pub type TokenReplies = Vec<(Ticket, TokenReply)>;
 
 /// Issues the tokens without which no instance sends a request to an endpoint that limits its rate.
 ///
@@ -115,7 +115,7 @@
     }
 
     /// Removes a request that waits for a token, since its caller has left or another endpoint runs it.
-    pub fn cancel(&mut self, id: &EndpointId, ticket: &TokenTicket) {
+    pub fn cancel(&mut self, id: &EndpointId, ticket: &Ticket) {
         if let Some(bucket) = self.buckets.get_mut(id) {
             bucket.cancel(ticket);
         }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -12,6 +12,8 @@
 use carobwick_core::gateway::Progress;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::ServiceRoute;
+use carobwick_core::gateway::Suspect;
+use carobwick_core::gateway::Verdict;
 use carobwick_runtime::now;
 use carobwick_runtime::serve_until;
 use http::HeaderValue;
@@ -45,6 +47,7 @@
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
 use crate::state::State;
+use crate::suspicion::CONVICTED_RETRY_AFTER;
 
 /// Time beyond the configured idle timeout for which a connection is kept, so that a request sent just before
 /// the timeout still gets a response.
@@ -57,8 +60,6 @@
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// `Retry-After` of a response for lack of a configuration or a service.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
-/// `Retry-After` of a convicted request.
-const CONVICTED_RETRY_AFTER: Duration = Duration::from_mins(1);
 /// Deadline of a request whose caller sets none.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
 
@@ -158,9 +159,10 @@
     })?;
     let fingerprint =
         Fingerprint(xxh3_64_with_seed(&body, xxh3_64_with_seed(parts.uri.path().as_bytes(), 0)));
-    if state.suspects.borrow().is_convicted(fingerprint, now()) {
+    let suspects: Vec<Suspect> = head.shared_parts().map(Suspect::Part).collect();
+    if is_convicted(state, fingerprint, &suspects) {
         tracing::info!(
-            "gateway: request {} refused: its fingerprint is convicted of crashing endpoints",
+            "gateway: request {} refused: it or a part of its prompt is convicted of crashing endpoints",
             head.attempt_id
         );
         return Err(unavailable("the request crashes endpoints").retry_after(CONVICTED_RETRY_AFTER));
@@ -184,9 +186,16 @@
         progress: Progress::default(),
         tried: Vec::new(),
         permit: None,
+        suspects,
+        trial: None,
     })
 }
 
+fn is_convicted(state: &State, fingerprint: Fingerprint, parts: &[Suspect]) -> bool {
+    state.verdict(&[Suspect::Request(fingerprint)]) == Verdict::Convicted
+        || state.verdict(parts) == Verdict::Convicted
+}
+
 fn find_route(table: &RouteTable, parts: &Parts) -> Result<Arc<ServiceRoute>, LocalResponse> {
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -1,4 +1,5 @@
 mod tokens;
+mod trials;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -23,6 +24,7 @@
 use carobwick_core::gateway::ModelPlacer;
 use carobwick_core::gateway::OrderReply;
 use carobwick_core::gateway::PendingLoads;
+use carobwick_core::gateway::TrialTable;
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::plan_adapter;
 use carobwick_core::gateway::retry_budget_instances;
@@ -74,6 +76,7 @@
     issuer: RefCell<TermIssuer>,
     /// Notifies the task that issues tokens of changed limits and waiting requests.
     tokens_changed: Notify,
+    trials: RefCell<TrialTable>,
 }
 
 impl Coordinator {
@@ -91,6 +94,7 @@
             wake: Notify::new(),
             issuer: RefCell::default(),
             tokens_changed: Notify::new(),
+            trials: RefCell::default(),
         }
     }
 
@@ -130,6 +134,9 @@
         for message in self.limit_messages() {
             send_frame(sender, encode_message(&message));
         }
+        for loss in self.state.part_losses() {
+            send_frame(sender, encode_message(&LeaderMessage::PartsLost(loss)));
+        }
         for (id, record) in self.registry.borrow().iter() {
             // For all other engines, the follower knows the resident models from their entries in the list.
             if let Some(resident) = record.published.clone() {
@@ -247,6 +254,12 @@
                 let heard = now() - age.duration();
                 self.handle_token_request(&endpoint, incarnation, limit, heard, request);
             }
+            FollowerMessage::PartsLost(loss) => self.handle_parts_lost(from, loss),
+            FollowerMessage::PartsCleared { suspects } => self.handle_parts_cleared(from, suspects),
+            FollowerMessage::RequestTrial { ticket, suspects, remaining } => {
+                self.handle_trial_request(&ticket, &suspects, remaining);
+            }
+            FollowerMessage::EndTrial { ticket } => self.trials.borrow_mut().finish(&ticket),
             FollowerMessage::CancelToken { endpoint, ticket } => self.cancel_token(&endpoint, &ticket),
             FollowerMessage::EndpointLeaving { endpoint, incarnation } => {
                 let is_own = *from == self.state.settings.instance;
@@ -285,6 +298,7 @@
         if !self.followers.borrow().is_empty() {
             self.followers.borrow_mut().clear();
         }
+        self.trials.borrow_mut().clear();
         if self.demand.borrow().first_report().is_some() {
             *self.demand.borrow_mut() = DemandTable::default();
             self.adapter_requests.borrow_mut().clear();
--- a/crates/gateway/src/coordinator/tokens.rs
+++ b/crates/gateway/src/coordinator/tokens.rs
@@ -10,11 +10,11 @@
 use carobwick_core::Time;
 use carobwick_core::gateway::Balancer;
 use carobwick_core::gateway::Choice;
+use carobwick_core::gateway::Ticket;
 use carobwick_core::gateway::TokenIssuer;
 use carobwick_core::gateway::TokenReplies;
 use carobwick_core::gateway::TokenReply;
 use carobwick_core::gateway::TokenRequest;
-use carobwick_core::gateway::TokenTicket;
 use carobwick_runtime::now;
 
 use crate::coordinator::Coordinator;
@@ -100,7 +100,7 @@
     }
 
     /// Removes a request that waits for a token.
-    pub(super) fn cancel_token(&self, endpoint: &EndpointId, ticket: &TokenTicket) {
+    pub(super) fn cancel_token(&self, endpoint: &EndpointId, ticket: &Ticket) {
         self.with_issuer(|issuer| issuer.cancel(endpoint, ticket));
     }
 
@@ -182,7 +182,7 @@
     }
 
     /// Sends a message to an instance, which may be this one.
-    fn send_to(&self, instance: &InstanceId, message: LeaderMessage) {
+    pub(super) fn send_to(&self, instance: &InstanceId, message: LeaderMessage) {
         if *instance == self.state.settings.instance {
             self.state.receive_own_reply(message);
         } else if let Some(sender) = self.followers.borrow().get(instance) {
--- a/crates/gateway/src/endpoint_request.rs
+++ b/crates/gateway/src/endpoint_request.rs
@@ -7,10 +7,10 @@
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
 use carobwick_core::gateway::Choice;
-use carobwick_core::gateway::PartId;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::SendId;
 use carobwick_core::gateway::SendOutcome;
+use carobwick_core::gateway::Suspect;
 use carobwick_runtime::now;
 use http::Response;
 use hyper::body::Incoming;
@@ -18,6 +18,8 @@
 use crate::Connection;
 use crate::platform::ResponseHead;
 use crate::state::State;
+use crate::suspicion::Trial;
+use crate::suspicion::UnstartedRequest;
 
 /// Request in flight at an endpoint. Dropping it closes the connection, which cancels the request there.
 #[derive(Debug)]
@@ -25,7 +27,11 @@
     state: Rc<State>,
     fingerprint: Fingerprint,
     /// Parts of the prompt that other requests may share.
-    parts: Vec<PartId>,
+    suspects: Vec<Suspect>,
+    /// Right to send the request although its parts are suspected of crashing endpoints.
+    trial: Option<Trial>,
+    /// Whether the endpoint has begun to write the response.
+    begun: bool,
     attempt_id: String,
     service: ServiceId,
     pub sent_at: Time,
@@ -55,13 +61,16 @@
         service: &ServiceId,
         head: &RequestHead,
         fingerprint: Fingerprint,
+        trial: Option<Trial>,
         choice: &Choice,
     ) -> Self {
         let send_id = state.balancer.borrow_mut().record_sent(head, choice, now());
         Self {
             state: Rc::clone(state),
             fingerprint,
-            parts: head.shared_parts().collect(),
+            suspects: head.shared_parts().map(Suspect::Part).collect(),
+            trial,
+            begun: false,
             attempt_id: head.attempt_id.clone(),
             service: service.clone(),
             sent_at: now(),
@@ -101,19 +110,36 @@
     pub fn record_lost(&mut self) {
         self.outcome = SendOutcome::Lost;
         self.connection = None;
-        self.log_unstarted();
+        self.report_unstarted();
         self.state.report_lost_endpoint(self.fingerprint, &self.choice.id, self.choice.incarnation);
     }
 
-    /// Logs the parts of the prompt if the connection was lost before the first event. A part that crashes the
-    /// engine that begins to generate from it is among these.
-    fn log_unstarted(&self) {
-        if self.first_output.get().is_none() && !self.parts.is_empty() {
-            let (request, endpoint, parts) = (&self.attempt_id, &self.choice.id, part_list(&self.parts));
-            tracing::info!(
-                "gateway: request {request} lost {endpoint} before its first event, parts {parts}"
-            );
+    /// Returns whether the request is a trial of its suspected parts.
+    pub fn is_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
+    /// Records that the endpoint has begun to write the response, so that the prompt did not crash it.
+    pub fn record_begun(&mut self) {
+        if !self.begun {
+            self.begun = true;
+            self.state.clear_parts(&self.suspects);
+            self.trial = None;
+        }
+    }
+
+    /// Reports the parts of the prompt if the connection was lost before the first event.
+    fn report_unstarted(&mut self) {
+        if self.begun || self.suspects.is_empty() {
+            return;
         }
+        let (request, endpoint, parts) = (&self.attempt_id, &self.choice.id, part_list(&self.suspects));
+        tracing::info!("gateway: request {request} lost {endpoint} before its first event, parts {parts}");
+        self.state.report_unstarted(UnstartedRequest {
+            choice: self.choice.clone(),
+            suspects: std::mem::take(&mut self.suspects),
+            trial: self.trial.take(),
+        });
     }
 
     /// Logs how the request ended at this endpoint; successes only at debug level, since they are most of the
@@ -135,7 +161,7 @@
 
     /// Records a response that was forwarded whole, and clears the request of suspicion.
     pub fn record_success(&mut self) {
-        self.state.suspects.borrow_mut().clear(self.fingerprint);
+        self.state.suspects.borrow_mut().clear(Suspect::Request(self.fingerprint));
         self.finish(SendOutcome::Good);
     }
 }
@@ -153,6 +179,10 @@
 }
 
 /// Returns parts of a prompt as text for the log.
-fn part_list(parts: &[PartId]) -> String {
-    parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+fn part_list(suspects: &[Suspect]) -> String {
+    let parts = suspects.iter().filter_map(|suspect| match suspect {
+        Suspect::Part(part) => Some(part.to_string()),
+        Suspect::Request(_) => None,
+    });
+    parts.collect::<Vec<_>>().join(",")
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! [`Gateway::bind`] starts all tasks. `callers` accepts connections and turns each request into a
 //! `ProxiedRequest`, which chooses an endpoint (`placement`), takes a token if the endpoint limits its rate
-//! (`permits`), sends the request over a pooled [`Connection`], and returns the response whole or, for a
+//! (`permits`), waits for a trial if its prompt is suspected of crashing endpoints (`suspicion`), sends the
+//! request over a pooled [`Connection`], and returns the response whole or, for a
 //! stream, as its events arrive. `config` keeps the routes up to date, `list` the endpoints, and `election`
 //! the lease of the region's leader. `coordinator` runs on the leader: it sends orders to engines, issues
 //! tokens and sends updates to the other instances, which connect to it through `peers`. The decisions are
@@ -29,6 +30,7 @@
 mod message;
 mod meters;
 mod peers;
+mod pending_replies;
 mod permits;
 mod placement;
 mod platform;
@@ -39,6 +41,7 @@
 mod state;
 mod status_pages;
 mod stream;
+mod suspicion;
 
 pub use connection::Connection;
 pub use connection::SendError;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -9,11 +9,13 @@
 use carobwick_core::ZoneId;
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::EndpointChange;
+use carobwick_core::gateway::Loss;
 use carobwick_core::gateway::ResidentModels;
 use carobwick_core::gateway::SharedLoad;
+use carobwick_core::gateway::Suspect;
+use carobwick_core::gateway::Ticket;
 use carobwick_core::gateway::TokenReply;
 use carobwick_core::gateway::TokenRequest;
-use carobwick_core::gateway::TokenTicket;
 use carobwick_core::gateway::Weights;
 use carobwick_derive::data;
 use tokio::io::AsyncRead;
@@ -54,7 +56,15 @@
         request: TokenRequest,
     },
     /// A request no longer needs a token.
-    CancelToken { endpoint: EndpointId, ticket: TokenTicket },
+    CancelToken { endpoint: EndpointId, ticket: Ticket },
+    /// An endpoint ended while it processed requests that had no event yet.
+    PartsLost(Loss),
+    /// A request with these suspected parts of a prompt got its first event.
+    PartsCleared { suspects: Vec<Suspect> },
+    /// A request with suspected parts asks whether it may be sent, and is given up after `remaining`.
+    RequestTrial { ticket: Ticket, suspects: Vec<Suspect>, remaining: Millis },
+    /// The request of a trial has begun, has failed or was not sent.
+    EndTrial { ticket: Ticket },
 }
 
 /// Message from the leader to an instance. A new variant goes last, as in [`FollowerMessage`].
@@ -79,6 +89,12 @@
     EndpointLimit { endpoint: EndpointId, incarnation: Incarnation, limit: Option<Rate> },
     /// Reply to a request for a token with this number.
     Token { number: u64, reply: TokenReply },
+    /// An endpoint ended while it processed requests of some instance that had no event yet.
+    PartsLost(Loss),
+    /// A request with these suspected parts of a prompt got its first event at some instance.
+    PartsCleared { suspects: Vec<Suspect> },
+    /// Reply to a request for a trial with this number.
+    Trial { number: u64, granted: bool },
 }
 
 /// Changes of the list of endpoints between two revisions of the store.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -145,7 +145,8 @@
     write_frame(&mut to, &FollowerMessage::Hello { instance: state.settings.instance.clone() }).await?;
     // An instance that is not the leader closes the connection without a message.
     handle_message(state, election, read_message(&mut from).await?);
-    // A new leader may not know the leaving endpoints and the rate limits; it ignores those that it does.
+    // A new leader may not know the leaving endpoints, the rate limits and the losses; it ignores those that it
+    // does.
     let leaving: Vec<_> = state.endpoints.borrow().leaving().collect();
     for (endpoint, incarnation) in leaving {
         write_frame(&mut to, &FollowerMessage::EndpointLeaving { endpoint, incarnation }).await?;
@@ -153,6 +154,9 @@
     for message in state.limit_messages() {
         write_message(&mut to, &message).await?;
     }
+    for loss in state.part_losses() {
+        write_message(&mut to, &FollowerMessage::PartsLost(loss)).await?;
+    }
     let (sender, mut receiver) = mpsc::unbounded_channel();
     state.set_leader_sender(Some(sender));
     election.set_connected(true);
@@ -203,6 +207,13 @@
             state.set_limit(&endpoint, incarnation, limit);
         }
         LeaderMessage::Token { number, reply } => state.token_requests.complete(number, reply),
+        LeaderMessage::PartsLost(loss) => {
+            state.receive_parts_lost(&loss);
+        }
+        LeaderMessage::PartsCleared { suspects } => {
+            state.receive_parts_cleared(&suspects);
+        }
+        LeaderMessage::Trial { number, granted } => state.trial_requests.complete(number, granted),
         LeaderMessage::Loads(loads) => state.receive_loads(&loads),
         LeaderMessage::EndpointList(update) => state.receive_list_update(update),
         LeaderMessage::ConfigVersion { version, age } => state.set_leader_version(version, age.duration()),
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,5 +1,3 @@
-use std::cell::Cell;
-use std::cell::RefCell;
 use std::time::Duration;
 
 use carobwick_core::EndpointId;
@@ -10,12 +8,10 @@
 use carobwick_core::gateway::AnnouncedLimit;
 use carobwick_core::gateway::Choice;
 use carobwick_core::gateway::LimitNews;
+use carobwick_core::gateway::Ticket;
 use carobwick_core::gateway::TokenReply;
 use carobwick_core::gateway::TokenRequest;
-use carobwick_core::gateway::TokenTicket;
 use carobwick_runtime::now;
-use indexmap::IndexMap;
-use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::message::FollowerMessage;
@@ -58,46 +54,16 @@
     pub max_wait: Duration,
 }
 
-/// Requests for tokens that the leader has not answered, by number.
-#[derive(Debug, Default)]
-pub(crate) struct TokenRequests {
-    last: Cell<u64>,
-    waiting: RefCell<IndexMap<u64, oneshot::Sender<TokenReply>>>,
-}
-
 /// A request for a token; dropping it without a reply tells the leader that no token is needed.
 struct OpenRequest<'a> {
     state: &'a State,
     endpoint: EndpointId,
-    ticket: TokenTicket,
-}
-
-impl TokenRequests {
-    fn open(&self) -> (u64, oneshot::Receiver<TokenReply>) {
-        let number = self.last.get() + 1;
-        self.last.set(number);
-        let (sender, receiver) = oneshot::channel();
-        self.waiting.borrow_mut().insert(number, sender);
-        (number, receiver)
-    }
-
-    /// Passes on the leader's reply; a request that has been given up gets none.
-    pub fn complete(&self, number: u64, reply: TokenReply) {
-        if let Some(sender) = self.waiting.borrow_mut().swap_remove(&number) {
-            let _given_up = sender.send(reply);
-        }
-    }
-
-    /// Ends all requests without a reply, since the connection to the leader has ended.
-    pub fn clear(&self) {
-        self.waiting.borrow_mut().clear();
-    }
+    ticket: Ticket,
 }
 
 impl Drop for OpenRequest<'_> {
     fn drop(&mut self) {
-        let mut waiting = self.state.token_requests.waiting.borrow_mut();
-        if waiting.swap_remove(&self.ticket.number).is_some() {
+        if self.state.token_requests.cancel(self.ticket.number) {
             let (endpoint, ticket) = (self.endpoint.clone(), self.ticket.clone());
             self.state.send_to_leader(FollowerMessage::CancelToken { endpoint, ticket });
         }
@@ -152,7 +118,7 @@
             return None;
         }
         let (number, reply) = self.token_requests.open();
-        let ticket = TokenTicket { instance: self.settings.instance.clone(), number };
+        let ticket = Ticket { instance: self.settings.instance.clone(), number };
         let open = OpenRequest { state: self, endpoint: choice.id.clone(), ticket: ticket.clone() };
         let request = TokenRequest {
             ticket,
@@ -225,6 +191,7 @@
                 self.set_limit(&endpoint, incarnation, limit);
             }
             LeaderMessage::Token { number, reply } => self.token_requests.complete(number, reply),
+            LeaderMessage::Trial { number, granted } => self.trial_requests.complete(number, granted),
             _ => {}
         }
     }
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -15,6 +15,7 @@
 use carobwick_core::gateway::SendFailure;
 use carobwick_core::gateway::SendOutcome;
 use carobwick_core::gateway::ServiceRoute;
+use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::next_step;
 use carobwick_runtime::now;
 use http::HeaderMap;
@@ -44,6 +45,8 @@
 use crate::response::strip_hop_by_hop;
 use crate::state::State;
 use crate::stream;
+use crate::suspicion::SuspicionStep;
+use crate::suspicion::Trial;
 
 /// Timeout of connecting to an endpoint, after which another one is chosen.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -71,6 +74,10 @@
     pub tried: Vec<EndpointId>,
     /// Permit for the next attempt, if its endpoint limits the rate of requests.
     pub permit: Option<SendPermit>,
+    /// Parts of the prompt that other requests may share.
+    pub suspects: Vec<Suspect>,
+    /// Right to make the next attempt although these parts are suspected of crashing endpoints.
+    pub trial: Option<Trial>,
 }
 
 impl ProxiedRequest {
@@ -90,6 +97,9 @@
                 Placement::Endpoint(choice) => choice,
                 Placement::None { reason, retry_after } => return self.refuse(reason, retry_after),
             };
+            if let SuspicionStep::Refuse { reason, retry_after } = self.clear_suspicion().await {
+                return self.refuse(reason, retry_after);
+            }
             match self.send_to(&choice).await {
                 Ok(response) => match self.respond(response).await {
                     Ok(response) => return response,
@@ -145,8 +155,9 @@
             self.progress.runs == 0 || self.route.is_repeatable(),
             "I5: retry of a request that may have run"
         );
+        let trial = self.trial.take();
         let mut attempt =
-            EndpointRequest::start(&self.state, &self.service, &self.head, self.fingerprint, choice);
+            EndpointRequest::start(&self.state, &self.service, &self.head, self.fingerprint, trial, choice);
         let Some(remaining) = self.remaining_time() else { return Err(SendFailure::Unsent) };
         match self.state.pool.take(choice, CONNECT_TIMEOUT.min(remaining)).await {
             Ok(connection) => attempt.connection = Some(connection),
@@ -180,6 +191,7 @@
         let permit = self.permit.take();
         if !self.state.accepts_requests(&attempt.choice)
             || !self.state.permits_send(&attempt.choice, permit.as_ref())
+            || !self.is_unsuspected(attempt.is_trial())
         {
             return Err(SendFailure::Unsent);
         }
@@ -317,6 +329,7 @@
                 return Err(SendFailure::Failed);
             }
         } else {
+            received.request.record_begun();
             received.request.record_success();
         }
         strip_hop_by_hop(&mut parts.headers);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use carobwick_core::EndpointId;
-use carobwick_core::Fingerprint;
 use carobwick_core::Incarnation;
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
@@ -20,6 +19,7 @@
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::SharedLoad;
 use carobwick_core::gateway::SuspectTable;
+use carobwick_core::gateway::TokenReply;
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::resolve_loads;
 use carobwick_runtime::now;
@@ -32,10 +32,9 @@
 use crate::WireFormat;
 use crate::message::FollowerMessage;
 use crate::message::ListUpdate;
-use crate::meters::LossSource;
 use crate::meters::Meters;
 use crate::meters::SendKind;
-use crate::permits::TokenRequests;
+use crate::pending_replies::PendingReplies;
 use crate::pool::Pool;
 
 /// Least time between two requests for the same model or adapter while it is resident, but in other zones only
@@ -63,7 +62,12 @@
     /// Number of instances that share the retry budget, once the leader has sent it.
     instances: Cell<Option<u32>>,
     demand: RefCell<IndexMap<(ServiceId, Weights), DemandSample>>,
-    pub token_requests: TokenRequests,
+    /// Requests for tokens that the leader has not answered.
+    pub token_requests: PendingReplies<TokenReply>,
+    /// Requests for trials that the leader has not answered.
+    pub trial_requests: PendingReplies<bool>,
+    /// Notifies requests that wait for the outcome of a trial.
+    pub suspects_changed: Notify,
     leader_sender: RefCell<Option<mpsc::UnboundedSender<FollowerMessage>>>,
     /// Age of the configuration in force, by which it is decided when to read it again.
     pub freshness: RefCell<ConfigFreshness>,
@@ -108,7 +112,9 @@
             retry_budgets: RefCell::default(),
             instances: Cell::default(),
             demand: RefCell::default(),
-            token_requests: TokenRequests::default(),
+            token_requests: PendingReplies::default(),
+            trial_requests: PendingReplies::default(),
+            suspects_changed: Notify::new(),
             leader_sender: RefCell::default(),
             leader_version: Cell::default(),
             leader_version_changed: Notify::new(),
@@ -190,6 +196,7 @@
     pub fn set_leader_sender(&self, sender: Option<mpsc::UnboundedSender<FollowerMessage>>) {
         *self.leader_sender.borrow_mut() = sender;
         self.token_requests.clear();
+        self.trial_requests.clear();
         self.balancer.borrow_mut().reset_shares(now());
         self.endpoints_changed.notify_waiters();
     }
@@ -255,25 +262,6 @@
         is_due
     }
 
-    /// Records that the connection to an endpoint was lost while it processed a request, and reports it to
-    /// the leader.
-    pub fn report_lost_endpoint(&self, fingerprint: Fingerprint, id: &EndpointId, incarnation: Incarnation) {
-        self.meters.record_loss(LossSource::Own);
-        if self.suspects.borrow_mut().record_loss(fingerprint, id, incarnation, now()) {
-            self.send_to_leader(FollowerMessage::EndpointLost {
-                fingerprint,
-                endpoint: id.clone(),
-                incarnation,
-            });
-        }
-    }
-
-    /// Records that another instance lost the connection to an endpoint while it processed a request.
-    pub fn receive_loss(&self, fingerprint: Fingerprint, id: &EndpointId, incarnation: Incarnation) {
-        self.meters.record_loss(LossSource::Reported);
-        self.suspects.borrow_mut().record_loss(fingerprint, id, incarnation, now());
-    }
-
     /// Applies what an endpoint announces about itself in a response to a request that was sent at `sent`.
     ///
     /// That it is leaving is sent to the leader, which broadcasts it. A pause is not shared, since it applies
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -23,6 +23,7 @@
 use crate::response::BodyError;
 use crate::response::ResponseBody;
 use crate::response::strip_hop_by_hop;
+use crate::suspicion::SuspicionStep;
 
 /// Forwards the events of an endpoint's response to the caller as they arrive.
 pub(crate) fn stream_response(
@@ -97,7 +98,12 @@
     let PlainStream { mut body, mut framer } = plain?;
     match body.next().await {
         BodyChunk::Data(bytes) => match framer.push(&bytes) {
-            Ok(_) => Some((Ok(bytes), Some(PlainStream { body, framer }))),
+            Ok(events) => {
+                if !events.bytes.is_empty() {
+                    body.request.record_begun();
+                }
+                Some((Ok(bytes), Some(PlainStream { body, framer })))
+            }
             Err(err) => {
                 body.request.outcome = SendOutcome::Failed;
                 tracing::warn!("gateway: stream from {} aborted: {err}", body.request.choice.id);
@@ -151,6 +157,7 @@
                 if events.bytes.is_empty() {
                     continue;
                 }
+                resumable.body.request.record_begun();
                 resumable.proxied.progress.shown = true;
                 resumable.last_event = events.last_id.or(resumable.last_event);
                 return Some((Ok(events.bytes), Some(resumable)));
@@ -191,6 +198,11 @@
             let Some(choice) = self.proxied.choose_admitted().await else {
                 return Err(BodyError(reason.to_owned()));
             };
+            if !self.proxied.progress.shown
+                && let SuspicionStep::Refuse { reason, .. } = self.proxied.clear_suspicion().await
+            {
+                return Err(BodyError(reason.to_owned()));
+            }
             let last_event = self.last_event.clone();
             match self.proxied.send_after(&choice, last_event.as_deref()).await {
                 Ok(response) if response.response.status().is_success() => {
@@ -237,6 +249,8 @@
             progress: self.progress,
             tried: self.tried.clone(),
             permit: None,
+            suspects: self.suspects.clone(),
+            trial: None,
         }
     }
 }
