Treat a stream that ends within an event, or unframed before its first one, as broken off

What callers saw, in the test on the code before: a stream that can't be resumed and whose endpoint closes the connection within the second event reaches the caller with its last chunk, as if complete. So does one that closes it before the first event, which an engine that a prompt part crashes may do.

Cause: the end of the endpoint's body was taken as the end of the stream on routes that can't be resumed, whatever the last bytes were. Resumable streams were checked for a partial event, but not for having any event.

Change: a stream is complete if it ends between two events and, without length and chunks, if it has had one from this endpoint. Otherwise the connection to the caller is reset, or the stream resumed, and the loss counts like any other.

a_stream_without_length_or_chunks_is_complete_only_at_the_end_of_an_event fails before at its first case and passes now.

--- a/crates/gateway/src/endpoint_request.rs
+++ b/crates/gateway/src/endpoint_request.rs
@@ -119,6 +119,11 @@
         self.trial.is_some()
     }
 
+    /// Returns whether the endpoint has begun to write the response.
+    pub fn has_begun(&self) -> bool {
+        self.begun
+    }
+
     /// Records that the endpoint has begun to write the response, so that the prompt did not crash it.
     pub fn record_begun(&mut self) {
         if !self.begun {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,7 +11,10 @@
 use futures_util::StreamExt;
 use futures_util::stream;
 use futures_util::stream::LocalBoxStream;
+use http::HeaderMap;
 use http::Response;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Sleep;
@@ -25,6 +28,9 @@
 use crate::response::strip_hop_by_hop;
 use crate::suspicion::SuspicionStep;
 
+/// Reason for which a stream is resumed or aborted.
+const BROKEN_OFF: &str = "ended within an event or before the first one";
+
 /// Forwards the events of an endpoint's response to the caller as they arrive.
 pub(crate) fn stream_response(
     proxied: &ProxiedRequest,
@@ -32,9 +38,10 @@
 ) -> Response<ResponseBody> {
     let EndpointResponse { request, head, response } = response;
     let (mut parts, incoming) = response.into_parts();
+    let framed = is_framed(&parts.headers);
     strip_hop_by_hop(&mut parts.headers);
     let timer = Box::pin(tokio::time::sleep(proxied.deadline - now()));
-    let body = EndpointBody { incoming, request, head_load: head.load, timer, started: false };
+    let body = EndpointBody { incoming, request, head_load: head.load, timer, started: false, framed };
     let events = if proxied.route.resumable {
         resumable_stream(body, proxied.clone_for_resume())
     } else {
@@ -51,6 +58,9 @@
     head_load: Option<LoadReport>,
     timer: Pin<Box<Sleep>>,
     started: bool,
+    /// Whether the response has a length or chunks. Otherwise its end can't be told from that of a broken
+    /// connection.
+    framed: bool,
 }
 
 /// Next part of an endpoint's response.
@@ -64,6 +74,12 @@
 }
 
 impl EndpointBody {
+    /// Returns whether a response that has ended is whole: it must not end within an event, nor, if only the end of
+    /// its connection ends it, before its first event.
+    fn is_complete(&self, framer: &EventFramer) -> bool {
+        framer.is_empty() && (self.framed || self.request.has_begun())
+    }
+
     async fn next(&mut self) -> BodyChunk {
         let frame = tokio::select! {
             biased;
@@ -85,6 +101,10 @@
     }
 }
 
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Stream that can't be resumed and ends when its endpoint fails.
 struct PlainStream {
     body: EndpointBody,
@@ -110,10 +130,15 @@
                 Some((Err(BodyError(err.to_string())), None))
             }
         },
-        BodyChunk::End => {
+        BodyChunk::End if body.is_complete(&framer) => {
             body.request.record_success();
             None
         }
+        BodyChunk::End => {
+            body.request.record_lost();
+            tracing::info!("gateway: stream from {} {BROKEN_OFF}", body.request.choice.id);
+            Some((Err(BodyError(BROKEN_OFF.to_owned())), None))
+        }
         BodyChunk::Interrupted(text) => {
             body.request.record_lost();
             tracing::info!("gateway: stream from {} interrupted: {text}", body.request.choice.id);
@@ -162,12 +187,12 @@
                 resumable.last_event = events.last_id.or(resumable.last_event);
                 return Some((Ok(events.bytes), Some(resumable)));
             }
-            BodyChunk::End if resumable.framer.is_empty() => {
+            BodyChunk::End if resumable.body.is_complete(&resumable.framer) => {
                 resumable.body.request.record_success();
                 return None;
             }
             BodyChunk::End => {
-                if let Err(err) = resumable.resume("the response ended within an event").await {
+                if let Err(err) = resumable.resume(BROKEN_OFF).await {
                     return Some((Err(err), None));
                 }
             }
@@ -213,6 +238,7 @@
                     );
                     let timer =
                         Box::pin(tokio::time::sleep(self.proxied.remaining_time().unwrap_or(Duration::ZERO)));
+                    let framed = is_framed(response.response.headers());
                     let incoming = response.response.into_body();
                     self.body = EndpointBody {
                         incoming,
@@ -220,6 +246,7 @@
                         head_load: response.head.load,
                         timer,
                         started: false,
+                        framed,
                     };
                     return Ok(());
                 }
