--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -61,6 +61,11 @@
     /// Version number of the manifest, of a view or of the configuration; it increases with each change.
     Version(u64)
 }
+number! {
+    key,
+    /// Number of the store's life; it rises by one each time that the store returns from an older copy.
+    Era(u64)
+}
 number! {
     key,
     /// Fencing number of an order; an engine that checks it refuses an order whose number is lower than the
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -123,6 +123,7 @@
 pub use ids::AttemptId;
 pub use ids::CallerId;
 pub use ids::EndpointId;
+pub use ids::Era;
 pub use ids::Fence;
 pub use ids::Fingerprint;
 pub use ids::Incarnation;
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -155,7 +155,13 @@
     /// Applies a configuration if it is newer than the one in force; returns whether it was.
     fn apply(&self, source: Source, table: Arc<RouteTable>) -> bool {
         let version = table.version;
-        if self.state.config_version().is_some_and(|old| old >= version) {
+        let known = self.state.config_version();
+        if let Some(known) = known.filter(|known| *known >= version) {
+            if known > version {
+                tracing::warn!(
+                    "config: the store has version {version}, older than {known}, which stays in force"
+                );
+            }
             return false;
         }
         let routes = table.routes().count();
--- a/crates/gateway/src/election.rs
+++ b/crates/gateway/src/election.rs
@@ -222,11 +222,12 @@
     }
 
     fn update_leading(&self) {
-        let is_leading = matches!(self.leadership(), Leadership::Leader(_));
+        let leadership = self.leadership();
+        let is_leading = matches!(leadership, Leadership::Leader(_));
         let mut since = self.leading_since.borrow_mut();
         match (is_leading, since.is_some()) {
             (true, false) => {
-                tracing::info!("election: this instance is the leader");
+                tracing::info!("election: this instance is the leader: {leadership:?}");
                 *since = Some(now());
                 self.changed.notify_waiters();
             }
