Rely on a lease and on a fence within one life of the store only

Cause: the store returned from a copy in which the lease of a frozen leader had not ended yet, so its renewal succeeded although another instance had led since. A fence was the revision of the leader's entry, and revisions go back. The class of fault: a number or a promise of one life of the store is compared with one of the next.

The store's client passes on the era. A leader that learns of a new era verifies with a read that is not stale that its entry is in the copy, before it relies on a renewal, and only as long as its lease can't have ended before; else it follows. A candidate starts over. A fence has the era above the revision (Fence::in_era), so it rises across eras. A leader whose term began in the era that it knows waits with its first order until the last renewal of the era before must have run out and leaseMs has passed, since a return can end leases at once; that also holds for the first era that a new process learns of.

Ruled out: that a lost answer or the handover alone is the cause; the logs show one term with the older fence that begins again at the return.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -84,6 +84,9 @@
 impl Fence {
     /// Number of low bits that count the orders of one leader.
     const ORDER_BITS: u32 = 24;
+    /// Number of low bits that hold the revision in the fencing number of a gateway. A JSON number is exact up
+    /// to 53 bits, which leaves 13 for the era.
+    const REVISION_BITS: u32 = 40;
 
     /// Returns the first fencing number of the leader whose lease was created at `revision` of the key-value
     /// service.
@@ -91,6 +94,12 @@
         Self(revision << Self::ORDER_BITS)
     }
 
+    /// Returns the fencing number of all orders of a gateway's term that began at `revision` of the store in this
+    /// era. It is above those of earlier eras, in which revisions were higher.
+    pub fn in_era(era: Era, revision: u64) -> Self {
+        Self((era.0 << Self::REVISION_BITS) | revision)
+    }
+
     /// Returns the fencing number of the next order of the same leader.
     ///
     /// # Panics
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -2,6 +2,7 @@
 
 use carobwick_derive::data;
 
+use crate::Era;
 use crate::Fence;
 use crate::InstanceId;
 use crate::Time;
@@ -14,6 +15,9 @@
 /// lease.
 pub const CLOCK_DRIFT_MARGIN: Duration = Duration::from_secs(1);
 
+/// Part of [`LeaseTiming::reserve`] by which clocks may drift apart during one lease of a gateway.
+const DRIFT_MARGIN: Duration = Duration::from_millis(100);
+
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Durations of a lease.
@@ -28,6 +32,13 @@
     pub renewal: Duration,
 }
 
+impl LeaseTiming {
+    /// Returns how long the lease surely goes on in the key-value service after the holder has ceased to act.
+    pub fn reserve(&self) -> Duration {
+        self.ttl.saturating_sub(self.usable).saturating_sub(DRIFT_MARGIN)
+    }
+}
+
 impl Default for LeaseTiming {
     fn default() -> Self {
         Self {
@@ -71,6 +82,7 @@
     resigned: bool,
     read_interval: Duration,
     timing: LeaseTiming,
+    era: Era,
 }
 
 /// Value of the leader key of a zone.
@@ -109,6 +121,8 @@
         /// Identity of the write.
         write_id: WriteId,
     },
+    /// Read the leader key, not stale, to learn whether this planner's write is still there.
+    Verify,
     /// Renew the lease.
     KeepAlive(u64),
     /// Revoke the lease.
@@ -136,10 +150,31 @@
 
 #[derive(Debug, Clone)]
 enum State {
-    Follower { next: Time },
+    Follower {
+        next: Time,
+    },
     Granting,
-    Creating { lease: u64, granted: Time, write_id: WriteId, read_back: bool },
-    Holder { lease: u64, revision: u64, until: Time, next: Time },
+    Creating {
+        lease: u64,
+        granted: Time,
+        write_id: WriteId,
+        read_back: bool,
+    },
+    Holder(Holding),
+    /// The store has returned from an older copy, which may lack the key or the lease.
+    Verifying(Holding),
+}
+
+/// Lease of this planner, with which it has created the leader key.
+#[derive(Debug, Clone, Copy)]
+struct Holding {
+    lease: u64,
+    write_id: WriteId,
+    /// Era and revision of the store at which the key was created.
+    era: Era,
+    revision: u64,
+    until: Time,
+    next: Time,
 }
 
 impl Lease {
@@ -154,9 +189,40 @@
             resigned: false,
             read_interval: Duration::from_secs(1),
             timing,
+            era: Era::default(),
+        }
+    }
+
+    /// Sets the era that the store's last response names.
+    ///
+    /// A lease of an earlier era may have come back with the copy after it had ended, may be lost, or its id may
+    /// be another planner's, so a leader makes sure that its key is there before it relies on a renewal.
+    pub fn set_era(&mut self, era: Era, now: Time) {
+        if era == self.era {
+            return;
+        }
+        // The first era that is known is not a return of the store.
+        let has_returned = self.era != Era::default();
+        self.era = era;
+        if has_returned {
+            self.state = match self.state.clone() {
+                State::Holder(holding) => State::Verifying(Holding { next: now, ..holding }),
+                State::Granting | State::Creating { .. } => State::Follower { next: now },
+                state @ (State::Follower { .. } | State::Verifying(_)) => state,
+            };
         }
     }
 
+    /// Returns the fencing number of the term, which rises with each term across all eras of the store.
+    pub fn era_fence(&self) -> Option<Fence> {
+        self.holding().map(|holding| Fence::in_era(holding.era, holding.revision))
+    }
+
+    /// Returns the era in which the term began.
+    pub fn term_era(&self) -> Option<Era> {
+        self.holding().map(|holding| holding.era)
+    }
+
     /// Sets the durations of the lease.
     pub fn set_timing(&mut self, timing: LeaseTiming) {
         self.timing = timing;
@@ -191,12 +257,10 @@
 
     /// Returns whether the planner leads at `now`.
     pub fn leadership(&self, now: Time) -> Leadership {
-        match self.state {
-            State::Holder { revision, until, .. } if now < until => {
-                Leadership::Leader(Fence::first(revision))
-            }
-            State::Holder { revision, .. } => Leadership::Expired(Fence::first(revision)),
-            _ => Leadership::Follower,
+        match self.holding() {
+            Some(holding) if now < holding.until => Leadership::Leader(Fence::first(holding.revision)),
+            Some(holding) => Leadership::Expired(Fence::first(holding.revision)),
+            None => Leadership::Follower,
         }
     }
 
@@ -225,13 +289,13 @@
             (State::Granting, LeaseEvent::Granted(lease)) => {
                 State::Creating { lease, granted: sent, write_id: WriteId::default(), read_back: false }
             }
-            (State::Creating { lease, granted, .. }, LeaseEvent::Created(revision)) => {
-                self.holder(lease, revision, granted)
+            (State::Creating { lease, granted, write_id, .. }, LeaseEvent::Created(revision)) => {
+                self.holder(lease, revision, write_id, granted)
             }
             (
                 State::Creating { lease, granted, write_id, .. },
                 LeaseEvent::Read(Some((record, revision))) | LeaseEvent::Exists(Some((record, revision))),
-            ) if record.write_id == write_id => self.holder(lease, revision, granted),
+            ) if record.write_id == write_id => self.holder(lease, revision, write_id, granted),
             // The lost create may still take effect; a repeated one with the same write id then finds the
             // key.
             (
@@ -241,15 +305,24 @@
             (State::Creating { lease, granted, write_id, .. }, LeaseEvent::Failed) => {
                 State::Creating { lease, granted, write_id, read_back: true }
             }
-            (State::Holder { lease, revision, until, .. }, LeaseEvent::Kept(true)) => {
-                let State::Holder { until: renewed, next, .. } = self.holder(lease, revision, sent) else {
-                    unreachable!("`holder` returns `State::Holder`");
-                };
-                State::Holder { lease, revision, until: until.max(renewed), next }
+            (State::Holder(holding), LeaseEvent::Kept(true)) => State::Holder(Holding {
+                until: holding.until.max(sent + self.timing.usable),
+                next: sent + self.timing.renewal,
+                ..holding
+            }),
+            (State::Holder(holding), LeaseEvent::Failed) if !self.resigned => {
+                State::Holder(Holding { next: now + RENEWAL_RETRY_DELAY, ..holding })
+            }
+            (State::Verifying(holding), LeaseEvent::Read(Some((record, _))))
+                if record.write_id == holding.write_id && !self.resigned =>
+            {
+                State::Holder(Holding { next: now, ..holding })
+            }
+            (State::Holder(_), LeaseEvent::Kept(false)) | (State::Verifying(_), LeaseEvent::Read(_)) => {
+                State::Follower { next: now }
             }
-            (State::Holder { .. }, LeaseEvent::Kept(false)) => State::Follower { next: now },
-            (State::Holder { lease, revision, until, .. }, LeaseEvent::Failed) if !self.resigned => {
-                State::Holder { lease, revision, until, next: now + RENEWAL_RETRY_DELAY }
+            (State::Verifying(holding), _) if !self.resigned => {
+                State::Verifying(Holding { next: now + RENEWAL_RETRY_DELAY, ..holding })
             }
             _ => follower,
         };
@@ -271,13 +344,33 @@
                 }
                 LeaseStep::Create { lease: *lease, write_id: *own }
             }
-            State::Holder { lease, .. } if self.resigned => LeaseStep::Revoke(*lease),
-            State::Holder { lease, next, .. } if now >= *next => LeaseStep::KeepAlive(*lease),
-            State::Follower { .. } | State::Holder { .. } => LeaseStep::Wait,
+            State::Holder(holding) if self.resigned => LeaseStep::Revoke(holding.lease),
+            State::Holder(holding) if now >= holding.next => LeaseStep::KeepAlive(holding.lease),
+            State::Verifying(holding) if now >= holding.until + self.timing.reserve() => {
+                // The lease may have ended in the earlier era, and another planner may have led since.
+                self.state = State::Follower { next: now };
+                LeaseStep::Wait
+            }
+            State::Verifying(holding) if now >= holding.next => LeaseStep::Verify,
+            State::Follower { .. } | State::Holder(_) | State::Verifying(_) => LeaseStep::Wait,
+        }
+    }
+
+    fn holding(&self) -> Option<Holding> {
+        match self.state {
+            State::Holder(holding) | State::Verifying(holding) => Some(holding),
+            State::Follower { .. } | State::Granting | State::Creating { .. } => None,
         }
     }
 
-    fn holder(&self, lease: u64, revision: u64, sent: Time) -> State {
-        State::Holder { lease, revision, until: sent + self.timing.usable, next: sent + self.timing.renewal }
+    fn holder(&self, lease: u64, revision: u64, write_id: WriteId, sent: Time) -> State {
+        State::Holder(Holding {
+            lease,
+            write_id,
+            era: self.era,
+            revision,
+            until: sent + self.timing.usable,
+            next: sent + self.timing.renewal,
+        })
     }
 }
--- a/crates/core/tests/controller.rs
+++ b/crates/core/tests/controller.rs
@@ -93,7 +93,7 @@
         match command {
             Command::Lease(step) => {
                 let event = match step {
-                    LeaseStep::Read => LeaseEvent::Read(None),
+                    LeaseStep::Read | LeaseStep::Verify => LeaseEvent::Read(None),
                     LeaseStep::Grant => LeaseEvent::Granted(1),
                     LeaseStep::Create { .. } => LeaseEvent::Created(TERM),
                     LeaseStep::KeepAlive(_) => LeaseEvent::Kept(true),
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use carobwick_core::Era;
 use carobwick_core::Fence;
 use carobwick_core::LEASE_TTL;
 use carobwick_core::LeaderRecord;
@@ -9,6 +10,7 @@
 use carobwick_core::Lease;
 use carobwick_core::LeaseEvent;
 use carobwick_core::LeaseStep;
+use carobwick_core::LeaseTiming;
 use carobwick_core::Time;
 use carobwick_core::WriteId;
 
@@ -148,3 +150,78 @@
     lease.read_now(at(5_000));
     assert_eq!(lease.step(at(5_000), OWN), LeaseStep::Read);
 }
+
+/// A leader of era 1, of a gateway's lease, whose store has returned in era 2 at `returned` ms.
+fn leading_across_a_return(returned: u64) -> Lease {
+    let mut lease = Lease::new("i1".parse().unwrap());
+    lease.set_era(Era(1), at(0));
+    lease.set_timing(GATEWAY_TIMING);
+    lease.on_event(at(0), LeaseEvent::Failed);
+    assert_eq!(lease.step(at(1_000), OWN), LeaseStep::Read);
+    lease.on_event(at(1_000), LeaseEvent::Read(None));
+    lease.step(at(1_000), OWN);
+    lease.on_event(at(1_000), LeaseEvent::Granted(5));
+    lease.step(at(1_000), OWN);
+    lease.on_event(at(1_000), LeaseEvent::Created(42));
+    assert_eq!(lease.era_fence(), Some(Fence::in_era(Era(1), 42)));
+    lease.set_era(Era(2), at(returned));
+    lease
+}
+
+const GATEWAY_TIMING: LeaseTiming = LeaseTiming {
+    ttl: Duration::from_secs(3),
+    usable: Duration::from_millis(1_400),
+    renewal: Duration::from_millis(500),
+};
+
+/// Guards against a pause in orders each time that the store returns, although the leader's key is in the copy.
+#[test]
+fn a_leader_whose_key_is_in_the_copy_leads_on_with_its_fence() {
+    let mut lease = leading_across_a_return(1_200);
+    assert!(matches!(lease.leadership(at(1_200)), Leadership::Leader(_)), "others wait for its last renewal");
+    assert_eq!(lease.step(at(1_200), OWN), LeaseStep::Verify);
+    lease.on_event(at(1_210), LeaseEvent::Read(Some((record(OWN), 42))));
+    assert_eq!(lease.step(at(1_210), OWN), LeaseStep::KeepAlive(5));
+    lease.on_event(at(1_220), LeaseEvent::Kept(true));
+    assert!(matches!(lease.leadership(at(2_600)), Leadership::Leader(_)));
+    assert_eq!(lease.era_fence(), Some(Fence::in_era(Era(1), 42)));
+}
+
+/// Guards against a second leader: another instance's key is in the copy, or none, and the lease's id may be another
+/// one's by now, so that its renewal succeeds.
+#[test]
+fn a_leader_whose_key_is_not_in_the_copy_follows() {
+    for found in [None, Some((record(WriteId(8)), 40))] {
+        let mut lease = leading_across_a_return(1_200);
+        assert_eq!(lease.step(at(1_200), OWN), LeaseStep::Verify);
+        lease.on_event(at(1_210), LeaseEvent::Read(found));
+        assert_eq!(lease.leadership(at(1_210)), Leadership::Follower);
+    }
+}
+
+/// Guards against a lease that had ended and comes back with the copy, after another instance has led.
+#[test]
+fn a_leader_whose_lease_may_have_ended_before_the_return_follows() {
+    let mut lease = leading_across_a_return(3_900);
+    assert_eq!(lease.step(at(3_900), OWN), LeaseStep::Wait);
+    assert_eq!(lease.leadership(at(3_900)), Leadership::Follower);
+}
+
+/// Guards against a key that is created with the lease of another era, which may be another instance's.
+#[test]
+fn a_candidate_starts_over_when_the_store_has_returned() {
+    let mut lease = creating();
+    lease.set_era(Era(1), at(15));
+    assert_eq!(lease.leadership(at(15)), Leadership::Follower);
+    lease.set_era(Era(2), at(16));
+    lease.on_event(at(20), LeaseEvent::Created(42));
+    assert_eq!(lease.leadership(at(20)), Leadership::Follower);
+}
+
+/// Guards against a fence of a later life of the store that is lower than one of an earlier life.
+#[test]
+fn fences_rise_across_eras() {
+    assert!(Fence::in_era(Era(2), 1) > Fence::in_era(Era(1), u64::from(u32::MAX)));
+    assert!(Fence::in_era(Era(2), 2) > Fence::in_era(Era(2), 1));
+    assert_eq!(Fence::in_era(Era::default(), 41).0, 41);
+}
--- a/crates/gateway/src/election.rs
+++ b/crates/gateway/src/election.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use carobwick_core::Era;
 use carobwick_core::Fence;
 use carobwick_core::Leadership;
 use carobwick_core::Lease;
@@ -35,9 +36,6 @@
     usable: Duration::from_millis(1_400),
     renewal: Duration::from_millis(500),
 };
-/// Least time between the last order of a leader and the lease of the next one: the unused part of the lease,
-/// less a margin for clock drift.
-const LAST_ORDER_GAP: Duration = Duration::from_millis(1_500);
 
 /// Election of the region's leader, as one instance takes part in it.
 #[derive(Debug)]
@@ -52,6 +50,8 @@
     /// Next read of the leader's entry by a stopping instance, which is no longer a candidate.
     next_read: Cell<Option<Time>>,
     candidacy: RefCell<Candidacy>,
+    /// Era of the store, and when this instance learned of it.
+    era: Cell<(Era, Time)>,
 }
 
 impl Election {
@@ -67,6 +67,7 @@
             changed: Notify::new(),
             next_read: Cell::new(None),
             candidacy: RefCell::new(Candidacy::new(settings.instance.clone(), settings.size)),
+            era: Cell::new((Era::default(), Time::ZERO)),
         }
     }
 
@@ -78,15 +79,26 @@
     /// Returns the fencing number if this instance is the leader and `handover` has passed since the last
     /// order of the previous leader.
     pub fn order_fence(&self, handover: Duration) -> Option<Fence> {
-        let since = self.leading_since()?;
+        let start = self.last_foreign_order()? + handover;
         match self.leadership() {
-            Leadership::Leader(fence) if now() >= since + handover.saturating_sub(LAST_ORDER_GAP) => {
-                Some(fence)
-            }
+            Leadership::Leader(_) if now() >= start => self.lease.borrow().era_fence(),
             _ => None,
         }
     }
 
+    /// Returns the time after which no previous leader can have given an order, or none if this instance is not
+    /// the leader.
+    fn last_foreign_order(&self) -> Option<Time> {
+        let since = self.leading_since()?;
+        let (era, known) = self.era.get();
+        if self.lease.borrow().term_era() == Some(era) {
+            // If the store has returned from a copy without the previous leader's lease, that leader goes on
+            // until its last renewal before that runs out.
+            return Some((since - LEASE_TIMING.reserve()).max(known + LEASE_TIMING.usable));
+        }
+        Some(since - LEASE_TIMING.reserve())
+    }
+
     /// Returns the time since which this instance has been the leader, or none if it isn't.
     pub fn leading_since(&self) -> Option<Time> {
         *self.leading_since.borrow()
@@ -143,6 +155,7 @@
     /// Runs the election until the task is aborted.
     pub async fn run(self: Rc<Self>, settings: Rc<Settings>, store: Rc<dyn Store>) {
         loop {
+            self.update_era(store.era());
             let write_id = WriteId(rand::random::<u64>() | 1);
             let step = self.lease.borrow_mut().step(now(), write_id);
             if step == LeaseStep::Wait {
@@ -152,11 +165,20 @@
                 continue;
             }
             let event = self.perform(step, &settings, store.as_ref()).await;
+            self.update_era(store.era());
             self.lease.borrow_mut().on_event(now(), event);
             self.update_leading();
         }
     }
 
+    /// Notes the era that the store's responses name.
+    fn update_era(&self, era: Era) {
+        if era > self.era.get().0 {
+            self.era.set((era, now()));
+            self.lease.borrow_mut().set_era(era, now());
+        }
+    }
+
     /// Reads the leader's entry after this instance has resigned.
     async fn read_after_resign(&self, store: &dyn Store) {
         if self.next_read.get().is_none_or(|at| now() < at) || self.leading_since().is_some() {
@@ -176,6 +198,10 @@
                 self.set_leader(found.as_ref().map(|(entry, _)| entry));
                 LeaseEvent::Read(found.map(|(entry, revision)| (entry.record, revision)))
             }),
+            LeaseStep::Verify => store.latest_leader().await.map(|found| {
+                self.set_leader(found.as_ref().map(|(entry, _)| entry));
+                LeaseEvent::Read(found.map(|(entry, revision)| (entry.record, revision)))
+            }),
             // A follower that does not stand as a candidate reads again later and finds the entry of the
             // winner.
             LeaseStep::Grant if !self.candidacy.borrow_mut().should_claim() => return LeaseEvent::Failed,
@@ -222,12 +248,12 @@
     }
 
     fn update_leading(&self) {
-        let leadership = self.leadership();
-        let is_leading = matches!(leadership, Leadership::Leader(_));
+        let is_leading = matches!(self.leadership(), Leadership::Leader(_));
         let mut since = self.leading_since.borrow_mut();
         match (is_leading, since.is_some()) {
             (true, false) => {
-                tracing::info!("election: this instance is the leader: {leadership:?}");
+                let fence = self.lease.borrow().era_fence();
+                tracing::info!("election: this instance is the leader, fence {fence:?}");
                 *since = Some(now());
                 self.changed.notify_waiters();
             }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use carobwick_core::EndpointId;
+use carobwick_core::Era;
 use carobwick_core::Fence;
 use carobwick_core::Incarnation;
 use carobwick_core::InstanceId;
@@ -166,6 +167,17 @@
     /// Fails if the store does not respond.
     fn leader(&self) -> LocalBoxFuture<'_, Result<Option<(LeaderEntry, Revision)>>>;
 
+    /// Like [`Self::leader`], but never stale.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not respond.
+    fn latest_leader(&self) -> LocalBoxFuture<'_, Result<Option<(LeaderEntry, Revision)>>>;
+
+    /// Returns the highest era that a response named, which is 0 if none did. It rises when the store returns from
+    /// an older copy, in which leases and revisions are those of before.
+    fn era(&self) -> Era;
+
     /// Creates the leader's entry, bound to a lease, if there is none; otherwise returns the existing one.
     ///
     /// # Errors
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use carobwick_core::Era;
 use carobwick_core::LeaderRecord;
 use carobwick_core::WriteId;
 use carobwick_core::gateway::EndpointChange;
@@ -65,6 +66,14 @@
         ready(Ok(self.entry.borrow().clone().map(|entry| (entry, 5)))).boxed_local()
     }
 
+    fn latest_leader(&self) -> LocalBoxFuture<'_, Result<Option<(LeaderEntry, Revision)>>> {
+        self.leader()
+    }
+
+    fn era(&self) -> Era {
+        Era::default()
+    }
+
     fn claim_leadership(&self, _lease: u64, entry: LeaderEntry) -> LocalBoxFuture<'_, Result<ClaimOutcome>> {
         *self.entry.borrow_mut() = Some(entry);
         ready(Ok(ClaimOutcome::Won(6))).boxed_local()
--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -13,6 +13,7 @@
 
 use carobwick_core::Bytes;
 use carobwick_core::EndpointId;
+use carobwick_core::Era;
 use carobwick_core::Fence;
 use carobwick_core::InstanceId;
 use carobwick_core::Millis;
@@ -114,6 +115,14 @@
         ready(Ok(entry.map(|entry| (entry, 5)))).boxed_local()
     }
 
+    fn latest_leader(&self) -> LocalBoxFuture<'_, Result<Option<(LeaderEntry, Revision)>>> {
+        self.leader()
+    }
+
+    fn era(&self) -> Era {
+        Era::default()
+    }
+
     fn claim_leadership(&self, _lease: u64, entry: LeaderEntry) -> LocalBoxFuture<'_, Result<ClaimOutcome>> {
         *self.content.leader.borrow_mut() = Some(entry);
         ready(Ok(ClaimOutcome::Won(6))).boxed_local()
--- a/crates/planner/src/leader_calls.rs
+++ b/crates/planner/src/leader_calls.rs
@@ -118,7 +118,7 @@
         let key = leader_key(&self.zone);
         Ok(match step {
             LeaseStep::Wait => LeaseEvent::Failed,
-            LeaseStep::Read => {
+            LeaseStep::Read | LeaseStep::Verify => {
                 LeaseEvent::Read(self.key_value.get(&key).await?.as_ref().map(parse_entry).transpose()?)
             }
             LeaseStep::Grant => LeaseEvent::Granted(self.key_value.grant(LEASE_TTL).await?.0),
--- a/crates/proof/src/planner_run/kv.rs
+++ b/crates/proof/src/planner_run/kv.rs
@@ -79,7 +79,7 @@
         let found = self.leaders.get(zone).map(|(record, revision, _)| (record.clone(), *revision));
         match step {
             LeaseStep::Wait => LeaseEvent::Failed,
-            LeaseStep::Read => LeaseEvent::Read(found),
+            LeaseStep::Read | LeaseStep::Verify => LeaseEvent::Read(found),
             LeaseStep::Grant => {
                 self.revision += 1;
                 self.leases.insert(self.revision, ends);
