Give each revision of the store the era that gave it out

What callers would see, in a test on the code before: a route that is added just after the store has returned from a copy is not served. The instance watches from a revision of the life before; once the store has given that revision out again, it finds no change after it, and 410 does not come.

Cause: cursors were bare numbers, compared across two lives of the store.

Change: a revision carries its era. Updates of the leader are accepted only if they are of the era that the follower knows. Between instances a revision stays one number, the era in its high bits, so instances of the version before reject such updates and read the list themselves.

--- a/crates/core/src/gateway/list.rs
+++ b/crates/core/src/gateway/list.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use crate::Revision;
 use crate::Time;
 
 /// Fraction of the drain time between two reads of the list by an instance without a leader. Changes in
@@ -29,13 +30,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RevisionRange {
     /// Revision after which the changes begin.
-    pub from: u64,
+    pub from: Revision,
     /// Revision up to which the changes are complete.
-    pub to: u64,
+    pub to: Revision,
     /// Upper bound of the time since the store returned the changes.
     pub age: Duration,
 }
 
+impl RevisionRange {
+    /// Returns whether the range adds to what is known up to a revision; ranges of another era do not.
+    fn continues(&self, known: Revision) -> bool {
+        let is_one_era = self.from.era() == known.era() && self.to.era() == known.era();
+        is_one_era && self.from <= known && known <= self.to
+    }
+}
+
 /// Tracks up to which revision an instance knows the list of endpoints, and when it must read the list from
 /// the store.
 ///
@@ -43,7 +52,7 @@
 #[derive(Debug)]
 pub struct ListCursor {
     drain_time: Duration,
-    revision: Option<u64>,
+    revision: Option<Revision>,
     next_read: Time,
     /// Whether a call to the store has failed since the last successful one.
     unreachable: bool,
@@ -63,7 +72,7 @@
     }
 
     /// Returns the revision up to which the list is known, or none if the whole list must be read.
-    pub fn revision(&self) -> Option<u64> {
+    pub fn revision(&self) -> Option<Revision> {
         self.revision
     }
 
@@ -75,7 +84,7 @@
     /// Accepts an update of the leader if it is contiguous with the known revision and the store is not
     /// recovering from an outage; returns whether it was accepted.
     pub fn accept(&mut self, range: RevisionRange, now: Time) -> bool {
-        let is_contiguous = self.revision.is_some_and(|known| range.from <= known && known <= range.to);
+        let is_contiguous = self.revision.is_some_and(|known| range.continues(known));
         if !is_contiguous || self.is_recovering(now) {
             return false;
         }
@@ -87,7 +96,7 @@
 
     /// Records that the list was read from the store up to a revision; returns whether the store was
     /// unreachable before.
-    pub fn record_read(&mut self, revision: u64, role: ListRole, now: Time) -> bool {
+    pub fn record_read(&mut self, revision: Revision, role: ListRole, now: Time) -> bool {
         self.revision = Some(revision);
         self.next_read = now + self.interval(role);
         let recovered = std::mem::take(&mut self.unreachable);
@@ -97,8 +106,8 @@
         recovered
     }
 
-    /// Records that a read failed: because the store was unreachable, or because its history no longer has
-    /// the known revision.
+    /// Records that a read failed: because the store was unreachable or has returned from an older copy, or because
+    /// its history no longer has the known revision.
     pub fn record_failure(&mut self, is_unreachable: bool) {
         self.revision = None;
         self.unreachable |= is_unreachable;
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -66,6 +66,13 @@
     /// Number of the store's life; it rises by one each time that the store returns from an older copy.
     Era(u64)
 }
+number! {
+    key,
+    /// Revision of the store, with the era that gave it out.
+    ///
+    /// Revisions are ordered by era first; one of an earlier era does not say what the store has.
+    Revision(u64)
+}
 number! {
     key,
     /// Fencing number of an order; an engine that checks it refuses an order whose number is lower than the
@@ -81,12 +88,30 @@
     }
 }
 
+impl Revision {
+    /// Number of low bits that hold the store's number; the era is above them. A JSON number is exact up to 53
+    /// bits, which leaves 13 for the era.
+    const NUMBER_BITS: u32 = 40;
+
+    /// Creates the revision with this number in an era.
+    pub fn new(era: Era, number: u64) -> Self {
+        Self((era.0 << Self::NUMBER_BITS) | number)
+    }
+
+    /// Returns the era that gave out the revision.
+    pub fn era(self) -> Era {
+        Era(self.0 >> Self::NUMBER_BITS)
+    }
+
+    /// Returns the store's number.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << Self::NUMBER_BITS) - 1)
+    }
+}
+
 impl Fence {
     /// Number of low bits that count the orders of one leader.
     const ORDER_BITS: u32 = 24;
-    /// Number of low bits that hold the revision in the fencing number of a gateway. A JSON number is exact up
-    /// to 53 bits, which leaves 13 for the era.
-    const REVISION_BITS: u32 = 40;
 
     /// Returns the first fencing number of the leader whose lease was created at `revision` of the key-value
     /// service.
@@ -97,7 +122,7 @@
     /// Returns the fencing number of all orders of a gateway's term that began at `revision` of the store in this
     /// era. It is above those of earlier eras, in which revisions were higher.
     pub fn in_era(era: Era, revision: u64) -> Self {
-        Self((era.0 << Self::REVISION_BITS) | revision)
+        Self(Revision::new(era, revision).0)
     }
 
     /// Returns the fencing number of the next order of the same leader.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -132,6 +132,7 @@
 pub use ids::ModelVersion;
 pub use ids::OrderId;
 pub use ids::RequestId;
+pub use ids::Revision;
 pub use ids::ServiceId;
 pub use ids::Version;
 pub use ids::WriteId;
--- a/crates/core/tests/list.rs
+++ b/crates/core/tests/list.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use carobwick_core::Era;
+use carobwick_core::Revision;
 use carobwick_core::Time;
 use carobwick_core::gateway::ListCursor;
 use carobwick_core::gateway::ListRole;
@@ -16,14 +18,14 @@
 }
 
 fn range(from: u64, at: u64) -> RevisionRange {
-    RevisionRange { from, to: at, age: Duration::ZERO }
+    RevisionRange { from: Revision(from), to: Revision(at), age: Duration::ZERO }
 }
 
 /// Returns the cursor of a follower that has read the list up to revision 10 at 0 ms.
 fn follower() -> ListCursor {
     let mut cursor = ListCursor::new(DRAIN_TIME);
     assert_eq!(cursor.wait(at(0)), Duration::ZERO);
-    cursor.record_read(10, ListRole::Follower, at(0));
+    cursor.record_read(Revision(10), ListRole::Follower, at(0));
     cursor
 }
 
@@ -62,7 +64,25 @@
 fn updates_are_accepted_if_they_are_contiguous(from: u64, to: u64, accepted: bool) {
     let mut cursor = follower();
     assert_eq!(cursor.accept(range(from, to), at(100)), accepted);
-    assert_eq!(cursor.revision(), Some(if accepted { to } else { 10 }));
+    assert_eq!(cursor.revision(), Some(Revision(if accepted { to } else { 10 })));
+}
+
+/// Guards against changes that are lost since an update of the leader has revisions that the store gave out before
+/// it returned from a copy, or gives out again.
+#[test]
+fn updates_of_another_era_of_the_store_are_rejected() {
+    let revision = |era, number| Revision::new(Era(era), number);
+    let mut cursor = ListCursor::new(DRAIN_TIME);
+    cursor.record_read(revision(2, 10), ListRole::Follower, at(0));
+    for (from, to, accepted) in [
+        (revision(1, 8), revision(1, 12), false),
+        (revision(1, 8), revision(2, 12), false),
+        (revision(3, 8), revision(3, 12), false),
+        (revision(2, 8), revision(2, 12), true),
+    ] {
+        let update = RevisionRange { from, to, age: Duration::ZERO };
+        assert_eq!(cursor.accept(update, at(100)), accepted, "{update:?}");
+    }
 }
 
 /// Guards against an instance that drops entries that expired during an outage of the store, since it applies
@@ -72,7 +92,7 @@
     let mut cursor = follower();
     cursor.record_failure(true);
     assert_eq!(cursor.revision(), None);
-    assert!(cursor.record_read(20, ListRole::Follower, at(1_000)), "the store was unreachable");
+    assert!(cursor.record_read(Revision(20), ListRole::Follower, at(1_000)), "the store was unreachable");
     assert!(!cursor.accept(range(20, 21), at(1_500)));
     assert!(cursor.accept(range(20, 21), at(3_000)));
 }
@@ -84,7 +104,7 @@
     let (mut leader, mut cursor) = (follower(), follower());
     let (mut now, mut reads) = (at(0), 0);
     for revision in 11..61 {
-        leader.record_read(revision, ListRole::Leader, now);
+        leader.record_read(Revision(revision), ListRole::Leader, now);
         now = now + leader.wait(now);
         reads += u32::from(cursor.wait(now).is_zero());
         cursor.accept(range(revision - 1, revision), now);
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use carobwick_core::Revision;
 use carobwick_core::Time;
 use carobwick_core::gateway::RouteTable;
 use carobwick_runtime::now;
@@ -10,7 +11,6 @@
 use crate::Category;
 use crate::Error;
 use crate::Result;
-use crate::Revision;
 use crate::Snapshot;
 use crate::Store;
 use crate::backoff::Backoff;
@@ -177,6 +177,6 @@
 fn revision_after_error(revision: Option<Revision>, err: &Error) -> Option<Revision> {
     match err.category() {
         Category::Busy | Category::Connect | Category::Unreachable => revision,
-        Category::Compacted | Category::Lost | Category::Codec | Category::Start => None,
+        Category::Compacted | Category::Returned | Category::Lost | Category::Codec | Category::Start => None,
     }
 }
--- a/crates/gateway/src/election.rs
+++ b/crates/gateway/src/election.rs
@@ -196,11 +196,11 @@
             LeaseStep::Wait => return LeaseEvent::Failed,
             LeaseStep::Read => store.leader().await.map(|found| {
                 self.set_leader(found.as_ref().map(|(entry, _)| entry));
-                LeaseEvent::Read(found.map(|(entry, revision)| (entry.record, revision)))
+                LeaseEvent::Read(found.map(|(entry, revision)| (entry.record, revision.number())))
             }),
             LeaseStep::Verify => store.latest_leader().await.map(|found| {
                 self.set_leader(found.as_ref().map(|(entry, _)| entry));
-                LeaseEvent::Read(found.map(|(entry, revision)| (entry.record, revision)))
+                LeaseEvent::Read(found.map(|(entry, revision)| (entry.record, revision.number())))
             }),
             // A follower that does not stand as a candidate reads again later and finds the entry of the
             // winner.
@@ -224,11 +224,11 @@
         match claim {
             ClaimOutcome::Won(revision) => {
                 *self.leader.borrow_mut() = Some(own);
-                LeaseEvent::Created(revision)
+                LeaseEvent::Created(revision.number())
             }
             ClaimOutcome::Taken(found) => {
                 self.set_leader(found.as_ref().map(|(entry, _)| entry));
-                LeaseEvent::Exists(found.map(|(entry, revision)| (entry.record, revision)))
+                LeaseEvent::Exists(found.map(|(entry, revision)| (entry.record, revision.number())))
             }
         }
     }
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -23,6 +23,8 @@
     Busy,
     /// The requested revisions were compacted away.
     Compacted,
+    /// The store has returned from an older copy; revisions of before say nothing about it.
+    Returned,
     /// A message can't be encoded or decoded.
     Codec,
     /// The gateway can't start, or one of its tasks has failed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -62,7 +62,6 @@
 pub use platform::LeaderEntry;
 pub use platform::ResponseHead;
 pub use platform::ResponseKind;
-pub use platform::Revision;
 pub use platform::Snapshot;
 pub use platform::Store;
 pub use platform::WireFormat;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -4,6 +4,7 @@
 
 use carobwick_core::EndpointId;
 use carobwick_core::Millis;
+use carobwick_core::Revision;
 use carobwick_core::Time;
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::EndpointEntry;
@@ -19,7 +20,6 @@
 use crate::Category;
 use crate::Error;
 use crate::Result;
-use crate::Revision;
 use crate::Snapshot;
 use crate::Store;
 use crate::backoff::Backoff;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -4,6 +4,7 @@
 use carobwick_core::InstanceId;
 use carobwick_core::Millis;
 use carobwick_core::Rate;
+use carobwick_core::Revision;
 use carobwick_core::ServiceId;
 use carobwick_core::Version;
 use carobwick_core::ZoneId;
@@ -26,7 +27,6 @@
 use crate::Category;
 use crate::Error;
 use crate::Result;
-use crate::Revision;
 
 /// Largest frame between instances, without its length prefix.
 const MAX_FRAME_BYTES: usize = 4 << 20;
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -10,6 +10,7 @@
 use carobwick_core::InstanceId;
 use carobwick_core::LeaderRecord;
 use carobwick_core::LoadReport;
+use carobwick_core::Revision;
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::EndpointNotice;
@@ -27,9 +28,6 @@
 
 use crate::Result;
 
-/// Revision of the store.
-pub type Revision = u64;
-
 /// Encoding of requests, responses and orders on the wire.
 pub trait WireFormat {
     /// Parses the head of a caller's request.
@@ -133,8 +131,9 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store does not respond, and with [`Category::Compacted`](crate::Category::Compacted) if
-    /// the revision was compacted away.
+    /// Fails if the store does not respond, with [`Category::Compacted`](crate::Category::Compacted) if the
+    /// revision was compacted away, and with [`Category::Returned`](crate::Category::Returned) if it is of an
+    /// earlier era.
     fn watch_config(
         &self,
         after: Revision,
@@ -152,8 +151,9 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store does not respond, and with [`Category::Compacted`](crate::Category::Compacted) if
-    /// the revision was compacted away.
+    /// Fails if the store does not respond, with [`Category::Compacted`](crate::Category::Compacted) if the
+    /// revision was compacted away, and with [`Category::Returned`](crate::Category::Returned) if it is of an
+    /// earlier era.
     fn watch_endpoints(
         &self,
         after: Revision,
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -7,6 +7,7 @@
 
 use carobwick_core::Era;
 use carobwick_core::LeaderRecord;
+use carobwick_core::Revision;
 use carobwick_core::WriteId;
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::EndpointEntry;
@@ -17,7 +18,6 @@
 use carobwick_gateway::Election;
 use carobwick_gateway::LeaderEntry;
 use carobwick_gateway::Result;
-use carobwick_gateway::Revision;
 use carobwick_gateway::Settings;
 use carobwick_gateway::Snapshot;
 use carobwick_gateway::Store;
@@ -63,7 +63,7 @@
     }
 
     fn leader(&self) -> LocalBoxFuture<'_, Result<Option<(LeaderEntry, Revision)>>> {
-        ready(Ok(self.entry.borrow().clone().map(|entry| (entry, 5)))).boxed_local()
+        ready(Ok(self.entry.borrow().clone().map(|entry| (entry, Revision(5))))).boxed_local()
     }
 
     fn latest_leader(&self) -> LocalBoxFuture<'_, Result<Option<(LeaderEntry, Revision)>>> {
@@ -76,7 +76,7 @@
 
     fn claim_leadership(&self, _lease: u64, entry: LeaderEntry) -> LocalBoxFuture<'_, Result<ClaimOutcome>> {
         *self.entry.borrow_mut() = Some(entry);
-        ready(Ok(ClaimOutcome::Won(6))).boxed_local()
+        ready(Ok(ClaimOutcome::Won(Revision(6)))).boxed_local()
     }
 
     fn grant(&self, _ttl: Duration) -> LocalBoxFuture<'_, Result<u64>> {
--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -17,6 +17,7 @@
 use carobwick_core::Fence;
 use carobwick_core::InstanceId;
 use carobwick_core::Millis;
+use carobwick_core::Revision;
 use carobwick_core::Version;
 use carobwick_core::gateway::CallerLimits;
 use carobwick_core::gateway::EndpointChange;
@@ -35,7 +36,6 @@
 use carobwick_gateway::LeaderEntry;
 use carobwick_gateway::ResponseHead;
 use carobwick_gateway::Result;
-use carobwick_gateway::Revision;
 use carobwick_gateway::Settings;
 use carobwick_gateway::Snapshot;
 use carobwick_gateway::Store;
@@ -84,7 +84,7 @@
         self.config_reads.set(self.config_reads.get() + 1);
         let version = self.content.version.get();
         let table = RouteTable::new(Version(version), limits(), IndexMap::new(), Vec::new());
-        ready(Ok(Snapshot { value: Some(Arc::new(table)), revision: version })).boxed_local()
+        ready(Ok(Snapshot { value: Some(Arc::new(table)), revision: Revision(version) })).boxed_local()
     }
 
     fn watch_config(
@@ -98,7 +98,7 @@
 
     fn endpoints(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<EndpointEntry>>>> {
         self.list_reads.set(self.list_reads.get() + 1);
-        ready(Ok(Snapshot { value: Vec::new(), revision: 1 })).boxed_local()
+        ready(Ok(Snapshot { value: Vec::new(), revision: Revision(1) })).boxed_local()
     }
 
     fn watch_endpoints(
@@ -112,7 +112,7 @@
 
     fn leader(&self) -> LocalBoxFuture<'_, Result<Option<(LeaderEntry, Revision)>>> {
         let entry = self.content.leader.borrow().clone();
-        ready(Ok(entry.map(|entry| (entry, 5)))).boxed_local()
+        ready(Ok(entry.map(|entry| (entry, Revision(5))))).boxed_local()
     }
 
     fn latest_leader(&self) -> LocalBoxFuture<'_, Result<Option<(LeaderEntry, Revision)>>> {
@@ -125,7 +125,7 @@
 
     fn claim_leadership(&self, _lease: u64, entry: LeaderEntry) -> LocalBoxFuture<'_, Result<ClaimOutcome>> {
         *self.content.leader.borrow_mut() = Some(entry);
-        ready(Ok(ClaimOutcome::Won(6))).boxed_local()
+        ready(Ok(ClaimOutcome::Won(Revision(6)))).boxed_local()
     }
 
     fn grant(&self, _ttl: Duration) -> LocalBoxFuture<'_, Result<u64>> {
