Answer the requests that still wait when the grace time of a stop ends

Their log is cut before the lines of that instance, so that this is their case is inferred, not shown.

Cause, of a fault that fits it: a request may wait for its model for the load time and a second more, 6.8 s there, or for the end of a pause or a token for half its time. A stop aborts all connections 7.6 s after SIGTERM. So a request that comes a second after SIGTERM and finds no engine with its model is still waiting then, and its connection was closed without a word, although it had not run. The same befell a request at an endpoint that had not answered yet.

Change: 200 ms before the connections are aborted, requests that wait get 503, which is true, and those at an endpoint 502. Streams go on to the end as before.

Ruled out by reading: that a stopping instance loses the leader's help (tested already) or refuses new requests on kept connections without a response.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,8 @@
 /// Fraction of the grace time after which requests in flight are aborted, so that the process exits before it
 /// is killed.
 const GRACE_FRACTION: f64 = 0.95;
+/// Time before that in which requests without a response get one.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(200);
 
 /// A running instance; dropping it aborts its tasks.
 #[derive(Debug)]
@@ -105,12 +107,18 @@
     }
 
     /// Shuts down gracefully: the instance first reports that it is not ready, then accepts no more
-    /// connections, and then waits for the requests in flight. Those that exceed the grace time are aborted.
+    /// connections, and then waits for the requests in flight. Shortly before the grace time ends, those without a
+    /// response get one that says whether they may have run; streams are aborted at its end.
     pub async fn shutdown(self) {
         let grace = self.state.terms.get().grace.mul_f64(GRACE_FRACTION);
         tracing::info!("gateway: stopping with {} connections", self.connections.len());
         self.state.stopping.set(true);
         self.election.resign();
+        let stop_ending = self.state.stop_ending.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(grace.saturating_sub(LAST_RESPONSE_TIME)).await;
+            stop_ending.cancel();
+        });
         let finish = async {
             tokio::time::sleep(READINESS_NOTICE_TIME).await;
             self.closing.cancel();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -32,6 +32,11 @@
     },
 }
 
+impl Placement {
+    /// The instance stops before an endpoint can be chosen.
+    pub const STOPPING: Self = Self::None { reason: "the instance is stopping", retry_after: RETRY_AFTER };
+}
+
 /// How the wait for a token ends.
 enum TokenWait {
     /// The request may be sent to this endpoint.
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -93,21 +93,16 @@
         self.state.count_request(&self.service);
         self.state.count_demand(&self.service, &self.head);
         loop {
-            let choice = match self.place().await {
+            let stop_ending = self.state.stop_ending.clone();
+            let placement = stop_ending.run_until_cancelled(self.place_unsuspected()).await;
+            let choice = match placement.unwrap_or(Placement::STOPPING) {
                 Placement::Endpoint(choice) => choice,
                 Placement::None { reason, retry_after } => return self.refuse(reason, retry_after),
             };
-            if let SuspicionStep::Refuse { reason, retry_after } = self.clear_suspicion().await {
-                return self.refuse(reason, retry_after);
-            }
-            match self.send_to(&choice).await {
-                Ok(response) => match self.respond(response).await {
-                    Ok(response) => return response,
-                    Err(failure) => match self.on_failure(failure, &choice) {
-                        RetryStep::Again => {}
-                        step => return self.give_up(step, failure),
-                    },
-                },
+            // An attempt that the end of the stop interrupts may have run.
+            let attempt = stop_ending.run_until_cancelled(self.attempt(&choice)).await;
+            match attempt.unwrap_or(Err(SendFailure::Lost)) {
+                Ok(response) => return response,
                 Err(failure) => match self.on_failure(failure, &choice) {
                     RetryStep::Again => {}
                     step => return self.give_up(step, failure),
@@ -116,6 +111,23 @@
         }
     }
 
+    /// Chooses an endpoint for a request whose prompt is not suspected of crashing endpoints, or is tried.
+    async fn place_unsuspected(&mut self) -> Placement {
+        match self.place().await {
+            Placement::Endpoint(choice) => match self.clear_suspicion().await {
+                SuspicionStep::Send => Placement::Endpoint(choice),
+                SuspicionStep::Refuse { reason, retry_after } => Placement::None { reason, retry_after },
+            },
+            none @ Placement::None { .. } => none,
+        }
+    }
+
+    /// Sends the request to an endpoint and turns the response into that to the caller.
+    async fn attempt(&mut self, choice: &Choice) -> Result<Response<ResponseBody>, SendFailure> {
+        let response = self.send_to(choice).await?;
+        self.respond(response).await
+    }
+
     /// Returns the time until the deadline, or none if the deadline has passed.
     pub fn remaining_time(&self) -> Option<Duration> {
         let remaining = self.deadline - now();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::Settings;
 use crate::Terms;
@@ -58,6 +59,8 @@
     /// Notifies requests that wait for an endpoint.
     pub endpoints_changed: Notify,
     pub stopping: Cell<bool>,
+    /// Cancelled shortly before a stopping instance aborts the requests in flight.
+    pub stop_ending: CancellationToken,
     retry_budgets: RefCell<IndexMap<ServiceId, RetryBudget>>,
     /// Number of instances that share the retry budget, once the leader has sent it.
     instances: Cell<Option<u32>>,
@@ -109,6 +112,7 @@
             meters,
             endpoints_changed: Notify::new(),
             stopping: Cell::new(false),
+            stop_ending: CancellationToken::new(),
             retry_budgets: RefCell::default(),
             instances: Cell::default(),
             demand: RefCell::default(),
