Hold back endpoints that had left before the store returned from a copy

What callers would see: requests sent to an endpoint that has left, so that they fail or, within its last seconds of service, break DRAIN.

Cause: the copy lists endpoints that left in the lost seconds as if they were ready. One that announced its leaving stays leaving, but one whose entry was just removed was forgotten, and its entry of the copy was taken for a new one.

Change: the list remembers for a minute which incarnations were removed. After a return of the store the entry of such an incarnation is held back until it is written again, or has been listed for 5 s, in which the store removes the entries of silent endpoints. Without a return an entry counts at once, as before.

--- a/crates/core/src/gateway/endpoint_table.rs
+++ b/crates/core/src/gateway/endpoint_table.rs
@@ -14,6 +14,7 @@
 use crate::Time;
 use crate::ZoneId;
 use crate::gateway::Weights;
+use crate::gateway::departures::Departures;
 
 /// Time after an outage of the store within which entries that expired during the outage may be added again.
 const RECOVERY_TIME: Duration = Duration::from_secs(2);
@@ -73,7 +74,8 @@
 /// Table of the endpoints that an instance knows.
 ///
 /// An incarnation that is leaving never becomes live again, even if an older entry arrives. Entries that
-/// disappear during an outage of the store are kept until the store has been reachable again for 2 s.
+/// disappear during an outage of the store are kept until the store has been reachable again for 2 s. An endpoint
+/// that was removed before the store returned from an older copy comes back only if it is alive.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     entries: IndexMap<EndpointId, TableRow>,
@@ -83,6 +85,7 @@
     recovery_end: Time,
     pending_removals: IndexSet<EndpointId>,
     refusals: Vec<Refusal>,
+    departures: Departures,
 }
 
 /// Weights that an incarnation refused although its entry lists them.
@@ -134,8 +137,13 @@
         for entry in entries {
             self.update(entry, now);
         }
-        let missing: Vec<EndpointId> =
-            self.entries.keys().filter(|id| !present.contains(*id)).cloned().collect();
+        let missing: Vec<EndpointId> = self
+            .entries
+            .keys()
+            .chain(self.departures.held())
+            .filter(|id| !present.contains(*id))
+            .cloned()
+            .collect();
         for id in missing {
             self.remove(&id, now);
         }
@@ -171,6 +179,11 @@
         self.recovery_end = now + RECOVERY_TIME;
     }
 
+    /// Records that the store has returned from an older copy, which may list endpoints that have left since.
+    pub fn record_return(&mut self, now: Time) {
+        self.departures.record_return(now);
+    }
+
     /// Removes entries that were not added again in time after an outage of the store, and returns their
     /// ids.
     ///
@@ -183,12 +196,15 @@
                 row.entry.resident.add(&refusal.weights);
             }
         }
+        for entry in self.departures.take_listed(now) {
+            self.update(entry, now);
+        }
         if now < self.recovery_end || self.pending_removals.is_empty() {
             return Vec::new();
         }
         let expired: Vec<EndpointId> = self.pending_removals.drain(..).collect();
         for id in &expired {
-            self.remove_now(id);
+            self.remove_now(id, now);
         }
         expired
     }
@@ -262,6 +278,9 @@
             return;
         }
         *newest = entry.incarnation;
+        if self.departures.holds(&entry, now) {
+            return;
+        }
         let key = (entry.id.clone(), entry.incarnation);
         if entry.state == EndpointState::Leaving {
             self.leaving.insert(key.clone());
@@ -292,16 +311,19 @@
     }
 
     fn remove(&mut self, id: &EndpointId, now: Time) {
+        self.departures.release(id);
         if now < self.recovery_end {
             self.pending_removals.insert(id.clone());
         } else {
-            self.remove_now(id);
+            self.remove_now(id, now);
         }
     }
 
-    fn remove_now(&mut self, id: &EndpointId) {
+    fn remove_now(&mut self, id: &EndpointId, now: Time) {
         self.pending_removals.swap_remove(id);
-        self.entries.shift_remove(id);
+        if let Some(row) = self.entries.shift_remove(id) {
+            self.departures.record_removal(id, row.entry.incarnation, now);
+        }
     }
 }
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod candidacy;
 mod copies;
 mod demand;
+mod departures;
 mod endpoint_table;
 mod freshness;
 mod list;
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -183,6 +183,47 @@
     assert_eq!(live(&table), ["b"]);
 }
 
+/// Guards against requests to an endpoint that has left and is listed in the copy from which the store returns, and
+/// against keeping out one that lives.
+#[test]
+fn a_departed_endpoint_comes_back_only_if_it_is_alive_when_the_store_has_returned() {
+    let listed = |heartbeat| EndpointChange::Updated(Box::new(entry("a", 1, heartbeat, EndpointState::Live)));
+    let departed = || {
+        let mut table = EndpointTable::default();
+        table.replace(vec![entry("a", 1, 9, EndpointState::Live)], at(0));
+        table.apply(EndpointChange::Removed("a".parse().unwrap()), at(1_000));
+        table.record_return(at(2_000));
+        table.replace(vec![entry("a", 1, 5, EndpointState::Live)], at(2_000));
+        assert!(live(&table).is_empty(), "its entry may be that of the copy");
+        table
+    };
+    let mut rewritten = departed();
+    rewritten.apply(listed(5), at(2_500));
+    assert!(live(&rewritten).is_empty());
+    rewritten.apply(listed(6), at(3_000));
+    assert_eq!(live(&rewritten), ["a"], "it writes its entry");
+    let mut expired = departed();
+    expired.apply(EndpointChange::Removed("a".parse().unwrap()), at(5_600));
+    expired.expire(at(20_000));
+    assert!(live(&expired).is_empty());
+    let mut kept = departed();
+    kept.expire(at(6_900));
+    assert!(live(&kept).is_empty());
+    kept.expire(at(7_000));
+    assert_eq!(live(&kept), ["a"], "the store would have removed the entry of a silent endpoint");
+}
+
+/// Guards against keeping out an endpoint whose entry had expired while it was cut off, without any return of the
+/// store.
+#[test]
+fn an_expired_entry_counts_at_once_when_it_is_listed_again() {
+    let mut table = EndpointTable::default();
+    table.replace(vec![entry("a", 1, 9, EndpointState::Live)], at(0));
+    table.apply(EndpointChange::Removed("a".parse().unwrap()), at(1_000));
+    table.replace(vec![entry("a", 1, 9, EndpointState::Live)], at(2_000));
+    assert_eq!(live(&table), ["a"]);
+}
+
 /// Guards against a heartbeat of seconds ago that overrides a newer update of the leader.
 #[test]
 fn an_update_of_the_leader_takes_precedence_over_older_entries() {
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use carobwick_core::EndpointId;
+use carobwick_core::Era;
 use carobwick_core::Millis;
 use carobwick_core::Revision;
 use carobwick_core::Time;
@@ -41,6 +42,8 @@
     entries: IndexMap<EndpointId, EndpointEntry>,
     /// Revision up to which `entries` was complete when the last read failed.
     complete_revision: Option<Revision>,
+    /// Era of the store at the last read of the whole list.
+    era: Option<Era>,
 }
 
 /// Response of the store.
@@ -63,7 +66,16 @@
         updates: mpsc::UnboundedReceiver<ListUpdate>,
     ) -> Self {
         let cursor = ListCursor::new(state.terms.get().drain);
-        Self { state, store, coordinator, updates, cursor, entries: IndexMap::new(), complete_revision: None }
+        Self {
+            state,
+            store,
+            coordinator,
+            updates,
+            cursor,
+            entries: IndexMap::new(),
+            complete_revision: None,
+            era: None,
+        }
     }
 
     /// Runs until the task is aborted.
@@ -143,6 +155,11 @@
             self.state.endpoints.borrow_mut().record_recovery(now());
             tracing::info!("list: the store is reachable again");
         }
+        let era = list.revision.era();
+        if self.era.replace(era).is_some_and(|known| known != era) {
+            self.state.endpoints.borrow_mut().record_return(now());
+            tracing::warn!("list: the store has returned from an older copy, era {era}");
+        }
         let changes = self.diff_entries(&list.value);
         if let Some(from) = self.complete_revision.take()
             && self.coordinator.is_leading()
