Send the leader's configuration to an instance that the store gives an older one

What callers would see (CONFIG): after a return of the store an instance that starts before the operators have written again serves by the configuration of the copy, so that a route that was added and confirmed is not there, although every other instance has it.

Cause: the store was the only source of the configuration. An instance that the leader told of a newer version read again, found the same old one, and went on with it.

Change: if that read brings nothing newer, the instance asks the leader, which sends its configuration; it counts only if its version is higher, as always. Open: a leader that starts with the older one does not ask its followers.

an_instance_that_starts_after_a_return_of_the_store_gets_the_configuration_in_force failed before (version 8 is never in force) and passes now.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -15,6 +15,7 @@
 use crate::Store;
 use crate::backoff::Backoff;
 use crate::coordinator::Coordinator;
+use crate::message::FollowerMessage;
 use crate::state::State;
 
 /// Keeps the configuration up to date.
@@ -26,6 +27,8 @@
     store: Rc<dyn Store>,
     coordinator: Rc<Coordinator>,
     revision: Option<Revision>,
+    /// Whether the configuration is read again since the leader has a newer version.
+    outdated: bool,
 }
 
 /// Call by which a configuration was received.
@@ -48,6 +51,8 @@
     Receive(ConfigUpdate),
     /// Read the whole configuration for this reason, since the response to the watch may be lost.
     Reread(&'static str),
+    /// Read the whole configuration, since the leader has a newer version.
+    Outdated,
     /// Start a watch on another connection, since the leader no longer confirms the version during a long
     /// one.
     Rewatch,
@@ -55,7 +60,7 @@
 
 impl ConfigReader {
     pub fn new(state: Rc<State>, store: Rc<dyn Store>, coordinator: Rc<Coordinator>) -> Self {
-        Self { state, store, coordinator, revision: None }
+        Self { state, store, coordinator, revision: None, outdated: false }
     }
 
     /// Runs until the task is aborted.
@@ -71,6 +76,11 @@
                     tracing::info!("config: reading again: {reason}");
                     self.revision = None;
                 }
+                Ok(Action::Outdated) => {
+                    tracing::info!("config: reading again: the leader has a newer version");
+                    self.revision = None;
+                    self.outdated = true;
+                }
                 Ok(Action::Rewatch) => {
                     tracing::debug!("config: no confirmation from the leader, watching without it");
                 }
@@ -95,7 +105,7 @@
                 let timed_out = |_elapsed| Error::new(Category::Lost, "no response to a watch in time");
                 update.map_err(timed_out)?.map(Action::Receive)
             }
-            () = self.wait_outdated() => Ok(Action::Reread("the leader has a newer version")),
+            () = self.wait_outdated() => Ok(Action::Outdated),
             () = self.coordinator.wait_leading(), if !is_leading => Ok(Action::Reread("this instance is the leader now")),
             () = self.wait_stale(), if timeouts.leader_backed => Ok(Action::Rewatch),
         }
@@ -145,31 +155,18 @@
 
     fn receive(&mut self, update: ConfigUpdate) {
         self.revision = Some(update.snapshot.revision);
-        let applied = update.snapshot.value.is_some_and(|table| self.apply(update.source, table));
+        let source = update.source;
+        let received = format!("received by a {source:?}");
+        let applied = update.snapshot.value.is_some_and(|table| self.state.apply_config(table, &received));
+        if std::mem::take(&mut self.outdated) && !applied && matches!(source, Source::Read) {
+            // The store has returned from a copy, and the operators have not written again yet.
+            self.state.send_to_leader(FollowerMessage::RequestConfig);
+        }
         self.state.freshness.borrow_mut().record_confirmed(update.as_of);
         if applied && self.coordinator.is_leading() {
             self.coordinator.broadcast_version();
         }
     }
-
-    /// Applies a configuration if it is newer than the one in force; returns whether it was.
-    fn apply(&self, source: Source, table: Arc<RouteTable>) -> bool {
-        let version = table.version;
-        let known = self.state.config_version();
-        if let Some(known) = known.filter(|known| *known >= version) {
-            if known > version {
-                tracing::warn!(
-                    "config: the store has version {version}, older than {known}, which stays in force"
-                );
-            }
-            return false;
-        }
-        let routes = table.routes().count();
-        tracing::info!("config: version {version} in force with {routes} routes, received by a {source:?}");
-        self.state.meters.set_config_version(version.0);
-        *self.state.route_table.borrow_mut() = Some(table);
-        true
-    }
 }
 
 /// Returns the revision from which to watch after a failed call, or none if the whole configuration must be
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -186,6 +186,15 @@
         Some(LeaderMessage::ConfigVersion { version, age: Millis(age.as_millis() as u64) })
     }
 
+    /// Sends the configuration in force to an instance that has an older one and can't read it from the store.
+    fn send_config(&self, to: &InstanceId) {
+        let table = self.state.route_table.borrow().clone();
+        if let Some(table) = table {
+            tracing::info!("leader: sends configuration version {} to {to}", table.version);
+            self.send_to(to, LeaderMessage::Config(Box::new((*table).clone())));
+        }
+    }
+
     /// Broadcasts the number of instances, the version of the configuration and the loads reported since the
     /// last heartbeat.
     pub fn send_heartbeat(&self) {
@@ -254,6 +263,7 @@
                 let heard = now() - age.duration();
                 self.handle_token_request(&endpoint, incarnation, limit, heard, request);
             }
+            FollowerMessage::RequestConfig => self.send_config(from),
             FollowerMessage::PartsLost(loss) => self.handle_parts_lost(from, loss),
             FollowerMessage::PartsCleared { suspects } => self.handle_parts_cleared(from, suspects),
             FollowerMessage::RequestTrial { ticket, suspects, remaining } => {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -12,6 +12,7 @@
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::Loss;
 use carobwick_core::gateway::ResidentModels;
+use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::SharedLoad;
 use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::Ticket;
@@ -65,6 +66,8 @@
     RequestTrial { ticket: Ticket, suspects: Vec<Suspect>, remaining: Millis },
     /// The request of a trial has begun, has failed or was not sent.
     EndTrial { ticket: Ticket },
+    /// The store has an older configuration than the leader announces.
+    RequestConfig,
 }
 
 /// Message from the leader to an instance. A new variant goes last, as in [`FollowerMessage`].
@@ -95,6 +98,8 @@
     PartsCleared { suspects: Vec<Suspect> },
     /// Reply to a request for a trial with this number.
     Trial { number: u64, granted: bool },
+    /// The leader's configuration, for an instance that can't read it from the store.
+    Config(Box<RouteTable>),
 }
 
 /// Changes of the list of endpoints between two revisions of the store.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use carobwick_core::InstanceId;
@@ -213,6 +214,9 @@
         LeaderMessage::PartsCleared { suspects } => {
             state.receive_parts_cleared(&suspects);
         }
+        LeaderMessage::Config(table) => {
+            state.apply_config(Arc::new(*table), "from the leader");
+        }
         LeaderMessage::Trial { number, granted } => state.trial_requests.complete(number, granted),
         LeaderMessage::Loads(loads) => state.receive_loads(&loads),
         LeaderMessage::EndpointList(update) => state.receive_list_update(update),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -230,6 +230,26 @@
         self.route_table.borrow().as_ref().map(|table| table.version)
     }
 
+    /// Applies a configuration if it is newer than the one in force; returns whether it was. `received` says for
+    /// the log how it came.
+    pub fn apply_config(&self, table: Arc<RouteTable>, received: &str) -> bool {
+        let version = table.version;
+        let known = self.config_version();
+        if let Some(known) = known.filter(|known| *known >= version) {
+            if known > version {
+                tracing::warn!(
+                    "config: the store has version {version}, older than {known}, which stays in force"
+                );
+            }
+            return false;
+        }
+        let routes = table.routes().count();
+        tracing::info!("config: version {version} in force with {routes} routes, {received}");
+        self.meters.set_config_version(version.0);
+        *self.route_table.borrow_mut() = Some(table);
+        true
+    }
+
     /// Returns whether the leader has a newer configuration.
     pub fn is_outdated(&self) -> bool {
         self.leader_version.get() > self.config_version()
