Discard the outcome of a call to the store that began in an earlier era

Nobody has seen it; found while the change was read. If the store returns twice within a call, the answer that the leader's entry is there, given after the first return, was taken for the second life as well, in which it may not be, so that two instances could lead. Another connection tells the instance of the new era before the answer is handled.

Change: a new era discards the outcome of the call in flight, and the call is made again. a_verification_in_an_earlier_era_does_not_count fails before and passes now. The log line of a term prints its fence as a number.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -205,6 +205,8 @@
         let has_returned = self.era != Era::default();
         self.era = era;
         if has_returned {
+            // The outcome of a call in flight may be that of an earlier era.
+            self.sent_at = None;
             self.state = match self.state.clone() {
                 State::Holder(holding) => State::Verifying(Holding { next: now, ..holding }),
                 State::Granting | State::Creating { .. } => State::Follower { next: now },
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -207,6 +207,16 @@
     assert_eq!(lease.leadership(at(3_900)), Leadership::Follower);
 }
 
+/// Guards against a second leader when the store returns twice: the key was there after the first return only.
+#[test]
+fn a_verification_in_an_earlier_era_does_not_count() {
+    let mut lease = leading_across_a_return(1_200);
+    assert_eq!(lease.step(at(1_200), OWN), LeaseStep::Verify);
+    lease.set_era(Era(3), at(1_205));
+    lease.on_event(at(1_210), LeaseEvent::Read(Some((record(OWN), 42))));
+    assert_eq!(lease.step(at(1_210), OWN), LeaseStep::Verify, "it is verified again");
+}
+
 /// Guards against a key that is created with the lease of another era, which may be another instance's.
 #[test]
 fn a_candidate_starts_over_when_the_store_has_returned() {
--- a/crates/gateway/src/election.rs
+++ b/crates/gateway/src/election.rs
@@ -252,8 +252,8 @@
         let mut since = self.leading_since.borrow_mut();
         match (is_leading, since.is_some()) {
             (true, false) => {
-                let fence = self.lease.borrow().era_fence();
-                tracing::info!("election: this instance is the leader, fence {fence:?}");
+                let fence = self.lease.borrow().era_fence().unwrap_or_default();
+                tracing::info!("election: this instance is the leader, fence {fence}");
                 *since = Some(now());
                 self.changed.notify_waiters();
             }
