Let a circuit breaker go on after a probe that says nothing of the connection

Cause: the endpoints had lost connections, so their breakers were open. The one request that each was probed with came into their pause and was declined. A half-open breaker waits for the outcome of its probe for 10 s; declined, failed and cancelled ones are no outcome to it, so the endpoints got nothing from 22.97 s to 33.0 s. The same holds for a probe that the endpoint fails with a status, and for one whose caller leaves.

Change: a declined probe closes the breaker, since the endpoint is there; one that failed or was cancelled permits the next one a second later.

a_probe_without_a_lost_connection_does_not_block_the_next_request fails before in three of three cases and passes now.

--- a/crates/core/src/breaker.rs
+++ b/crates/core/src/breaker.rs
@@ -75,6 +75,21 @@
         }
     }
 
+    /// Closes a half-open breaker, since the endpoint has declined the probe and so is there.
+    pub fn record_declined(&mut self) {
+        if let State::HalfOpen { .. } = self.state {
+            *self = Self::default();
+        }
+    }
+
+    /// Permits the next probe after the shortest pause, since the last one says nothing about the connection to
+    /// the endpoint.
+    pub fn release_probe(&mut self, now: Time) {
+        if let State::HalfOpen { .. } = self.state {
+            self.state = State::Open { until: now + INITIAL_PAUSE };
+        }
+    }
+
     pub fn record_error(&mut self, now: Time) {
         self.failures += 1;
         match self.state {
--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -481,17 +481,24 @@
                 1.0
             }
             SendOutcome::Declined => {
+                self.breaker.record_declined();
                 self.rejection = self.rejection.map(Rejection::declined);
                 1.0
             }
-            SendOutcome::Failed => 1.0,
+            SendOutcome::Failed => {
+                self.breaker.release_probe(now);
+                1.0
+            }
             // Not counted in the failure rate, which would outlast a network partition. The circuit breaker
             // stops retries to an endpoint that is the only one.
             SendOutcome::Unreachable => {
                 self.breaker.record_error(now);
                 return;
             }
-            SendOutcome::Neutral => return,
+            SendOutcome::Neutral => {
+                self.breaker.release_probe(now);
+                return;
+            }
         };
         self.failure_rate += SMOOTHING_FACTOR * (failed - self.failure_rate);
     }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -6,7 +6,8 @@
 //! which a [`ModelPlacer`] and [`plan_adapter`] derive from its [`EngineRegistry`]. A [`ListCursor`] decides
 //! when an instance reads the list of endpoints from the store itself, and [`ConfigFreshness`] how long it
 //! may trust its configuration. Endpoints that limit the rate of requests get them only for tokens that the
-//! leader's [`TokenIssuer`] issues to all instances.
+//! leader's [`TokenIssuer`] issues to all instances. A [`SuspectTable`] finds the requests and parts of prompts
+//! that crash endpoints, with trials that a [`TrialTable`] keeps apart.
 
 mod adapters;
 mod balance;
--- a/crates/core/tests/rejection.rs
+++ b/crates/core/tests/rejection.rs
@@ -156,6 +156,22 @@
     assert_eq!(balancer.pause_remaining(entries.iter(), now), None);
 }
 
+/// Guards against an endpoint that gets no request for seconds since its circuit breaker waits for the outcome of a
+/// probe that was declined, that the endpoint failed or whose caller has left.
+#[test_case(SendOutcome::Declined, 0 ; "declined")]
+#[test_case(SendOutcome::Neutral, 1_000 ; "cancelled")]
+#[test_case(SendOutcome::Failed, 1_000 ; "failed")]
+fn a_probe_without_a_lost_connection_does_not_block_the_next_request(outcome: SendOutcome, delay: u64) {
+    let (mut balancer, entries) = (balancer(), [entry("a")]);
+    while let Some((choice, send_id)) = send(&mut balancer, &entries, at(0)) {
+        balancer.record_finished(&choice, send_id, SendOutcome::Lost, at(0));
+    }
+    let (choice, send_id) = send(&mut balancer, &entries, at(1_000)).expect("a probe after the pause");
+    assert!(send(&mut balancer, &entries, at(1_010)).is_none(), "one probe at a time");
+    balancer.record_finished(&choice, send_id, outcome, at(1_020));
+    assert!(send(&mut balancer, &entries, at(1_020 + delay)).is_some());
+}
+
 /// Guards against requests that wait past their deadline, and against refusals when the wait is short.
 #[test_case(400, 1_000, PauseStep::Wait(Duration::from_millis(400)) ; "the pause ends in time")]
 #[test_case(0, 1_000, PauseStep::Wait(Duration::from_secs(1)) ; "the limit on requests in flight is reached")]
