--- a/crates/core/src/gateway/suspects.rs
+++ b/crates/core/src/gateway/suspects.rs
@@ -1,3 +1,4 @@
+use std::fmt;
 use std::time::Duration;
 
 use carobwick_derive::data;
@@ -36,6 +37,15 @@
     Part(PartId),
 }
 
+impl fmt::Display for Suspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(fingerprint) => write!(f, "request {fingerprint}"),
+            Self::Part(part) => write!(f, "part {part}"),
+        }
+    }
+}
+
 /// Loss of an endpoint while it processed requests with some suspects.
 #[data]
 pub struct Loss {
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -77,6 +77,7 @@
         self.meters.record_loss(LossSource::Own);
         let loss = request_loss(fingerprint, id, incarnation);
         if self.suspects.borrow_mut().record_loss(&loss, now()) {
+            self.log_suspects(&loss);
             self.send_to_leader(FollowerMessage::EndpointLost {
                 fingerprint,
                 endpoint: id.clone(),
@@ -88,7 +89,10 @@
     /// Records that another instance lost the connection to an endpoint while it processed a request.
     pub fn receive_loss(&self, fingerprint: Fingerprint, id: &EndpointId, incarnation: Incarnation) {
         self.meters.record_loss(LossSource::Reported);
-        self.suspects.borrow_mut().record_loss(&request_loss(fingerprint, id, incarnation), now());
+        let loss = request_loss(fingerprint, id, incarnation);
+        if self.suspects.borrow_mut().record_loss(&loss, now()) {
+            self.log_suspects(&loss);
+        }
     }
 
     /// Records and reports the loss of a request before its first event, if the endpoint has ended. A reset,
@@ -163,18 +167,15 @@
     }
 
     fn log_suspects(&self, loss: &Loss) {
+        let (endpoint, trial) = (&loss.endpoint, loss.trial);
         for suspect in &loss.suspects {
-            let Suspect::Part(part) = suspect else { continue };
-            let (endpoint, trial) = (&loss.endpoint, loss.trial);
             match self.verdict(&[*suspect]) {
                 Verdict::Clear => {}
                 Verdict::Suspected => {
-                    tracing::warn!(
-                        "gateway: part {part} is suspected of crashing {endpoint}, trial: {trial}"
-                    );
+                    tracing::warn!("gateway: {suspect} is suspected of crashing {endpoint}, trial: {trial}");
                 }
                 Verdict::Convicted => {
-                    tracing::warn!("gateway: part {part} crashes endpoints, last {endpoint}");
+                    tracing::warn!("gateway: {suspect} crashes endpoints, last {endpoint}");
                 }
             }
         }
