A request that succeeds is cleared of suspicion at all instances

What callers saw: 503 with 'the request crashes endpoints' from an instance, for a request that another instance had just served. Losses of a request go to all instances, but a success cleared it only where it was seen; an instance that serves the request rarely summed up losses of different causes to a conviction, and refused it for two minutes.

A success now clears the request everywhere, by the message that clears prompt parts. A request that crashes endpoints never succeeds, so this clears no such one. The messages carry requests and parts, and are named for that; their positions on the wire are as before.

a_request_that_succeeds_is_cleared_at_all_instances: 503 instead of 200 before, passes now.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -135,7 +135,7 @@
             send_frame(sender, encode_message(&message));
         }
         for loss in self.state.part_losses() {
-            send_frame(sender, encode_message(&LeaderMessage::PartsLost(loss)));
+            send_frame(sender, encode_message(&LeaderMessage::SuspectsLost(loss)));
         }
         for (id, record) in self.registry.borrow().iter() {
             // For all other engines, the follower knows the resident models from their entries in the list.
@@ -264,8 +264,8 @@
                 self.handle_token_request(&endpoint, incarnation, limit, heard, request);
             }
             FollowerMessage::RequestConfig => self.send_config(from),
-            FollowerMessage::PartsLost(loss) => self.handle_parts_lost(from, loss),
-            FollowerMessage::PartsCleared { suspects } => self.handle_parts_cleared(from, suspects),
+            FollowerMessage::SuspectsLost(loss) => self.handle_suspects_lost(from, loss),
+            FollowerMessage::SuspectsCleared { suspects } => self.handle_suspects_cleared(from, suspects),
             FollowerMessage::RequestTrial { ticket, suspects, remaining } => {
                 self.handle_trial_request(&ticket, &suspects, remaining);
             }
--- a/crates/gateway/src/coordinator/trials.rs
+++ b/crates/gateway/src/coordinator/trials.rs
@@ -12,18 +12,18 @@
 /// Parts of prompts under suspicion, of which the leader lets one request at a time run.
 impl Coordinator {
     /// Handles the loss of an endpoint that an instance reports.
-    pub(super) fn handle_parts_lost(&self, from: &InstanceId, loss: Loss) {
+    pub(super) fn handle_suspects_lost(&self, from: &InstanceId, loss: Loss) {
         let is_own = *from == self.state.settings.instance;
-        if self.state.receive_parts_lost(&loss) || is_own {
-            self.broadcast_except(from, &LeaderMessage::PartsLost(loss));
+        if self.state.receive_loss_report(&loss) || is_own {
+            self.broadcast_except(from, &LeaderMessage::SuspectsLost(loss));
         }
     }
 
-    /// Handles the first event of a request with suspected parts.
-    pub(super) fn handle_parts_cleared(&self, from: &InstanceId, suspects: Vec<Suspect>) {
+    /// Handles suspects that an instance has cleared.
+    pub(super) fn handle_suspects_cleared(&self, from: &InstanceId, suspects: Vec<Suspect>) {
         let is_own = *from == self.state.settings.instance;
-        if self.state.receive_parts_cleared(&suspects) || is_own {
-            self.broadcast_except(from, &LeaderMessage::PartsCleared { suspects });
+        if self.state.receive_cleared(&suspects) || is_own {
+            self.broadcast_except(from, &LeaderMessage::SuspectsCleared { suspects });
         }
     }
 
--- a/crates/gateway/src/endpoint_request.rs
+++ b/crates/gateway/src/endpoint_request.rs
@@ -128,7 +128,7 @@
     pub fn record_begun(&mut self) {
         if !self.begun {
             self.begun = true;
-            self.state.clear_parts(&self.suspects);
+            self.state.clear_suspects(&self.suspects);
             self.trial = None;
         }
     }
@@ -166,7 +166,7 @@
 
     /// Records a response that was forwarded whole, and clears the request of suspicion.
     pub fn record_success(&mut self) {
-        self.state.suspects.borrow_mut().clear(Suspect::Request(self.fingerprint));
+        self.state.clear_suspects(&[Suspect::Request(self.fingerprint)]);
         self.finish(SendOutcome::Good);
     }
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -59,9 +59,9 @@
     /// A request no longer needs a token.
     CancelToken { endpoint: EndpointId, ticket: Ticket },
     /// An endpoint ended while it processed requests that had no event yet.
-    PartsLost(Loss),
-    /// A request with these suspected parts of a prompt got its first event.
-    PartsCleared { suspects: Vec<Suspect> },
+    SuspectsLost(Loss),
+    /// A request with these suspected parts of a prompt got its first event, or this request its whole response.
+    SuspectsCleared { suspects: Vec<Suspect> },
     /// A request with suspected parts asks whether it may be sent, and is given up after `remaining`.
     RequestTrial { ticket: Ticket, suspects: Vec<Suspect>, remaining: Millis },
     /// The request of a trial has begun, has failed or was not sent.
@@ -93,9 +93,9 @@
     /// Reply to a request for a token with this number.
     Token { number: u64, reply: TokenReply },
     /// An endpoint ended while it processed requests of some instance that had no event yet.
-    PartsLost(Loss),
+    SuspectsLost(Loss),
     /// A request with these suspected parts of a prompt got its first event at some instance.
-    PartsCleared { suspects: Vec<Suspect> },
+    SuspectsCleared { suspects: Vec<Suspect> },
     /// Reply to a request for a trial with this number.
     Trial { number: u64, granted: bool },
     /// The leader's configuration, for an instance that can't read it from the store.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -156,7 +156,7 @@
         write_message(&mut to, &message).await?;
     }
     for loss in state.part_losses() {
-        write_message(&mut to, &FollowerMessage::PartsLost(loss)).await?;
+        write_message(&mut to, &FollowerMessage::SuspectsLost(loss)).await?;
     }
     let (sender, mut receiver) = mpsc::unbounded_channel();
     state.set_leader_sender(Some(sender));
@@ -208,11 +208,11 @@
             state.set_limit(&endpoint, incarnation, limit);
         }
         LeaderMessage::Token { number, reply } => state.token_requests.complete(number, reply),
-        LeaderMessage::PartsLost(loss) => {
-            state.receive_parts_lost(&loss);
+        LeaderMessage::SuspectsLost(loss) => {
+            state.receive_loss_report(&loss);
         }
-        LeaderMessage::PartsCleared { suspects } => {
-            state.receive_parts_cleared(&suspects);
+        LeaderMessage::SuspectsCleared { suspects } => {
+            state.receive_cleared(&suspects);
         }
         LeaderMessage::Config(table) => {
             state.apply_config(Arc::new(*table), "from the leader");
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -113,15 +113,15 @@
                 trial: request.trial.is_some(),
                 age: Millis(0),
             };
-            if state.receive_parts_lost(&loss) {
-                state.send_to_leader(FollowerMessage::PartsLost(loss));
+            if state.receive_loss_report(&loss) {
+                state.send_to_leader(FollowerMessage::SuspectsLost(loss));
             }
             drop(request.trial);
         });
     }
 
-    /// Records the loss of an endpoint during requests with these parts; returns whether it is new.
-    pub fn receive_parts_lost(&self, loss: &Loss) -> bool {
+    /// Records the loss of an endpoint during requests with these suspects; returns whether it is new.
+    pub fn receive_loss_report(&self, loss: &Loss) -> bool {
         let is_new = self.suspects.borrow_mut().record_loss(loss, now());
         if is_new {
             self.log_suspects(loss);
@@ -130,20 +130,21 @@
         is_new
     }
 
-    /// Clears the parts of a request that got its first event.
-    pub fn clear_parts(&self, suspects: &[Suspect]) {
+    /// Clears the parts of a request that got its first event, or a request that got its whole response, and reports
+    /// it to the leader.
+    pub fn clear_suspects(&self, suspects: &[Suspect]) {
         let mut table = self.suspects.borrow_mut();
         let cleared: Vec<Suspect> =
             suspects.iter().copied().filter(|suspect| table.clear(*suspect)).collect();
         drop(table);
         if !cleared.is_empty() {
             self.suspects_changed.notify_waiters();
-            self.send_to_leader(FollowerMessage::PartsCleared { suspects: cleared });
+            self.send_to_leader(FollowerMessage::SuspectsCleared { suspects: cleared });
         }
     }
 
-    /// Clears parts of a request that got its first event at another instance; returns whether one was known.
-    pub fn receive_parts_cleared(&self, suspects: &[Suspect]) -> bool {
+    /// Clears what another instance has cleared; returns whether it was known.
+    pub fn receive_cleared(&self, suspects: &[Suspect]) -> bool {
         let mut table = self.suspects.borrow_mut();
         let is_known = suspects.iter().filter(|suspect| table.clear(**suspect)).count() > 0;
         drop(table);
