Instances that start are told which requests crash endpoints

Cause: losses of whole requests reached the instances that were connected when they happened. A new follower and a new leader were told of the losses of prompt parts only.

Change: losses of requests are passed on as those of parts are, from the second one on; those with one loss are left out, as these are all requests in flight at an endpoint that fails. Their age goes with them.

--- a/crates/core/src/gateway/suspects.rs
+++ b/crates/core/src/gateway/suspects.rs
@@ -17,7 +17,7 @@
 ///
 /// Two can be a coincidence while several endpoints fail.
 const CONVICTION_THRESHOLD: usize = 3;
-/// Number of incarnations from which on a part of a prompt is suspected.
+/// Number of incarnations from which on a part of a prompt is suspected, and other instances are told of a request.
 const SUSPICION_THRESHOLD: usize = 2;
 /// Time since the last loss after which a suspect that was not tried is forgotten, and a conviction ends.
 const LOSS_LIFETIME: Duration = Duration::from_mins(2);
@@ -122,12 +122,18 @@
         verdicts.max().unwrap_or(Verdict::Clear)
     }
 
-    /// Returns the losses that count against parts of prompts, for an instance that does not know them.
-    pub fn part_losses(&self, now: Time) -> Vec<Loss> {
-        let is_part = |(suspect, losses): &(&Suspect, &Losses)| {
-            matches!(suspect, Suspect::Part(_)) && now < losses.expiry()
+    /// Returns the losses that an instance has to know to come to the same verdicts.
+    ///
+    /// Requests with a single loss are left out: when an endpoint fails, these are all that it had in flight.
+    pub fn losses_to_share(&self, now: Time) -> Vec<Loss> {
+        let is_shared = |(suspect, losses): &(&Suspect, &Losses)| {
+            let least = match suspect {
+                Suspect::Request(_) => SUSPICION_THRESHOLD,
+                Suspect::Part(_) => 1,
+            };
+            losses.incarnations.len() >= least && now < losses.expiry()
         };
-        let entries = self.losses.iter().filter(is_part);
+        let entries = self.losses.iter().filter(is_shared);
         entries.flat_map(|(suspect, losses)| losses.to_messages(*suspect, now)).collect()
     }
 
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -111,7 +111,7 @@
         known.record_loss(&loss(&[A, BAD], id), at(0));
     }
     known.record_loss(&trial_loss(&[BAD], "c"), at(0));
-    for loss in known.part_losses(at(60_000)) {
+    for loss in known.losses_to_share(at(60_000)) {
         joined.record_loss(&loss, at(90_000));
     }
     for suspects in [&[A][..], &[BAD], &[A, BAD]] {
@@ -119,6 +119,27 @@
     }
 }
 
+/// Guards against an instance that joins and does not know which requests crash endpoints, and against a list of all
+/// requests that were in flight at an endpoint that failed.
+#[test]
+fn a_table_that_gets_the_losses_of_another_one_convicts_the_same_requests() {
+    let (mut known, mut joined) = (SuspectTable::default(), SuspectTable::default());
+    let bad = Suspect::Request(Fingerprint(1));
+    for id in ["a", "b", "c"] {
+        known.record_loss(&loss(&[bad], id), at(0));
+    }
+    for number in 0..1_000 {
+        known.record_loss(&loss(&[Suspect::Request(Fingerprint(2 + number))], "c"), at(0));
+    }
+    let shared = known.losses_to_share(at(60_000));
+    assert_eq!(shared.len(), 3);
+    for loss in shared {
+        joined.record_loss(&loss, at(60_000));
+    }
+    assert_eq!(joined.verdict(&[bad], at(119_000)), Verdict::Convicted);
+    assert_eq!(joined.verdict(&[bad], at(121_000)), Verdict::Clear, "being passed on does not renew a loss");
+}
+
 /// Guards against callers that fill the table with parts of their own, and so hide the one that crashes
 /// endpoints.
 #[test]
@@ -130,7 +151,7 @@
     for number in 0..10_000 {
         table.record_loss(&loss(&[Suspect::Part(PartId(0x1_0000 + number))], "c"), at(1 + number));
     }
-    assert!(table.part_losses(at(11_000)).len() <= 4_200, "the table is bounded");
+    assert!(table.losses_to_share(at(11_000)).len() <= 4_200, "the table is bounded");
     assert_eq!(table.verdict(&[BAD], at(11_000)), Verdict::Suspected);
 }
 
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -134,7 +134,7 @@
         for message in self.limit_messages() {
             send_frame(sender, encode_message(&message));
         }
-        for loss in self.state.part_losses() {
+        for loss in self.state.losses_to_share() {
             send_frame(sender, encode_message(&LeaderMessage::SuspectsLost(loss)));
         }
         for (id, record) in self.registry.borrow().iter() {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -155,7 +155,7 @@
     for message in state.limit_messages() {
         write_message(&mut to, &message).await?;
     }
-    for loss in state.part_losses() {
+    for loss in state.losses_to_share() {
         write_message(&mut to, &FollowerMessage::SuspectsLost(loss)).await?;
     }
     let (sender, mut receiver) = mpsc::unbounded_channel();
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -67,8 +67,8 @@
     }
 
     /// Returns the losses that a new leader or follower may not know.
-    pub fn part_losses(&self) -> Vec<Loss> {
-        self.suspects.borrow().part_losses(now())
+    pub fn losses_to_share(&self) -> Vec<Loss> {
+        self.suspects.borrow().losses_to_share(now())
     }
 
     /// Records that the connection to an endpoint was lost while it processed a request, and reports it to
