The buffers of all responses together have a limit

Cause: 1 MiB for each response, or for the event of a stream, and no limit for all of them. A body was kept as the pieces in which it arrived, 32 bytes of bookkeeping each, and each connection could buffer 400 KB unread.

Ruled out: heads (20 MB for 300 requests).

Change: a quarter of the memory limit for all buffers together, of which the first 32 KiB of a response do not count; bodies are read into one buffer; connections buffer 64 KiB. A response that is broken off for the others' sake says nothing against its endpoint or request.

--- a/crates/core/src/gateway/candidacy.rs
+++ b/crates/core/src/gateway/candidacy.rs
@@ -21,6 +21,8 @@
     pub cores: f64,
     /// Bandwidth of its link, in Mbit/s.
     pub link: f64,
+    /// Memory limit of its process, in MB.
+    pub memory: f64,
 }
 
 /// Decides which of many instances claim the leader lease when nobody holds it.
--- a/crates/core/tests/candidacy.rs
+++ b/crates/core/tests/candidacy.rs
@@ -4,8 +4,8 @@
 use carobwick_core::gateway::InstanceSize;
 use test_case::test_case;
 
-const LARGE: InstanceSize = InstanceSize { cores: 0.5, link: 200.0 };
-const SMALL: InstanceSize = InstanceSize { cores: 0.1, link: 20.0 };
+const LARGE: InstanceSize = InstanceSize { cores: 0.5, link: 200.0, memory: 256.0 };
+const SMALL: InstanceSize = InstanceSize { cores: 0.1, link: 20.0, memory: 256.0 };
 /// Upper bound of the claims at one poll; with two writes each, they stay below half of the writes per second
 /// that the smallest store allows.
 const MAX_CLAIMS: usize = 100;
@@ -53,7 +53,7 @@
 /// Guards against a leader on an instance whose link or processor is too small to serve the others.
 #[test]
 fn small_instances_wait_for_a_large_one() {
-    for size in [SMALL, InstanceSize { cores: 0.5, link: 10.0 }, InstanceSize { cores: 0.1, link: 1_000.0 }] {
+    for size in [SMALL, InstanceSize { link: 10.0, ..LARGE }, InstanceSize { link: 1_000.0, ..SMALL }] {
         let early = candidates(300, size)
             .iter_mut()
             .filter_map(|candidate| candidate.should_claim().then_some(()))
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -24,9 +24,6 @@
 use http::header::HOST;
 use http::header::TRANSFER_ENCODING;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -38,6 +35,8 @@
 use tokio_util::task::TaskTracker;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::Category;
+use crate::buffer::read_whole;
 use crate::connection::configure_socket;
 use crate::head_inspector::HeadCheck;
 use crate::head_inspector::HeadInspector;
@@ -207,9 +206,9 @@
 }
 
 async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, LocalResponse> {
-    match Limited::new(body, limits.max_body.0 as usize).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => {
+    match read_whole(body, limits.max_body.0 as usize, |_size| Ok(())).await {
+        Ok(body) => Ok(body),
+        Err(err) if err.category() == Category::Codec => {
             Err(LocalResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long").close_connection())
         }
         Err(err) => {
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -4,9 +4,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -19,6 +17,7 @@
 use crate::Category;
 use crate::Error;
 use crate::Result;
+use crate::buffer::read_whole;
 
 /// Time after which unacknowledged data closes a connection. A network path that has lost its state sends no
 /// reset.
@@ -27,6 +26,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unacknowledged keep-alive probes after which a connection is closed.
 const MAX_KEEPALIVE_PROBES: u32 = 2;
+/// Buffer for what has arrived and was not read yet, and so the longest response head. The default of the HTTP library
+/// is six times as large, and each connection may fill it.
+const READ_BUFFER_BYTES: usize = 64 << 10;
 /// Largest response body that [`Connection::exchange`] reads.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
@@ -68,8 +70,11 @@
         // could arrive after those of the next leader. A reset discards it.
         let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         reset.map_err(|err| failed(err.to_string()))?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|err| failed(err.to_string()))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|err| failed(err.to_string()))?;
         let task = tokio::task::spawn_local(async move {
             if let Err(err) = connection.await {
                 tracing::debug!("link: {addr}: {err}");
@@ -123,9 +128,9 @@
                 Err(SendError::Lost(text)) => return Err(Error::new(Category::Lost, text)),
             };
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+            let body = read_whole(body, MAX_BODY_BYTES, |_size| Ok(())).await;
             let body = body.map_err(|err| Error::new(Category::Lost, err.to_string()))?;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            Ok(Response::from_parts(head, body))
         };
         let lost = || Error::new(Category::Lost, format!("no response within {timeout:?}"));
         tokio::time::timeout(timeout, exchange).await.map_err(|_elapsed| lost())?
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -52,9 +52,14 @@
         self.partial.is_empty()
     }
 
+    /// Returns the size of the buffer, in bytes.
+    pub fn buffer_size(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Discards the incomplete event.
     pub fn discard_partial(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 //! [`Store`] gives access to the persistent data. All tasks of a process run on one thread.
 
 mod backoff;
+mod buffer;
 mod callers;
 mod config;
 mod connection;
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -26,13 +26,13 @@
 use http::Uri;
 use http::header::CONTENT_LENGTH;
 use http::header::EXPECT;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 
 use crate::Category;
+use crate::Error;
 use crate::ForwardedRequest;
+use crate::buffer::read_whole;
 use crate::connection::SendError;
 use crate::endpoint_request::EndpointRequest;
 use crate::endpoint_request::EndpointResponse;
@@ -324,16 +324,15 @@
         received.request.record_started(received.head.load);
         let (mut parts, body) = received.response.into_parts();
         let Some(remaining) = self.remaining_time() else { return Err(SendFailure::Lost) };
-        let collected =
-            tokio::time::timeout(remaining, Limited::new(body, MAX_BUFFERED_BYTES).collect()).await;
-        let Ok(Ok(collected)) = collected else {
-            tracing::info!(
-                "gateway: request {} response interrupted at {}",
-                self.head.attempt_id,
-                received.request.choice.id
-            );
-            received.request.record_lost();
-            return Err(SendFailure::Lost);
+        let mut share = self.state.buffers.open_share();
+        let read = read_whole(body, MAX_BUFFERED_BYTES, |size| share.resize(size));
+        let body = match tokio::time::timeout(remaining, read).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(err)) => return Err(self.interrupted(received.request, &err)),
+            Err(_) => {
+                let err = Error::new(Category::Lost, "deadline exceeded");
+                return Err(self.interrupted(received.request, &err));
+            }
         };
         if status.is_server_error() {
             received.request.finish(SendOutcome::Failed);
@@ -346,7 +345,19 @@
         }
         strip_hop_by_hop(&mut parts.headers);
         parts.headers.remove(CONTENT_LENGTH);
-        Ok(Response::from_parts(parts, ResponseBody::Buffered(Some(collected.to_bytes()))))
+        Ok(Response::from_parts(parts, ResponseBody::Buffered(Some(body))))
+    }
+
+    /// Records a response that was not received whole.
+    fn interrupted(&self, mut received: EndpointRequest, err: &Error) -> SendFailure {
+        let (request, endpoint) = (&self.head.attempt_id, &received.choice.id);
+        tracing::info!("gateway: request {request} response interrupted at {endpoint}: {err}");
+        match err.category() {
+            // The endpoint may be sound, and the request too.
+            Category::Busy => received.outcome = SendOutcome::Failed,
+            _ => received.record_lost(),
+        }
+        SendFailure::Lost
     }
 
     /// Returns whether the request would be sent again after the endpoint has failed to process it.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,5 +1,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +32,7 @@
 use crate::Settings;
 use crate::Terms;
 use crate::WireFormat;
+use crate::buffer::BufferBudget;
 use crate::message::FollowerMessage;
 use crate::message::ListUpdate;
 use crate::meters::Meters;
@@ -55,6 +57,8 @@
     pub balancer: RefCell<Balancer>,
     pub suspects: RefCell<SuspectTable>,
     pub pool: Pool,
+    /// Memory for the responses of endpoints.
+    pub buffers: Rc<BufferBudget>,
     pub meters: Meters,
     /// Notifies requests that wait for an endpoint.
     pub endpoints_changed: Notify,
@@ -98,6 +102,7 @@
         list_updates: mpsc::UnboundedSender<ListUpdate>,
     ) -> Self {
         let balancer = Balancer::new(settings.zone.clone());
+        let buffers = BufferBudget::new(settings.size.memory);
         Self {
             terms: Cell::new(settings.terms),
             freshness: RefCell::new(ConfigFreshness::new(settings.terms.apply)),
@@ -109,6 +114,7 @@
             balancer: RefCell::new(balancer),
             suspects: RefCell::default(),
             pool: Pool::default(),
+            buffers,
             meters,
             endpoints_changed: Notify::new(),
             stopping: Cell::new(false),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -19,9 +19,11 @@
 use hyper::body::Incoming;
 use tokio::time::Sleep;
 
+use crate::buffer::BufferShare;
 use crate::endpoint_request::EndpointRequest;
 use crate::endpoint_request::EndpointResponse;
 use crate::events::EventFramer;
+use crate::events::FramedEvents;
 use crate::proxied_request::ProxiedRequest;
 use crate::response::BodyError;
 use crate::response::ResponseBody;
@@ -41,7 +43,8 @@
     let framed = is_framed(&parts.headers);
     strip_hop_by_hop(&mut parts.headers);
     let timer = Box::pin(tokio::time::sleep(proxied.deadline - now()));
-    let body = EndpointBody { incoming, request, head_load: head.load, timer, started: false, framed };
+    let share = proxied.state.buffers.open_share();
+    let body = EndpointBody { incoming, request, head_load: head.load, timer, started: false, share, framed };
     let events = if proxied.route.resumable {
         resumable_stream(body, proxied.clone_for_resume())
     } else {
@@ -58,6 +61,8 @@
     head_load: Option<LoadReport>,
     timer: Pin<Box<Sleep>>,
     started: bool,
+    /// Memory that the incomplete event uses.
+    share: BufferShare,
     /// Whether the response has a length or chunks. Otherwise its end can't be told from that of a broken
     /// connection.
     framed: bool,
@@ -80,6 +85,13 @@
         framer.is_empty() && (self.framed || self.request.has_begun())
     }
 
+    /// Adds bytes of the response to the framer; fails if the incomplete event uses too much memory.
+    fn add_to(&mut self, framer: &mut EventFramer, bytes: &[u8]) -> crate::Result<FramedEvents> {
+        let events = framer.push(bytes)?;
+        self.share.resize(framer.buffer_size())?;
+        Ok(events)
+    }
+
     async fn next(&mut self) -> BodyChunk {
         let frame = tokio::select! {
             biased;
@@ -117,7 +129,7 @@
 ) -> Option<(Result<Bytes, BodyError>, Option<PlainStream>)> {
     let PlainStream { mut body, mut framer } = plain?;
     match body.next().await {
-        BodyChunk::Data(bytes) => match framer.push(&bytes) {
+        BodyChunk::Data(bytes) => match body.add_to(&mut framer, &bytes) {
             Ok(events) => {
                 if !events.bytes.is_empty() {
                     body.request.record_begun();
@@ -172,7 +184,7 @@
     loop {
         match resumable.body.next().await {
             BodyChunk::Data(bytes) => {
-                let events = match resumable.framer.push(&bytes) {
+                let events = match resumable.body.add_to(&mut resumable.framer, &bytes) {
                     Ok(events) => events,
                     Err(err) => match resumable.resume(&err.to_string()).await {
                         Ok(()) => continue,
@@ -246,6 +258,7 @@
                         head_load: response.head.load,
                         timer,
                         started: false,
+                        share: self.proxied.state.buffers.open_share(),
                         framed,
                     };
                     return Ok(());
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -102,7 +102,7 @@
         metrics: addr,
         peers: addr,
         store: addr,
-        size: InstanceSize { cores: 1.0, link: 1_000.0 },
+        size: InstanceSize { cores: 1.0, link: 1_000.0, memory: 256.0 },
         terms: Terms {
             grace: Duration::from_secs(8),
             drain: Duration::from_secs(2),
