A request that becomes whole late in the grace time of a stop is refused

What callers saw: in a planned stop, a request whose head or body took long to arrive was passed on late in the grace time. At its end a payment got 502, which promises nothing, and a stream was cut off (reported by other operators).

Cause: a stopping instance closes idle connections after 2.5 s, but not those on which a request has begun to arrive; with a grace time under 2.5 s it took requests up to the end.

Change: from 2.5 s after the signal, or from half of the grace time, such a request gets 503 with Retry-After 0. It has not run, and other instances serve it at once.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -151,6 +151,10 @@
     let table = table.ok_or_else(|| unavailable("no configuration yet").retry_after(RETRY_AFTER))?;
     let body = read_body(body, &table.limits).await?;
     inspector.body_read();
+    // The head or the body may have taken as long as the stop has lasted.
+    if state.refusing.get() {
+        return Err(unavailable("the instance stops").retry_after(Duration::ZERO).close_connection());
+    }
     let route = find_route(&table, &parts)?;
     let head = state.wire.parse_request(&parts.headers).map_err(|err| {
         tracing::info!("gateway: request on {} rejected: {err}", route.name);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,8 @@
 /// Time for which a stopping instance still accepts connections, until the load balancer has noticed that it
 /// is not ready.
 const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2_500);
+/// Largest fraction of the grace time in which a stopping instance takes new requests. The rest is for their responses.
+const MAX_ACCEPT_FRACTION: f64 = 0.5;
 /// Fraction of the grace time after which requests in flight are aborted, so that the process exits before it
 /// is killed.
 const GRACE_FRACTION: f64 = 0.95;
@@ -106,8 +108,8 @@
         }
     }
 
-    /// Shuts down gracefully: the instance first reports that it is not ready, then accepts no more
-    /// connections, and then waits for the requests in flight. Shortly before the grace time ends, those without a
+    /// Shuts down gracefully: the instance first reports that it is not ready, then refuses new requests and accepts
+    /// no more connections, and waits for the requests in flight. Shortly before the grace time ends, those without a
     /// response get one that says whether they may have run; streams are aborted at its end.
     pub async fn shutdown(self) {
         let grace = self.state.terms.get().grace.mul_f64(GRACE_FRACTION);
@@ -119,8 +121,11 @@
             tokio::time::sleep(grace.saturating_sub(LAST_RESPONSE_TIME)).await;
             stop_ending.cancel();
         });
+        let accept_time = READINESS_NOTICE_TIME.min(grace.mul_f64(MAX_ACCEPT_FRACTION));
         let finish = async {
-            tokio::time::sleep(READINESS_NOTICE_TIME).await;
+            tokio::time::sleep(accept_time).await;
+            self.state.refusing.set(true);
+            tokio::time::sleep(READINESS_NOTICE_TIME.saturating_sub(accept_time)).await;
             self.closing.cancel();
             self.connections.close();
             self.connections.wait().await;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -63,6 +63,8 @@
     /// Notifies requests that wait for an endpoint.
     pub endpoints_changed: Notify,
     pub stopping: Cell<bool>,
+    /// Whether a stopping instance refuses new requests, since it could not wait for their responses.
+    pub refusing: Cell<bool>,
     /// Cancelled shortly before a stopping instance aborts the requests in flight.
     pub stop_ending: CancellationToken,
     retry_budgets: RefCell<IndexMap<ServiceId, RetryBudget>>,
@@ -118,6 +120,7 @@
             meters,
             endpoints_changed: Notify::new(),
             stopping: Cell::new(false),
+            refusing: Cell::new(false),
             stop_ending: CancellationToken::new(),
             retry_budgets: RefCell::default(),
             instances: Cell::default(),
