A resumed stream is not cut at the length that its first endpoint announced

What callers saw: a stream with a Content-Length broke off, another endpoint sent the rest, and the response ended at the announced length, within an event, as if it were complete (reported in part by other operators: a stream that ends as if complete).

Cause: the length in the first endpoint's head was passed on, and the HTTP library cuts the body there. The rest of a stream may come in events of other sizes.

Change: the response of a route that may be resumed has chunks and no length.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -46,6 +46,8 @@
     let share = proxied.state.buffers.open_share();
     let body = EndpointBody { incoming, request, head_load: head.load, timer, started: false, share, framed };
     let events = if proxied.route.resumable {
+        // Another endpoint may send the rest of the stream in events of other sizes.
+        parts.headers.remove(CONTENT_LENGTH);
         resumable_stream(body, proxied.clone_for_resume())
     } else {
         stream::unfold(Some(PlainStream { body, framer: EventFramer::default() }), next_plain_chunk)
