A stream is resumed only by a response of the same content type

What callers saw: a stream had broken off, the next endpoint answered with a signed success that held the text of an error, and the text stood in the middle of the stream, which ended as if complete (reported by other operators).

Cause: any success was taken for the rest of the stream.

Change: the content type must be that of the first endpoint's response, whose head the caller has; otherwise the next endpoint is asked, or the stream broken off. A response that does not continue a stream is logged.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,8 +12,10 @@
 use futures_util::stream;
 use futures_util::stream::LocalBoxStream;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Response;
 use http::header::CONTENT_LENGTH;
+use http::header::CONTENT_TYPE;
 use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -45,10 +47,11 @@
     let timer = Box::pin(tokio::time::sleep(proxied.deadline - now()));
     let share = proxied.state.buffers.open_share();
     let body = EndpointBody { incoming, request, head_load: head.load, timer, started: false, share, framed };
+    let content_type = parts.headers.get(CONTENT_TYPE).cloned();
     let events = if proxied.route.resumable {
         // Another endpoint may send the rest of the stream in events of other sizes.
         parts.headers.remove(CONTENT_LENGTH);
-        resumable_stream(body, proxied.clone_for_resume())
+        resumable_stream(body, proxied.clone_for_resume(), content_type)
     } else {
         stream::unfold(Some(PlainStream { body, framer: EventFramer::default() }), next_plain_chunk)
             .boxed_local()
@@ -168,14 +171,18 @@
     proxied: ProxiedRequest,
     framer: EventFramer,
     last_event: Option<String>,
+    /// Content type of the first endpoint's response, which the caller has received.
+    content_type: Option<HeaderValue>,
 }
 
 fn resumable_stream(
     body: EndpointBody,
     proxied: ProxiedRequest,
+    content_type: Option<HeaderValue>,
 ) -> LocalBoxStream<'static, Result<Bytes, BodyError>> {
     let last_event = proxied.head.last_event.clone();
-    let resumable = ResumableStream { body, proxied, framer: EventFramer::default(), last_event };
+    let resumable =
+        ResumableStream { body, proxied, framer: EventFramer::default(), last_event, content_type };
     stream::unfold(Some(resumable), next_events).boxed_local()
 }
 
@@ -223,6 +230,12 @@
 }
 
 impl ResumableStream {
+    /// Returns whether a response holds the rest of the stream, and not the text of a failure.
+    fn continues(&self, response: &EndpointResponse) -> bool {
+        let head = &response.response;
+        head.status().is_success() && head.headers().get(CONTENT_TYPE) == self.content_type.as_ref()
+    }
+
     /// Resumes the stream at another endpoint; fails if no endpoint can continue it.
     async fn resume(&mut self, reason: &str) -> Result<(), BodyError> {
         let first = self.body.request.choice.clone();
@@ -244,7 +257,7 @@
             }
             let last_event = self.last_event.clone();
             match self.proxied.send_after(&choice, last_event.as_deref()).await {
-                Ok(response) if response.response.status().is_success() => {
+                Ok(response) if self.continues(&response) => {
                     tracing::info!(
                         "gateway: request {} resumed at {} after event {last_event:?}: {reason}",
                         self.proxied.head.attempt_id,
@@ -265,7 +278,15 @@
                     };
                     return Ok(());
                 }
-                Ok(_) => failed = (SendFailure::Failed, choice),
+                Ok(response) => {
+                    tracing::info!(
+                        "gateway: request {} not resumed at {}: {}",
+                        self.proxied.head.attempt_id,
+                        choice.id,
+                        response.response.status()
+                    );
+                    failed = (SendFailure::Failed, choice);
+                }
                 Err(failure) => failed = (failure, choice),
             }
         }
