A response within a stream without length or chunks breaks the stream off

What callers saw: an endpoint broke off a stream that only the end of its connection ends, and wrote a whole response into it; the caller got its head and text in the middle of the stream, which ended as if complete (reported by other operators).

Cause: a head ends with an empty line, as an event does, and what an event is was not checked. Streams that can't be resumed were forwarded as they arrived, before it was known where an event ends.

Change: each line of an event is a field, a comment or empty; another block breaks the stream off, after the events before it. All streams are forwarded by whole events.

The loop of streams that can't be resumed has one place that logs why a stream is aborted.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -9,7 +9,11 @@
 /// Longest event that is buffered; more bytes without the end of an event are an error.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Splits a byte stream into complete events, so that a truncated event never reaches the caller.
+/// Names of the fields of an event, which may stand on a line without a colon.
+const FIELD_NAMES: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
+/// Splits a byte stream into complete events, so that neither a truncated event nor bytes that are no event reach the
+/// caller.
 #[derive(Debug, Default)]
 pub struct EventFramer {
     partial: BytesMut,
@@ -29,12 +33,19 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Category::Codec`] if the incomplete event is longer than 1 MiB.
+    /// Fails with [`Category::Codec`] if the incomplete event is longer than 1 MiB, and if the bytes begin with a block
+    /// that is no event. Events before such a block are returned first.
     pub fn push(&mut self, chunk: &[u8]) -> Result<FramedEvents> {
         self.partial.extend_from_slice(chunk);
         let mut end = 0;
         while let Some(length) = block_length(&self.partial[end..]) {
-            end += length;
+            if is_event(&self.partial[end..end + length]) {
+                end += length;
+            } else if end == 0 {
+                return Err(Error::new(Category::Codec, "bytes that are no event"));
+            } else {
+                break;
+            }
         }
         if self.partial.len() - end > MAX_EVENT_BYTES {
             return Err(Error::new(
@@ -63,6 +74,15 @@
     }
 }
 
+/// Returns whether each line of a block is a field, a comment or empty, as the format of event streams has it. The first
+/// line of an HTTP response is not.
+fn is_event(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    lines.all(|line| {
+        line.is_empty() || line.contains(&b':') && !line.starts_with(b"HTTP/") || FIELD_NAMES.contains(&line)
+    })
+}
+
 fn event_id(line: &[u8]) -> Option<String> {
     let id = line.strip_prefix(b"id:")?.trim_ascii();
     std::str::from_utf8(id).ok().map(str::to_owned)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -125,7 +125,6 @@
 /// Stream that can't be resumed and ends when its endpoint fails.
 struct PlainStream {
     body: EndpointBody,
-    /// Detects bytes that are not events, which a faulty endpoint may send until its connection is closed.
     framer: EventFramer,
 }
 
@@ -133,35 +132,35 @@
     plain: Option<PlainStream>,
 ) -> Option<(Result<Bytes, BodyError>, Option<PlainStream>)> {
     let PlainStream { mut body, mut framer } = plain?;
-    match body.next().await {
-        BodyChunk::Data(bytes) => match body.add_to(&mut framer, &bytes) {
-            Ok(events) => {
-                if !events.bytes.is_empty() {
+    loop {
+        let reason = match body.next().await {
+            BodyChunk::Data(bytes) => match body.add_to(&mut framer, &bytes) {
+                Ok(events) if events.bytes.is_empty() => continue,
+                Ok(events) => {
                     body.request.record_begun();
+                    return Some((Ok(events.bytes), Some(PlainStream { body, framer })));
+                }
+                Err(err) => {
+                    body.request.outcome = SendOutcome::Failed;
+                    err.to_string()
                 }
-                Some((Ok(bytes), Some(PlainStream { body, framer })))
+            },
+            BodyChunk::End if body.is_complete(&framer) => {
+                body.request.record_success();
+                return None;
             }
-            Err(err) => {
-                body.request.outcome = SendOutcome::Failed;
-                tracing::warn!("gateway: stream from {} aborted: {err}", body.request.choice.id);
-                Some((Err(BodyError(err.to_string())), None))
+            BodyChunk::End => {
+                body.request.record_lost();
+                BROKEN_OFF.to_owned()
             }
-        },
-        BodyChunk::End if body.is_complete(&framer) => {
-            body.request.record_success();
-            None
-        }
-        BodyChunk::End => {
-            body.request.record_lost();
-            tracing::info!("gateway: stream from {} {BROKEN_OFF}", body.request.choice.id);
-            Some((Err(BodyError(BROKEN_OFF.to_owned())), None))
-        }
-        BodyChunk::Interrupted(text) => {
-            body.request.record_lost();
-            tracing::info!("gateway: stream from {} interrupted: {text}", body.request.choice.id);
-            Some((Err(BodyError(text)), None))
-        }
-        BodyChunk::TimedOut => Some((Err(BodyError("deadline exceeded".to_owned())), None)),
+            BodyChunk::Interrupted(text) => {
+                body.request.record_lost();
+                text
+            }
+            BodyChunk::TimedOut => "deadline exceeded".to_owned(),
+        };
+        tracing::info!("gateway: stream from {} aborted: {reason}", body.request.choice.id);
+        return Some((Err(BodyError(reason)), None));
     }
 }
 
