Convictions outlast the end of all instances

What callers saw: a request that crashes endpoints was refused; then all processes were killed at once, and it crashed as many endpoints again.

Cause: losses are in the memory of the instances, which tell each other; when all end, nobody is left to tell.

Change: the leader, and the instance whose loss convicts a suspect, write the conviction with its losses to the store, on a lease that ends with it. A process that starts reads them once, before or after it is connected. Two calls for each conviction and one for each start. Without the store the instances still tell each other.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -83,6 +83,7 @@
 pub use retry::RetryStep;
 pub use retry::SendFailure;
 pub use retry::next_step;
+pub use suspects::Conviction;
 pub use suspects::Loss;
 pub use suspects::Suspect;
 pub use suspects::SuspectTable;
--- a/crates/core/src/gateway/suspects.rs
+++ b/crates/core/src/gateway/suspects.rs
@@ -61,6 +61,17 @@
     pub age: Millis,
 }
 
+/// A suspect that must be refused, with the losses that say so.
+#[data]
+pub struct Conviction {
+    /// What the requests have in common.
+    pub suspect: Suspect,
+    /// Losses of endpoints.
+    pub losses: Vec<Loss>,
+    /// Time until the losses are forgotten.
+    pub lifetime: Millis,
+}
+
 /// What is known of a request with some suspects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
@@ -137,6 +148,16 @@
         entries.flat_map(|(suspect, losses)| losses.to_messages(*suspect, now)).collect()
     }
 
+    /// Returns the conviction of a suspect, or none if it is not convicted.
+    pub fn conviction(&self, suspect: Suspect, now: Time) -> Option<Conviction> {
+        if self.verdict(&[suspect], now) != Verdict::Convicted {
+            return None;
+        }
+        let losses = self.losses.get(&suspect)?;
+        let lifetime = Millis((losses.expiry() - now).as_millis() as u64);
+        Some(Conviction { suspect, losses: losses.to_messages(suspect, now).collect(), lifetime })
+    }
+
     fn verdict_on(&self, suspect: Suspect, all: &[Suspect], now: Time) -> Verdict {
         let known = self.losses.get(&suspect).filter(|losses| now < losses.expiry());
         let Some(losses) = known else { return Verdict::Clear };
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -249,7 +249,8 @@
             }
             FollowerMessage::EndpointLost { fingerprint, endpoint, incarnation } => {
                 if *from != self.state.settings.instance {
-                    self.state.receive_loss(fingerprint, &endpoint, incarnation);
+                    let loss = self.state.receive_loss(fingerprint, &endpoint, incarnation);
+                    self.state.keep_convicted(&loss);
                 }
                 self.broadcast_except(
                     from,
--- a/crates/gateway/src/coordinator/trials.rs
+++ b/crates/gateway/src/coordinator/trials.rs
@@ -15,6 +15,7 @@
     pub(super) fn handle_suspects_lost(&self, from: &InstanceId, loss: Loss) {
         let is_own = *from == self.state.settings.instance;
         if self.state.receive_loss_report(&loss) || is_own {
+            self.state.keep_convicted(&loss);
             self.broadcast_except(from, &LeaderMessage::SuspectsLost(loss));
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use crate::WireFormat;
 use crate::callers;
 use crate::config::ConfigReader;
+use crate::convictions;
 use crate::coordinator::Coordinator;
 use crate::election::Election;
 use crate::list::ListReader;
@@ -61,7 +62,8 @@
             Meters::open().map_err(|err| Error::new(Category::Start, format!("metrics: {err:#}")))?;
         let shared_settings = Rc::new(settings.clone());
         let (list_sender, list_updates) = mpsc::unbounded_channel();
-        let state = Rc::new(State::new(settings, wire, meters, list_sender));
+        let (convicted_sender, convicted) = mpsc::unbounded_channel();
+        let state = Rc::new(State::new(settings, wire, meters, list_sender, convicted_sender));
         let election = Rc::new(Election::new(&shared_settings));
         let coordinator = Rc::new(Coordinator::new(Rc::clone(&state), Rc::clone(&election)));
         let (closing, connections) = (CancellationToken::new(), TaskTracker::new());
@@ -74,6 +76,7 @@
         let reader =
             ListReader::new(Rc::clone(&state), Rc::clone(&store), Rc::clone(&coordinator), list_updates);
         tasks.spawn_local(reader.run());
+        tasks.spawn_local(convictions::keep(Rc::clone(&state), Rc::clone(&store), convicted));
         tasks.spawn_local(Rc::clone(&election).run(Rc::clone(&shared_settings), store));
         tasks.spawn_local(peers::accept(Rc::clone(&coordinator), Rc::clone(&election), peers));
         tasks.spawn_local(peers::follow(Rc::clone(&state), Rc::clone(&coordinator), Rc::clone(&election)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod callers;
 mod config;
 mod connection;
+mod convictions;
 mod coordinator;
 mod election;
 mod endpoint_request;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -199,7 +199,7 @@
             state.endpoints_changed.notify_waiters();
         }
         LeaderMessage::EndpointLost { fingerprint, endpoint, incarnation } => {
-            state.receive_loss(fingerprint, &endpoint, incarnation);
+            let _loss = state.receive_loss(fingerprint, &endpoint, incarnation);
         }
         LeaderMessage::EndpointLeaving { endpoint, incarnation } => {
             state.mark_leaving(&endpoint, incarnation);
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -11,6 +11,7 @@
 use carobwick_core::LeaderRecord;
 use carobwick_core::LoadReport;
 use carobwick_core::Revision;
+use carobwick_core::gateway::Conviction;
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::EndpointNotice;
@@ -185,6 +186,20 @@
     /// Fails if the outcome is unknown or the lease has expired.
     fn claim_leadership(&self, lease: u64, entry: LeaderEntry) -> LocalBoxFuture<'_, Result<ClaimOutcome>>;
 
+    /// Reads the convictions that were added and whose lifetime has not ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not respond.
+    fn convictions(&self) -> LocalBoxFuture<'_, Result<Vec<Conviction>>>;
+
+    /// Adds a conviction for its lifetime, unless one of the same suspect is there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the outcome is unknown.
+    fn add_conviction(&self, conviction: Conviction) -> LocalBoxFuture<'_, Result<()>>;
+
     /// Creates a lease and returns its id.
     ///
     /// # Errors
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use carobwick_core::gateway::RetryBudget;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::SharedLoad;
+use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::SuspectTable;
 use carobwick_core::gateway::TokenReply;
 use carobwick_core::gateway::Weights;
@@ -56,6 +57,8 @@
     pub endpoints_known: Cell<bool>,
     pub balancer: RefCell<Balancer>,
     pub suspects: RefCell<SuspectTable>,
+    /// Sends convicted suspects to the task that writes them to the store.
+    pub convicted: mpsc::UnboundedSender<Suspect>,
     pub pool: Pool,
     /// Memory for the responses of endpoints.
     pub buffers: Rc<BufferBudget>,
@@ -102,6 +105,7 @@
         wire: Box<dyn WireFormat>,
         meters: Meters,
         list_updates: mpsc::UnboundedSender<ListUpdate>,
+        convicted: mpsc::UnboundedSender<Suspect>,
     ) -> Self {
         let balancer = Balancer::new(settings.zone.clone());
         let buffers = BufferBudget::new(settings.size.memory);
@@ -115,6 +119,7 @@
             endpoints_known: Cell::new(false),
             balancer: RefCell::new(balancer),
             suspects: RefCell::default(),
+            convicted,
             pool: Pool::default(),
             buffers,
             meters,
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -78,6 +78,7 @@
         let loss = request_loss(fingerprint, id, incarnation);
         if self.suspects.borrow_mut().record_loss(&loss, now()) {
             self.log_suspects(&loss);
+            self.keep_convicted(&loss);
             self.send_to_leader(FollowerMessage::EndpointLost {
                 fingerprint,
                 endpoint: id.clone(),
@@ -86,13 +87,15 @@
         }
     }
 
-    /// Records that another instance lost the connection to an endpoint while it processed a request.
-    pub fn receive_loss(&self, fingerprint: Fingerprint, id: &EndpointId, incarnation: Incarnation) {
+    /// Records that another instance lost the connection to an endpoint while it processed a request; returns the
+    /// loss.
+    pub fn receive_loss(&self, fingerprint: Fingerprint, id: &EndpointId, incarnation: Incarnation) -> Loss {
         self.meters.record_loss(LossSource::Reported);
         let loss = request_loss(fingerprint, id, incarnation);
         if self.suspects.borrow_mut().record_loss(&loss, now()) {
             self.log_suspects(&loss);
         }
+        loss
     }
 
     /// Records and reports the loss of a request before its first event, if the endpoint has ended. A reset,
@@ -114,6 +117,7 @@
                 age: Millis(0),
             };
             if state.receive_loss_report(&loss) {
+                state.keep_convicted(&loss);
                 state.send_to_leader(FollowerMessage::SuspectsLost(loss));
             }
             drop(request.trial);
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -9,6 +9,7 @@
 use carobwick_core::LeaderRecord;
 use carobwick_core::Revision;
 use carobwick_core::WriteId;
+use carobwick_core::gateway::Conviction;
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::InstanceSize;
@@ -79,6 +80,14 @@
         ready(Ok(ClaimOutcome::Won(Revision(6)))).boxed_local()
     }
 
+    fn convictions(&self) -> LocalBoxFuture<'_, Result<Vec<Conviction>>> {
+        ready(Ok(Vec::new())).boxed_local()
+    }
+
+    fn add_conviction(&self, _conviction: Conviction) -> LocalBoxFuture<'_, Result<()>> {
+        ready(Ok(())).boxed_local()
+    }
+
     fn grant(&self, _ttl: Duration) -> LocalBoxFuture<'_, Result<u64>> {
         ready(Ok(1)).boxed_local()
     }
--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -20,6 +20,7 @@
 use carobwick_core::Revision;
 use carobwick_core::Version;
 use carobwick_core::gateway::CallerLimits;
+use carobwick_core::gateway::Conviction;
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::EndpointNotice;
@@ -128,6 +129,14 @@
         ready(Ok(ClaimOutcome::Won(Revision(6)))).boxed_local()
     }
 
+    fn convictions(&self) -> LocalBoxFuture<'_, Result<Vec<Conviction>>> {
+        ready(Ok(Vec::new())).boxed_local()
+    }
+
+    fn add_conviction(&self, _conviction: Conviction) -> LocalBoxFuture<'_, Result<()>> {
+        ready(Ok(())).boxed_local()
+    }
+
     fn grant(&self, _ttl: Duration) -> LocalBoxFuture<'_, Result<u64>> {
         if self.can_lead { ready(Ok(1)).boxed_local() } else { pending().boxed_local() }
     }
