--- a/crates/core/src/gateway/suspects.rs
+++ b/crates/core/src/gateway/suspects.rs
@@ -135,7 +135,7 @@
 
     /// Returns the losses that an instance has to know to come to the same verdicts.
     ///
-    /// Requests with a single loss are left out: when an endpoint fails, these are all that it had in flight.
+    /// Requests with a single loss are left out: when an endpoint fails, each request that it had in flight is one.
     pub fn losses_to_share(&self, now: Time) -> Vec<Loss> {
         let is_shared = |(suspect, losses): &(&Suspect, &Losses)| {
             let least = match suspect {
