Log the phases of a stop, and the requests that its end interrupts

The log of a stop named the number of connections that are aborted at its end, so that it did not tell a request that still waits for an endpoint from one that is at an endpoint, nor a stream that the stop cuts from one that its caller left. Now the phases of the stop are logged with the number of requests that wait, each request that the end interrupts at an endpoint is named, and a cut stream says so. carobwick_requests_unplaced counts the requests that wait. No decision changes.

--- a/crates/gateway/src/endpoint_request.rs
+++ b/crates/gateway/src/endpoint_request.rs
@@ -158,8 +158,9 @@
                 "gateway: request {request} at {endpoint}: cost {cost:.0}, first ms {first:?}, end ms {end}"
             );
         } else {
+            let cause = if self.state.stop_ending.is_cancelled() { ", at the end of the stop" } else { "" };
             tracing::info!(
-                "gateway: request {request} at {endpoint}: {outcome:?}, cost {cost:.0}, first ms {first:?}, end ms {end}"
+                "gateway: request {request} at {endpoint}: {outcome:?}, cost {cost:.0}, first ms {first:?}, end ms {end}{cause}"
             );
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -116,7 +116,7 @@
     /// response get one that says whether they may have run; streams are aborted at its end.
     pub async fn shutdown(self) {
         let grace = self.state.terms.get().grace.mul_f64(GRACE_FRACTION);
-        tracing::info!("gateway: stopping with {} connections", self.connections.len());
+        self.log_stop("stopping");
         self.state.stopping.set(true);
         self.election.resign();
         let stop_ending = self.state.stop_ending.clone();
@@ -128,6 +128,7 @@
         let finish = async {
             tokio::time::sleep(accept_time).await;
             self.state.refusing.set(true);
+            self.log_stop("refusing new requests");
             tokio::time::sleep(READINESS_NOTICE_TIME.saturating_sub(accept_time)).await;
             self.closing.cancel();
             self.connections.close();
@@ -138,6 +139,13 @@
         }
         tracing::info!("gateway: stopped");
     }
+
+    fn log_stop(&self, phase: &str) {
+        let (connections, unplaced) = (self.connections.len(), self.state.unplaced.get());
+        tracing::info!(
+            "gateway: {phase} with {connections} connections, {unplaced} requests wait for an endpoint"
+        );
+    }
 }
 
 async fn bind_listener(name: &'static str, addr: SocketAddr) -> Result<TcpListener> {
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -26,6 +26,7 @@
     endpoints: Gauge<u64>,
     leaving: Gauge<u64>,
     instances: Gauge<u64>,
+    unplaced: Gauge<u64>,
     limited: Gauge<u64>,
     limited_sends: Counter<u64>,
     losses: Counter<u64>,
@@ -74,6 +75,7 @@
         let endpoints = meter.u64_gauge("carobwick_endpoints");
         let leaving_gauge = meter.u64_gauge("carobwick_endpoints_leaving");
         let instances = meter.u64_gauge("carobwick_instances");
+        let unplaced = meter.u64_gauge("carobwick_requests_unplaced");
         let limited = meter.u64_gauge("carobwick_endpoints_limited");
         let limited_sends = meter.u64_counter("carobwick_limited_sends");
         let losses = meter.u64_counter("carobwick_losses");
@@ -93,6 +95,7 @@
             endpoints: endpoints.with_description("Endpoints in the list").build(),
             leaving: leaving_gauge.with_description("Endpoints in the list that are leaving").build(),
             instances: instances.with_description("Instances that share the retry budget").build(),
+            unplaced: unplaced.with_description("Requests for which no endpoint is chosen yet").build(),
             limited: limited.with_description("Endpoints that announce a rate limit").build(),
             limited_sends: limited_sends
                 .with_description("Sends to endpoints that announce a rate limit, by kind")
@@ -105,8 +108,9 @@
     }
 
     /// Returns all metrics as text; `config_age` is the time since the configuration was known to be the
-    /// newest.
-    pub fn render(&self, config_age: Option<Duration>) -> String {
+    /// newest, and `unplaced` the number of requests for which no endpoint is chosen yet.
+    pub fn render(&self, config_age: Option<Duration>, unplaced: usize) -> String {
+        self.unplaced.record(unplaced as u64, &[]);
         if let Some(age) = config_age {
             self.config_age.record(age.as_secs_f64(), &[]);
         }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -14,6 +14,7 @@
 use crate::permits::Patience;
 use crate::proxied_request::ProxiedRequest;
 use crate::proxied_request::RETRY_AFTER;
+use crate::state::State;
 
 /// Time after which a request that waits for another copy of its model looks for a token again.
 const OTHER_COPY_POLL: Duration = Duration::from_millis(200);
@@ -47,10 +48,17 @@
     Denied,
 }
 
-/// Wait of a request for its model. Dropping it before it is finished means that the caller has cancelled the
-/// request.
+/// Request for which no endpoint has been chosen yet, as counted in the state.
+#[derive(Debug)]
+struct Unplaced {
+    state: Rc<State>,
+}
+
+/// Wait of a request for its model. Dropping it before it is finished means that the caller or the stop of the
+/// instance has ended it.
 #[derive(Debug)]
 struct ModelWait {
+    state: Rc<State>,
     attempt_id: String,
     started: Time,
     weights: Weights,
@@ -62,6 +70,7 @@
     pub async fn place(&mut self) -> Placement {
         let started = now();
         let state = Rc::clone(&self.state);
+        let _unplaced = Unplaced::new(&state);
         let mut model_wait = None;
         let placement = loop {
             let changed = state.endpoints_changed.notified();
@@ -123,8 +132,13 @@
             }
             if model_wait.is_none() {
                 let attempt_id = self.head.attempt_id.clone();
-                model_wait =
-                    Some(ModelWait { attempt_id, started, weights: weights.clone(), finished: false });
+                model_wait = Some(ModelWait {
+                    state: Rc::clone(&state),
+                    attempt_id,
+                    started,
+                    weights: weights.clone(),
+                    finished: false,
+                });
                 self.state.request_weights(&self.service, weights);
             }
             if tokio::time::timeout(limit.saturating_sub(waited), changed).await.is_err() {
@@ -289,13 +303,27 @@
     }
 }
 
+impl Unplaced {
+    fn new(state: &Rc<State>) -> Self {
+        state.unplaced.set(state.unplaced.get() + 1);
+        Self { state: Rc::clone(state) }
+    }
+}
+
+impl Drop for Unplaced {
+    fn drop(&mut self) {
+        self.state.unplaced.set(self.state.unplaced.get() - 1);
+    }
+}
+
 impl Drop for ModelWait {
     fn drop(&mut self) {
         if !self.finished {
             let (attempt_id, weights) = (&self.attempt_id, &self.weights);
             let waited = now() - self.started;
+            let reason = if self.state.stopping.get() { "during a stop" } else { "by its caller" };
             tracing::info!(
-                "gateway: request {attempt_id} cancelled by its caller after waiting {waited:?} for {weights}"
+                "gateway: request {attempt_id} cancelled {reason} after waiting {waited:?} for {weights}"
             );
         }
     }
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -99,9 +99,8 @@
                 Placement::Endpoint(choice) => choice,
                 Placement::None { reason, retry_after } => return self.refuse(reason, retry_after),
             };
-            // An attempt that the end of the stop interrupts may have run.
             let attempt = stop_ending.run_until_cancelled(self.attempt(&choice)).await;
-            match attempt.unwrap_or(Err(SendFailure::Lost)) {
+            match attempt.unwrap_or_else(|| self.interrupt(&choice)) {
                 Ok(response) => return response,
                 Err(failure) => match self.on_failure(failure, &choice) {
                     RetryStep::Again => {}
@@ -128,6 +127,16 @@
         self.respond(response).await
     }
 
+    /// Gives up an attempt at the end of a stop; the request may have run.
+    fn interrupt<T>(&self, choice: &Choice) -> Result<T, SendFailure> {
+        tracing::info!(
+            "gateway: request {} interrupted at {} by the end of the stop",
+            self.head.attempt_id,
+            choice.id
+        );
+        Err(SendFailure::Lost)
+    }
+
     /// Returns the time until the deadline, or none if the deadline has passed.
     pub fn remaining_time(&self) -> Option<Duration> {
         let remaining = self.deadline - now();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -65,6 +65,8 @@
     pub meters: Meters,
     /// Notifies requests that wait for an endpoint.
     pub endpoints_changed: Notify,
+    /// Number of requests for which no endpoint has been chosen yet.
+    pub unplaced: Cell<usize>,
     pub stopping: Cell<bool>,
     /// Whether a stopping instance refuses new requests, since it could not wait for their responses.
     pub refusing: Cell<bool>,
@@ -124,6 +126,7 @@
             buffers,
             meters,
             endpoints_changed: Notify::new(),
+            unplaced: Cell::new(0),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
             stop_ending: CancellationToken::new(),
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -52,5 +52,5 @@
 
 fn metrics(state: &State) -> String {
     let age = state.freshness.borrow().age(now());
-    state.meters.render(age)
+    state.meters.render(age, state.unplaced.get())
 }
