Refuse the requests that wait for an endpoint when a stopping instance takes no more

Cause: a stop bounded the moment at which requests are read, but not the moment at which they are passed on. Whatever waits for an endpoint (a model, a pause, a token, a trial, a delay after a refusal) outlasted it.

Change: from the moment at which a stopping instance refuses new requests, 2.5 s after SIGTERM or half of the grace time, it also refuses those that wait. A request that need not wait is still sent, so retries of requests in flight go on. All refusals of a stop have one text and 'Retry-After: 0', as another instance can serve the request at once.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -152,8 +152,8 @@
     let body = read_body(body, &table.limits).await?;
     inspector.body_read();
     // The head or the body may have taken as long as the stop has lasted.
-    if state.refusing.get() {
-        return Err(unavailable("the instance stops").retry_after(Duration::ZERO).close_connection());
+    if state.refusing.is_cancelled() {
+        return Err(LocalResponse::STOPPING);
     }
     let route = find_route(&table, &parts)?;
     let head = state.wire.parse_request(&parts.headers).map_err(|err| {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -111,9 +111,9 @@
         }
     }
 
-    /// Shuts down gracefully: the instance first reports that it is not ready, then refuses new requests and accepts
-    /// no more connections, and waits for the requests in flight. Shortly before the grace time ends, those without a
-    /// response get one that says whether they may have run; streams are aborted at its end.
+    /// Shuts down gracefully: the instance first reports that it is not ready, then refuses new requests and those that
+    /// wait for an endpoint, accepts no more connections, and waits for the requests in flight. Shortly before the grace
+    /// time ends, those without a response get one that says whether they may have run; streams are aborted at its end.
     pub async fn shutdown(self) {
         let grace = self.state.terms.get().grace.mul_f64(GRACE_FRACTION);
         self.log_stop("stopping");
@@ -127,8 +127,8 @@
         let accept_time = READINESS_NOTICE_TIME.min(grace.mul_f64(MAX_ACCEPT_FRACTION));
         let finish = async {
             tokio::time::sleep(accept_time).await;
-            self.state.refusing.set(true);
             self.log_stop("refusing new requests");
+            self.state.refusing.cancel();
             tokio::time::sleep(READINESS_NOTICE_TIME.saturating_sub(accept_time)).await;
             self.closing.cancel();
             self.connections.close();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -14,6 +14,7 @@
 use crate::permits::Patience;
 use crate::proxied_request::ProxiedRequest;
 use crate::proxied_request::RETRY_AFTER;
+use crate::response::LocalResponse;
 use crate::state::State;
 
 /// Time after which a request that waits for another copy of its model looks for a token again.
@@ -34,8 +35,9 @@
 }
 
 impl Placement {
-    /// The instance stops before an endpoint can be chosen.
-    pub const STOPPING: Self = Self::None { reason: "the instance is stopping", retry_after: RETRY_AFTER };
+    /// The instance stops before an endpoint can be chosen; another instance can serve the request at once.
+    pub const STOPPING: Self =
+        Self::None { reason: LocalResponse::STOPPING.message, retry_after: Duration::ZERO };
 }
 
 /// How the wait for a token ends.
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -93,12 +93,11 @@
         self.state.count_request(&self.service);
         self.state.count_demand(&self.service, &self.head);
         loop {
-            let stop_ending = self.state.stop_ending.clone();
-            let placement = stop_ending.run_until_cancelled(self.place_unsuspected()).await;
-            let choice = match placement.unwrap_or(Placement::STOPPING) {
+            let choice = match self.place_before_stop().await {
                 Placement::Endpoint(choice) => choice,
                 Placement::None { reason, retry_after } => return self.refuse(reason, retry_after),
             };
+            let stop_ending = self.state.stop_ending.clone();
             let attempt = stop_ending.run_until_cancelled(self.attempt(&choice)).await;
             match attempt.unwrap_or_else(|| self.interrupt(&choice)) {
                 Ok(response) => return response,
@@ -110,6 +109,16 @@
         }
     }
 
+    /// Chooses an endpoint; once a stopping instance refuses requests, only if the request need not wait for one.
+    async fn place_before_stop(&mut self) -> Placement {
+        let refusing = self.state.refusing.clone();
+        tokio::select! {
+            biased;
+            placement = self.place_unsuspected() => placement,
+            () = refusing.cancelled() => Placement::STOPPING,
+        }
+    }
+
     /// Chooses an endpoint for a request whose prompt is not suspected of crashing endpoints, or is tried.
     async fn place_unsuspected(&mut self) -> Placement {
         match self.place().await {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -90,6 +90,14 @@
 }
 
 impl LocalResponse {
+    /// Refusal of a stopping instance; another one can serve the request at once.
+    pub const STOPPING: Self = Self {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        message: "the instance is stopping",
+        retry_after: Some(Duration::ZERO),
+        closes: true,
+    };
+
     pub fn new(status: StatusCode, message: &'static str) -> Self {
         Self { status, message, retry_after: None, closes: false }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -68,8 +68,9 @@
     /// Number of requests for which no endpoint has been chosen yet.
     pub unplaced: Cell<usize>,
     pub stopping: Cell<bool>,
-    /// Whether a stopping instance refuses new requests, since it could not wait for their responses.
-    pub refusing: Cell<bool>,
+    /// Cancelled when a stopping instance begins to refuse the requests that it has not passed on, since it could not
+    /// wait for their responses.
+    pub refusing: CancellationToken,
     /// Cancelled shortly before a stopping instance aborts the requests in flight.
     pub stop_ending: CancellationToken,
     retry_budgets: RefCell<IndexMap<ServiceId, RetryBudget>>,
@@ -128,7 +129,7 @@
             endpoints_changed: Notify::new(),
             unplaced: Cell::new(0),
             stopping: Cell::new(false),
-            refusing: Cell::new(false),
+            refusing: CancellationToken::new(),
             stop_ending: CancellationToken::new(),
             retry_budgets: RefCell::default(),
             instances: Cell::default(),
