Log the software versions between which a stream is resumed, and streams that callers take up

The logs named the endpoints between which an instance resumes a stream, not their versions, and nothing of a caller that takes a stream up at another instance. The version is kept with each endpoint now. The leader sends it beside the changes of the list, at the end of the message, where instances of the version before ignore it; what they leave out at the end of a message reads as empty. No decision changes.

--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -17,6 +17,7 @@
 use crate::gateway::PendingLoads;
 use crate::gateway::RequestHead;
 use crate::gateway::SharedLoad;
+use crate::gateway::SoftwareVersion;
 use crate::gateway::rate_limit::RateLimit;
 use crate::gateway::reachability::Reachability;
 use crate::gateway::rejection::Rejection;
@@ -76,6 +77,8 @@
     pub addr: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneId,
+    /// Version of its software, if known.
+    pub version: Option<SoftwareVersion>,
     /// Estimated cost, in prefill tokens for model engines and as a fraction of the slots for plain services.
     pub cost: f64,
 }
@@ -402,6 +405,7 @@
             incarnation: entry.incarnation,
             addr: entry.addr,
             zone: entry.zone.clone(),
+            version: entry.version.clone(),
             cost,
         }
     }
--- a/crates/core/src/gateway/endpoint_table.rs
+++ b/crates/core/src/gateway/endpoint_table.rs
@@ -13,6 +13,7 @@
 use crate::ServiceId;
 use crate::Time;
 use crate::ZoneId;
+use crate::gateway::SoftwareVersion;
 use crate::gateway::Weights;
 use crate::gateway::departures::Departures;
 
@@ -50,6 +51,10 @@
     pub remaining: Option<Millis>,
     /// Resident models and adapters, if it is an engine.
     pub resident: ResidentModels,
+    /// Version of its software, if known. It is no part of the serialized entry, since instances of the version before
+    /// would read what follows the entry as another field.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Models and adapters that are resident on an engine, and copies of weights that it can load fast.
@@ -334,6 +339,7 @@
         if !is_newer {
             entry.resident = self.entry.resident.clone();
         }
+        entry.version = entry.version.or_else(|| self.entry.version.take());
         self.entry = entry;
         is_newer
     }
--- a/crates/core/src/gateway/request_head.rs
+++ b/crates/core/src/gateway/request_head.rs
@@ -22,6 +22,8 @@
     pub max_output: u64,
     /// Identity of the last event that the caller received of an interrupted stream.
     pub last_event: Option<String>,
+    /// Attempt that brought the first event of the interrupted stream.
+    pub resumes: Option<String>,
 }
 
 /// A model or one of its adapters.
--- a/crates/core/tests/endpoint_fixture/mod.rs
+++ b/crates/core/tests/endpoint_fixture/mod.rs
@@ -19,5 +19,6 @@
         state: EndpointState::Live,
         remaining: None,
         resident,
+        version: None,
     }
 }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -170,6 +170,10 @@
         );
         return Err(unavailable("the request crashes endpoints").retry_after(CONVICTED_RETRY_AFTER));
     }
+    if let Some(stream) = &head.resumes {
+        let (request, event) = (&head.attempt_id, head.last_event.as_deref().unwrap_or("none"));
+        tracing::info!("gateway: request {request} takes up the stream of {stream} after event {event}");
+    }
     let service = route.pick(rand::random()).cloned();
     let service = service.ok_or_else(|| unavailable("the route has no service").retry_after(RETRY_AFTER))?;
     let limit = head.deadline.map_or(DEFAULT_DEADLINE, Millis::duration);
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -169,8 +169,8 @@
     }
 
     /// Broadcasts changes of the list of endpoints.
-    pub fn broadcast_list(&self, update: &ListUpdate) {
-        self.broadcast(&LeaderMessage::EndpointList(update.clone()));
+    pub fn broadcast_list(&self, update: ListUpdate) {
+        self.broadcast(&LeaderMessage::EndpointList(update));
     }
 
     /// Broadcasts the version of the configuration in force.
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -85,7 +85,7 @@
             self.cursor.set_drain_time(self.state.terms.get().drain);
             match self.next_action().await {
                 Action::Receive(update) => {
-                    self.receive_update(&update);
+                    self.receive_update(update);
                 }
                 Action::Read => match self.read().await {
                     Ok(()) => backoff.reset(),
@@ -117,11 +117,11 @@
     }
 
     /// Applies an update of the leader if it continues from the known revision; returns whether it did.
-    fn receive_update(&mut self, update: &ListUpdate) -> bool {
+    fn receive_update(&mut self, update: ListUpdate) -> bool {
         let range = RevisionRange { from: update.from, to: update.to, age: update.age.duration() };
         let is_accepted = self.cursor.accept(range, now());
         if is_accepted {
-            let changes = self.filter_changes(&update.changes);
+            let changes = self.filter_changes(&update.into_changes());
             self.apply(changes);
         }
         is_accepted
@@ -137,7 +137,7 @@
                 fetched = &mut fetch => break fetched?,
                 // If the network path to the store is broken, the read takes seconds to fail.
                 Some(update) = self.updates.recv(), if after.is_some() => {
-                    if self.receive_update(&update) {
+                    if self.receive_update(update) {
                         return Ok(());
                     }
                 }
@@ -167,7 +167,7 @@
         {
             // This spares the followers a read of the whole list after the history was compacted.
             let age = Millis((now() - sent_at).as_millis() as u64);
-            self.coordinator.broadcast_list(&ListUpdate { from, to: list.revision, age, changes });
+            self.coordinator.broadcast_list(ListUpdate::new(from, list.revision, age, changes));
         }
         self.state.endpoints.borrow_mut().replace(list.value, now());
         self.notify_changed();
@@ -188,7 +188,7 @@
         let changes = self.filter_changes(&snapshot.value);
         if self.coordinator.is_leading() && !self.cursor.is_recovering(now()) {
             let age = Millis((now() - sent_at).as_millis() as u64);
-            self.coordinator.broadcast_list(&ListUpdate { from: after, to: snapshot.revision, age, changes });
+            self.coordinator.broadcast_list(ListUpdate::new(after, snapshot.revision, age, changes));
         }
         self.apply(snapshot.value);
     }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -14,6 +14,7 @@
 use carobwick_core::gateway::ResidentModels;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::SharedLoad;
+use carobwick_core::gateway::SoftwareVersion;
 use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::Ticket;
 use carobwick_core::gateway::TokenReply;
@@ -29,6 +30,9 @@
 use crate::Error;
 use crate::Result;
 
+/// Zero bytes that are decoded after each frame. Fields that were added at the end of a message are missing in those of an
+/// instance of the version before, and read as empty.
+const PADDING_BYTES: usize = 8;
 /// Largest frame between instances, without its length prefix.
 const MAX_FRAME_BYTES: usize = 4 << 20;
 
@@ -111,6 +115,32 @@
     pub age: Millis,
     /// Changes, without entries in which only the heartbeat differs.
     pub changes: Vec<EndpointChange>,
+    /// Software version of each entry in the changes, in order. Empty from an instance of the version before, which
+    /// also ignores it.
+    pub versions: Vec<Option<SoftwareVersion>>,
+}
+
+impl ListUpdate {
+    pub fn new(from: Revision, to: Revision, age: Millis, changes: Vec<EndpointChange>) -> Self {
+        let versions = changes.iter().filter_map(|change| match change {
+            EndpointChange::Updated(entry) => Some(entry.version.clone()),
+            EndpointChange::Removed(_) => None,
+        });
+        let versions = versions.collect();
+        Self { from, to, age, changes, versions }
+    }
+
+    /// Returns the changes, with the version of each entry.
+    pub fn into_changes(self) -> Vec<EndpointChange> {
+        let mut versions = self.versions.into_iter();
+        let mut changes = self.changes;
+        for change in &mut changes {
+            if let EndpointChange::Updated(entry) = change {
+                entry.version = versions.next().flatten();
+            }
+        }
+        changes
+    }
 }
 
 /// Encodes a message as a frame: four bytes of length, big-endian, then the message.
@@ -160,8 +190,8 @@
     if length > MAX_FRAME_BYTES {
         return Err(frame_too_long(length));
     }
-    let mut frame = vec![0; length];
-    from.read_exact(&mut frame).await.map_err(lost)?;
+    let mut frame = vec![0; length + PADDING_BYTES];
+    from.read_exact(&mut frame[..length]).await.map_err(lost)?;
     // The limit keeps a length inside a corrupt frame from allocating more memory than a frame can hold.
     let limited = bincode::config::standard().with_limit::<MAX_FRAME_BYTES>();
     let decoded = bincode::serde::decode_from_slice(&frame, limited);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use carobwick_core::LoadReport;
+use carobwick_core::gateway::Choice;
 use carobwick_core::gateway::RetryStep;
 use carobwick_core::gateway::SendFailure;
 use carobwick_core::gateway::SendOutcome;
@@ -258,9 +259,12 @@
             match self.proxied.send_after(&choice, last_event.as_deref()).await {
                 Ok(response) if self.continues(&response) => {
                     tracing::info!(
-                        "gateway: request {} resumed at {} after event {last_event:?}: {reason}",
+                        "gateway: request {} resumed at {} ({}) after event {last_event:?}, lost at {} ({}): {reason}",
                         self.proxied.head.attempt_id,
                         choice.id,
+                        version_text(&choice),
+                        self.body.request.choice.id,
+                        version_text(&self.body.request.choice),
                     );
                     let timer =
                         Box::pin(tokio::time::sleep(self.proxied.remaining_time().unwrap_or(Duration::ZERO)));
@@ -292,6 +296,11 @@
     }
 }
 
+/// Returns the version of an endpoint's software as text for the log.
+fn version_text(choice: &Choice) -> String {
+    choice.version.as_ref().map_or_else(|| "version unknown".to_owned(), ToString::to_string)
+}
+
 impl ProxiedRequest {
     /// Returns a copy of the request with which the stream can be resumed at another endpoint.
     fn clone_for_resume(&self) -> Self {
--- a/crates/gateway/tests/framing.rs
+++ b/crates/gateway/tests/framing.rs
@@ -185,6 +185,7 @@
         state: EndpointState::Live,
         remaining: Some(Millis(100_000)),
         resident: ResidentModels { models: resident.collect(), cached: cached.collect() },
+        version: None,
     }))
 }
 
