Resume a stream only at endpoints of the software version that began it

Cause: an instance resumed a stream at whatever endpoint was best; the version of an endpoint was decoded from its entry and thrown away. What two versions write does not fit together, and endpoints do not check it.

Change: from its first event on, a stream is bound to the version of the endpoint that wrote it, and only endpoints of that version can serve it. A version that is not known (an endpoint learned from a leader of the version before) binds to none. Without such an endpoint the stream breaks off, which is logged, and the caller may take it up elsewhere.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -85,6 +85,7 @@
 pub use retry::SendFailure;
 pub use retry::next_step;
 pub use software_version::SoftwareVersion;
+pub use software_version::VersionBinding;
 pub use suspects::Conviction;
 pub use suspects::Loss;
 pub use suspects::Suspect;
--- a/crates/core/src/gateway/software_version.rs
+++ b/crates/core/src/gateway/software_version.rs
@@ -44,3 +44,42 @@
         version.0.as_ref().to_owned()
     }
 }
+
+/// Endpoints at which a stream may go on. What endpoints of two software versions write does not fit together, and they do
+/// not check it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum VersionBinding {
+    /// Any, since the caller has no event yet.
+    #[default]
+    Any,
+    /// Those of the version that began the stream.
+    Version(SoftwareVersion),
+    /// None, since the version that began the stream is not known.
+    Unknown,
+}
+
+impl VersionBinding {
+    /// Returns the binding of a stream that an endpoint of this version has begun.
+    pub fn of(version: Option<SoftwareVersion>) -> Self {
+        version.map_or(Self::Unknown, Self::Version)
+    }
+
+    /// Returns whether an endpoint of this version may go on with the stream.
+    pub fn allows(&self, version: Option<&SoftwareVersion>) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Version(begun) => version == Some(begun),
+            Self::Unknown => false,
+        }
+    }
+}
+
+impl fmt::Display for VersionBinding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Any => f.write_str("any version"),
+            Self::Version(version) => version.fmt(f),
+            Self::Unknown => f.write_str("an unknown version"),
+        }
+    }
+}
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -14,6 +14,7 @@
 use carobwick_core::gateway::ServiceRoute;
 use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::Verdict;
+use carobwick_core::gateway::VersionBinding;
 use carobwick_runtime::now;
 use carobwick_runtime::serve_until;
 use http::HeaderValue;
@@ -191,6 +192,7 @@
         fingerprint,
         arrived,
         progress: Progress::default(),
+        binding: VersionBinding::Any,
         tried: Vec::new(),
         permit: None,
         suspects,
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -292,7 +292,8 @@
     }
 
     fn can_serve(&self, entry: &EndpointEntry) -> bool {
-        self.head.weights.as_ref().is_none_or(|weights| entry.resident.has(weights))
+        self.binding.allows(entry.version.as_ref())
+            && self.head.weights.as_ref().is_none_or(|weights| entry.resident.has(weights))
     }
 
     /// Returns the longest time to wait until the model is loaded, or none if the service does not have the
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -16,6 +16,7 @@
 use carobwick_core::gateway::SendOutcome;
 use carobwick_core::gateway::ServiceRoute;
 use carobwick_core::gateway::Suspect;
+use carobwick_core::gateway::VersionBinding;
 use carobwick_core::gateway::next_step;
 use carobwick_runtime::now;
 use http::HeaderMap;
@@ -71,6 +72,8 @@
     pub arrived: Time,
     pub deadline: Time,
     pub progress: Progress,
+    /// Endpoints at which the stream may go on.
+    pub binding: VersionBinding,
     pub tried: Vec<EndpointId>,
     /// Permit for the next attempt, if its endpoint limits the rate of requests.
     pub permit: Option<SendPermit>,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,6 +8,7 @@
 use carobwick_core::gateway::RetryStep;
 use carobwick_core::gateway::SendFailure;
 use carobwick_core::gateway::SendOutcome;
+use carobwick_core::gateway::VersionBinding;
 use carobwick_runtime::now;
 use futures_util::StreamExt;
 use futures_util::stream;
@@ -203,8 +204,7 @@
                 if events.bytes.is_empty() {
                     continue;
                 }
-                resumable.body.request.record_begun();
-                resumable.proxied.progress.shown = true;
+                resumable.record_shown();
                 resumable.last_event = events.last_id.or(resumable.last_event);
                 return Some((Ok(events.bytes), Some(resumable)));
             }
@@ -230,6 +230,15 @@
 }
 
 impl ResumableStream {
+    /// Records that events of the endpoint are forwarded; from the first one on, the stream is bound to its version.
+    fn record_shown(&mut self) {
+        self.body.request.record_begun();
+        self.proxied.progress.shown = true;
+        if self.proxied.binding == VersionBinding::Any {
+            self.proxied.binding = VersionBinding::of(self.body.request.choice.version.clone());
+        }
+    }
+
     /// Returns whether a response holds the rest of the stream, and not the text of a failure.
     fn continues(&self, response: &EndpointResponse) -> bool {
         let head = &response.response;
@@ -248,6 +257,11 @@
                 return Err(BodyError(reason.to_owned()));
             }
             let Some(choice) = self.proxied.choose_admitted().await else {
+                tracing::info!(
+                    "gateway: request {} not resumed, no endpoint of {} can go on: {reason}",
+                    self.proxied.head.attempt_id,
+                    self.proxied.binding,
+                );
                 return Err(BodyError(reason.to_owned()));
             };
             if !self.proxied.progress.shown
@@ -318,6 +332,7 @@
             arrived: self.arrived,
             deadline: self.deadline,
             progress: self.progress,
+            binding: self.binding.clone(),
             tried: self.tried.clone(),
             permit: None,
             suspects: self.suspects.clone(),
