A stopping instance sends again only what may be repeated and has been sent

Since a repeatable request in flight whose only endpoint failed it got 502, because the short delay before the next attempt counted as a wait: the rule asked whether a request has to wait, not what a late attempt can do to it. For the same reason a payment that an endpoint declined late was sent to another one, as no wait was needed, and got 502 although it had not run anywhere.

Change: once an instance refuses requests, one that has not been sent, or that may not be repeated, is refused as not run; a repeatable one that was sent before is sent again until the last responses are due.

a_repeatable_request_that_fails_in_a_stop_is_sent_again and a_request_that_is_declined_late_in_a_stop_is_refused_as_not_run failed before with 502 (the first with one endpoint; with two it passed, and keeps the rule from refusing too much).

--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -112,14 +112,12 @@
         }
     }
 
-    /// Chooses an endpoint; once a stopping instance refuses requests, only if the request need not wait for one.
+    /// Chooses an endpoint. Once a stopping instance refuses requests, only a repeatable request that has been sent before
+    /// is sent again: for any other one, the refusal says that it has not run, while a late attempt may be cut off.
     async fn place_before_stop(&mut self) -> Placement {
-        let refusing = self.state.refusing.clone();
-        tokio::select! {
-            biased;
-            placement = self.place_unsuspected() => placement,
-            () = refusing.cancelled() => Placement::STOPPING,
-        }
+        let is_retry = self.progress.sends > 0 && self.route.is_repeatable();
+        let bound = if is_retry { &self.state.stop_ending } else { &self.state.refusing }.clone();
+        bound.run_until_cancelled(self.place_unsuspected()).await.unwrap_or(Placement::STOPPING)
     }
 
     /// Chooses an endpoint for a request whose prompt is not suspected of crashing endpoints, or is tried.
