An attempt that the end of a stop interrupts counts as a run only if it was sent

At the end of a stop each attempt was taken for one that may have run, also while its connection was still being opened; the request then went round once more, which took a retry from the budget and logged an interruption at an endpoint that had received nothing. Now the request is answered at once, with 503 if it was not sent anywhere.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -192,6 +192,7 @@
         fingerprint,
         arrived,
         progress: Progress::default(),
+        is_sent: false,
         binding: VersionBinding::Any,
         tried: Vec::new(),
         permit: None,
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -72,6 +72,8 @@
     pub arrived: Time,
     pub deadline: Time,
     pub progress: Progress,
+    /// Whether the attempt in progress has been sent.
+    pub is_sent: bool,
     /// Endpoints at which the stream may go on.
     pub binding: VersionBinding,
     pub tried: Vec<EndpointId>,
@@ -101,10 +103,10 @@
                 Placement::None { reason, retry_after } => return self.refuse(reason, retry_after),
             };
             let stop_ending = self.state.stop_ending.clone();
-            let attempt = stop_ending.run_until_cancelled(self.attempt(&choice)).await;
-            match attempt.unwrap_or_else(|| self.interrupt(&choice)) {
-                Ok(response) => return response,
-                Err(failure) => match self.on_failure(failure, &choice) {
+            match stop_ending.run_until_cancelled(self.attempt(&choice)).await {
+                None => return self.interrupted_by_stop(&choice),
+                Some(Ok(response)) => return response,
+                Some(Err(failure)) => match self.on_failure(failure, &choice) {
                     RetryStep::Again => {}
                     step => return self.give_up(step, failure),
                 },
@@ -137,14 +139,16 @@
         self.respond(response).await
     }
 
-    /// Gives up an attempt at the end of a stop; the request may have run.
-    fn interrupt<T>(&self, choice: &Choice) -> Result<T, SendFailure> {
+    /// Responds to a request whose attempt ended with the stop; it may have run only if it was sent.
+    fn interrupted_by_stop(&mut self, choice: &Choice) -> Response<ResponseBody> {
+        let failure = if self.is_sent { SendFailure::Lost } else { SendFailure::Unsent };
         tracing::info!(
-            "gateway: request {} interrupted at {} by the end of the stop",
+            "gateway: request {} interrupted at {} by the end of the stop: {failure:?}",
             self.head.attempt_id,
             choice.id
         );
-        Err(SendFailure::Lost)
+        self.progress.count(failure);
+        self.refuse(LocalResponse::STOPPING.message, Duration::ZERO)
     }
 
     /// Returns the time until the deadline, or none if the deadline has passed.
@@ -186,6 +190,7 @@
             self.progress.runs == 0 || self.route.is_repeatable(),
             "I5: retry of a request that may have run"
         );
+        self.is_sent = false;
         let trial = self.trial.take();
         let mut attempt =
             EndpointRequest::start(&self.state, &self.service, &self.head, self.fingerprint, trial, choice);
@@ -229,6 +234,7 @@
         self.state.count_send(&attempt.choice, self.send_kind(last_event));
         let request = self.build_request(&attempt.choice, remaining, last_event);
         let Some(connection) = attempt.connection.as_mut() else { return Err(SendFailure::Unsent) };
+        self.is_sent = true;
         match tokio::time::timeout(remaining, connection.send(request)).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(SendError::Unsent(_))) => Err(SendFailure::Unsent),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -332,6 +332,7 @@
             arrived: self.arrived,
             deadline: self.deadline,
             progress: self.progress,
+            is_sent: self.is_sent,
             binding: self.binding.clone(),
             tried: self.tried.clone(),
             permit: None,
