Count requests that wait for a trial as waiting for an endpoint

carobwick_requests_unplaced and the lines of a stop left out the wait for a trial of a suspected prompt, against docs/OPERATIONS.md.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -52,7 +52,7 @@
 
 /// Request for which no endpoint has been chosen yet, as counted in the state.
 #[derive(Debug)]
-struct Unplaced {
+pub(crate) struct Unplaced {
     state: Rc<State>,
 }
 
@@ -72,7 +72,6 @@
     pub async fn place(&mut self) -> Placement {
         let started = now();
         let state = Rc::clone(&self.state);
-        let _unplaced = Unplaced::new(&state);
         let mut model_wait = None;
         let placement = loop {
             let changed = state.endpoints_changed.notified();
@@ -307,7 +306,7 @@
 }
 
 impl Unplaced {
-    fn new(state: &Rc<State>) -> Self {
+    pub fn new(state: &Rc<State>) -> Self {
         state.unplaced.set(state.unplaced.get() + 1);
         Self { state: Rc::clone(state) }
     }
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -40,6 +40,7 @@
 use crate::meters::SendKind;
 use crate::permits::SendPermit;
 use crate::placement::Placement;
+use crate::placement::Unplaced;
 use crate::platform::ResponseKind;
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
@@ -118,6 +119,7 @@
     /// is sent again: for any other one, the refusal says that it has not run, while a late attempt may be cut off.
     async fn place_before_stop(&mut self) -> Placement {
         let is_retry = self.progress.sends > 0 && self.route.is_repeatable();
+        let _unplaced = Unplaced::new(&self.state);
         let bound = if is_retry { &self.state.stop_ending } else { &self.state.refusing }.clone();
         bound.run_until_cancelled(self.place_unsuspected()).await.unwrap_or(Placement::STOPPING)
     }
