Give the last responses of a stop their time from the moment at which they are due

The moment of the last responses and the end of the grace time were two independent timers, 200 ms apart. When a process got no processor time for longer than that, both were due at once, and the stop ended before any request task ran: connections were closed without a byte.

Change: one sequence; the 200 ms count from the moment at which the requests are told. The reserve of 5% of the grace time is for such delays.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,7 +35,7 @@
 /// Fraction of the grace time after which requests in flight are aborted, so that the process exits before it
 /// is killed.
 const GRACE_FRACTION: f64 = 0.95;
-/// Time before that in which requests without a response get one.
+/// Time before that in which requests without a response get one, and streams may still end.
 const LAST_RESPONSE_TIME: Duration = Duration::from_millis(200);
 
 /// A running instance; dropping it aborts its tasks.
@@ -119,13 +120,8 @@
         self.log_stop("stopping");
         self.state.stopping.set(true);
         self.election.resign();
-        let stop_ending = self.state.stop_ending.clone();
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(grace.saturating_sub(LAST_RESPONSE_TIME)).await;
-            stop_ending.cancel();
-        });
         let accept_time = READINESS_NOTICE_TIME.min(grace.mul_f64(MAX_ACCEPT_FRACTION));
-        let finish = async {
+        let mut finish = pin!(async {
             tokio::time::sleep(accept_time).await;
             self.log_stop("refusing new requests");
             self.state.refusing.cancel();
@@ -133,9 +129,15 @@
             self.closing.cancel();
             self.connections.close();
             self.connections.wait().await;
-        };
-        if tokio::time::timeout(grace, finish).await.is_err() {
-            tracing::warn!("gateway: grace time is over, {} connections are aborted", self.connections.len());
+        });
+        let last_responses = grace.saturating_sub(LAST_RESPONSE_TIME);
+        if tokio::time::timeout(last_responses, finish.as_mut()).await.is_err() {
+            self.state.stop_ending.cancel();
+            // Counted from here, so that a process that is late for want of processor time still writes the responses.
+            if tokio::time::timeout(LAST_RESPONSE_TIME, finish).await.is_err() {
+                let connections = self.connections.len();
+                tracing::warn!("gateway: grace time is over, {connections} connections are aborted");
+            }
         }
         tracing::info!("gateway: stopped");
     }
