A stream that a caller takes up goes on at the software version that began it

Cause: only the instance that began a stream knew its version, and not even that one kept it. Nothing read Resumes. The class of fault is that of the deadly requests: what one instance knows of a request decides what all others may do with it.

Change: an instance keeps the version of each resumable stream that it has begun, by a hash of the attempt, until its caller's deadline, a minute at most. While endpoints of several versions serve, or have served in the last minute, it tells the leader of new ones at once, and the leader all others, gathered for 0.2 ms for each follower. New leaders and followers are told as they connect. A request that takes a stream up is bound to its version; while the version is not known it waits for 0.3 s, without a leader for up to 4 s and a third of its time, and is refused as not run then. With one version nothing is sent and nobody waits. If no endpoint of the version holds the model, the request is refused at once.

Weighed: asking the leader for each stream that is taken up (a message type that instances of the version before end the connection on, and nothing without a leader), the store (a priced call for each stream, and none in its outages), forwarding to the instance that began it (which has ended when it matters). The streams travel at the end of messages that exist, where instances of the version before ignore them.

--- a/crates/core/src/gateway/endpoint_table.rs
+++ b/crates/core/src/gateway/endpoint_table.rs
@@ -28,6 +28,9 @@
 /// A refusal while an adapter is being loaded holds only for a short time.
 const REFUSAL_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Time for which the software version of an endpoint that has ended counts as one that may have begun a stream.
+const VERSION_MEMORY: Duration = Duration::from_mins(1);
+
 /// Entry of an endpoint in the list of endpoints, as the endpoint wrote it.
 #[data]
 pub struct EndpointEntry {
@@ -91,6 +94,8 @@
     pending_removals: IndexSet<EndpointId>,
     refusals: Vec<Refusal>,
     departures: Departures,
+    /// Software versions of processes that have ended, with the time.
+    past_versions: IndexMap<(ServiceId, Option<SoftwareVersion>), Time>,
 }
 
 /// Weights that an incarnation refused although its entry lists them.
@@ -277,6 +282,37 @@
         self.iter().filter(move |entry| entry.service == *service && entry.state == EndpointState::Live)
     }
 
+    /// Returns whether endpoints of several software versions serve, or have served in the last minute. A version that is
+    /// not known counts as another one.
+    pub fn has_several_versions(&self, service: &ServiceId, now: Time) -> bool {
+        let mut versions = self.versions(now).filter(|(of, _)| *of == service).map(|(_, version)| version);
+        let Some(first) = versions.next() else { return false };
+        versions.any(|version| version != first)
+    }
+
+    /// Returns the services for which that is so.
+    pub fn services_with_several_versions(&self, now: Time) -> Vec<ServiceId> {
+        let mut first: IndexMap<&ServiceId, &Option<SoftwareVersion>> = IndexMap::new();
+        let mut several: IndexSet<&ServiceId> = IndexSet::new();
+        for (service, version) in self.versions(now) {
+            if *first.entry(service).or_insert(version) != version {
+                several.insert(service);
+            }
+        }
+        several.into_iter().cloned().collect()
+    }
+
+    fn versions(&self, now: Time) -> impl Iterator<Item = (&ServiceId, &Option<SoftwareVersion>)> {
+        let present = self.iter().map(|entry| (&entry.service, &entry.version));
+        let past = self.past_versions.iter().filter(move |(_, at)| now < **at + VERSION_MEMORY);
+        present.chain(past.map(|((service, version), _)| (service, version)))
+    }
+
+    fn record_end(&mut self, entry: &EndpointEntry, now: Time) {
+        self.past_versions.retain(|_, at| now < *at + VERSION_MEMORY);
+        self.past_versions.insert((entry.service.clone(), entry.version.clone()), now);
+    }
+
     fn update(&mut self, mut entry: EndpointEntry, now: Time) {
         let newest = self.latest.entry(entry.id.clone()).or_insert(entry.incarnation);
         if entry.incarnation < *newest {
@@ -310,7 +346,10 @@
                 }
             }
             _ => {
-                self.entries.insert(entry.id.clone(), TableRow { entry, leader_update: None });
+                let row = TableRow { entry, leader_update: None };
+                if let Some(before) = self.entries.insert(row.entry.id.clone(), row) {
+                    self.record_end(&before.entry, now);
+                }
             }
         }
     }
@@ -327,6 +366,7 @@
     fn remove_now(&mut self, id: &EndpointId, now: Time) {
         self.pending_removals.swap_remove(id);
         if let Some(row) = self.entries.shift_remove(id) {
+            self.record_end(&row.entry, now);
             self.departures.record_removal(id, row.entry.incarnation, now);
         }
     }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -7,7 +7,8 @@
 //! when an instance reads the list of endpoints from the store itself, and [`ConfigFreshness`] how long it
 //! may trust its configuration. Endpoints that limit the rate of requests get them only for tokens that the
 //! leader's [`TokenIssuer`] issues to all instances. A [`SuspectTable`] finds the requests and parts of prompts
-//! that crash endpoints, with trials that a [`TrialTable`] keeps apart.
+//! that crash endpoints, with trials that a [`TrialTable`] keeps apart. A [`StreamTable`] keeps which software version
+//! began each stream, since only endpoints of that version may go on with it.
 
 mod adapters;
 mod balance;
@@ -30,6 +31,7 @@
 mod request_head;
 mod retry;
 mod software_version;
+mod stream_table;
 mod suspects;
 mod table;
 mod token_bucket;
@@ -86,6 +88,9 @@
 pub use retry::next_step;
 pub use software_version::SoftwareVersion;
 pub use software_version::VersionBinding;
+pub use stream_table::StreamKey;
+pub use stream_table::StreamOrigin;
+pub use stream_table::StreamTable;
 pub use suspects::Conviction;
 pub use suspects::Loss;
 pub use suspects::Suspect;
--- /dev/null
+++ b/crates/core/src/gateway/stream_table.rs
@@ -0,0 +1,132 @@
+use std::time::Duration;
+
+use carobwick_derive::data;
+use carobwick_derive::key;
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Millis;
+use crate::ServiceId;
+use crate::Time;
+use crate::gateway::SoftwareVersion;
+
+/// Largest number of streams in a table: those of 15 s at 2,000 requests per second, some 3 MB.
+const MAX_STREAMS: usize = 1 << 15;
+/// Longest time for which a stream is kept, also if its caller states a longer deadline.
+const MAX_LIFETIME: Duration = Duration::from_mins(1);
+
+/// Hash of the caller's attempt that brought the first event of a stream, by which the caller takes it up again.
+#[key]
+#[derive(Copy)]
+pub struct StreamKey(pub u64);
+
+/// Software version that began a stream, as instances tell each other.
+#[data]
+pub struct StreamOrigin {
+    /// The stream.
+    pub key: StreamKey,
+    /// Its service.
+    pub service: ServiceId,
+    /// Version of the endpoint that wrote its first event.
+    pub version: SoftwareVersion,
+    /// Time for which the caller may take it up.
+    pub remaining: Millis,
+}
+
+/// Streams that callers may take up again, with the software version that began each.
+///
+/// An instance knows those that it has begun, and those that others have begun while endpoints of several versions served.
+#[derive(Debug, Default)]
+pub struct StreamTable {
+    streams: IndexMap<StreamKey, Stream>,
+}
+
+#[derive(Debug)]
+struct Stream {
+    service: ServiceId,
+    version: SoftwareVersion,
+    expires: Time,
+    /// Whether this instance has begun the stream.
+    own: bool,
+    /// Whether other instances have been told.
+    shared: bool,
+}
+
+impl StreamKey {
+    /// Returns the key of the stream that an attempt has begun.
+    pub fn new(attempt_id: &str) -> Self {
+        Self(xxh3_64(attempt_id.as_bytes()))
+    }
+}
+
+impl StreamTable {
+    /// Records a stream that this instance has begun. One that is known keeps its version.
+    pub fn record_begun(&mut self, origin: StreamOrigin, now: Time) {
+        self.insert(origin, true, now);
+    }
+
+    /// Records a stream that another instance has begun; returns whether it was not known.
+    pub fn record_shared(&mut self, origin: StreamOrigin, now: Time) -> bool {
+        self.insert(origin, false, now)
+    }
+
+    /// Returns the version that began a stream, if it is known.
+    pub fn version(&self, key: StreamKey, now: Time) -> Option<&SoftwareVersion> {
+        self.streams.get(&key).filter(|stream| now < stream.expires).map(|stream| &stream.version)
+    }
+
+    /// Returns the streams of a service that this instance has begun and not shared yet, and marks them as shared.
+    pub fn take_unshared(&mut self, service: &ServiceId, now: Time) -> Vec<StreamOrigin> {
+        let unshared = self.streams.iter_mut().filter(|(_, stream)| {
+            stream.own && !stream.shared && stream.service == *service && now < stream.expires
+        });
+        let taken = unshared.map(|(key, stream)| {
+            stream.shared = true;
+            stream.origin(*key, now)
+        });
+        taken.collect()
+    }
+
+    /// Returns the streams of this instance that a new leader may not know.
+    pub fn own_shared(&self, now: Time) -> Vec<StreamOrigin> {
+        self.select(now, |stream| stream.own && stream.shared)
+    }
+
+    /// Returns the streams that a new follower may not know.
+    pub fn all_shared(&self, now: Time) -> Vec<StreamOrigin> {
+        self.select(now, |stream| stream.shared)
+    }
+
+    fn select(&self, now: Time, is_selected: impl Fn(&Stream) -> bool) -> Vec<StreamOrigin> {
+        let selected = self.streams.iter().filter(|(_, stream)| is_selected(stream) && now < stream.expires);
+        selected.map(|(key, stream)| stream.origin(*key, now)).collect()
+    }
+
+    fn insert(&mut self, origin: StreamOrigin, own: bool, now: Time) -> bool {
+        if self.version(origin.key, now).is_some() {
+            return false;
+        }
+        if self.streams.len() >= MAX_STREAMS {
+            self.make_room(now);
+        }
+        let expires = now + origin.remaining.duration().min(MAX_LIFETIME);
+        let stream = Stream { service: origin.service, version: origin.version, expires, own, shared: !own };
+        self.streams.insert(origin.key, stream);
+        true
+    }
+
+    /// Removes the expired streams, and the oldest quarter if that is not enough.
+    fn make_room(&mut self, now: Time) {
+        self.streams.retain(|_, stream| now < stream.expires);
+        if self.streams.len() > MAX_STREAMS / 4 * 3 {
+            self.streams.drain(..MAX_STREAMS / 4);
+        }
+    }
+}
+
+impl Stream {
+    fn origin(&self, key: StreamKey, now: Time) -> StreamOrigin {
+        let remaining = Millis((self.expires - now).as_millis() as u64);
+        StreamOrigin { key, service: self.service.clone(), version: self.version.clone(), remaining }
+    }
+}
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -1,3 +1,4 @@
+mod streams;
 mod tokens;
 mod trials;
 
@@ -24,6 +25,7 @@
 use carobwick_core::gateway::ModelPlacer;
 use carobwick_core::gateway::OrderReply;
 use carobwick_core::gateway::PendingLoads;
+use carobwick_core::gateway::StreamOrigin;
 use carobwick_core::gateway::TrialTable;
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::plan_adapter;
@@ -77,6 +79,10 @@
     /// Notifies the task that issues tokens of changed limits and waiting requests.
     tokens_changed: Notify,
     trials: RefCell<TrialTable>,
+    /// Streams that the followers have not been told of yet.
+    new_streams: RefCell<Vec<StreamOrigin>>,
+    /// Notifies the task that tells them.
+    streams_changed: Notify,
 }
 
 impl Coordinator {
@@ -95,6 +101,8 @@
             issuer: RefCell::default(),
             tokens_changed: Notify::new(),
             trials: RefCell::default(),
+            new_streams: RefCell::default(),
+            streams_changed: Notify::new(),
         }
     }
 
@@ -137,6 +145,10 @@
         for loss in self.state.losses_to_share() {
             send_frame(sender, encode_message(&LeaderMessage::SuspectsLost(loss)));
         }
+        let streams = self.state.streams.borrow().all_shared(now());
+        if !streams.is_empty() {
+            send_frame(sender, encode_message(&LeaderMessage::streams(streams)));
+        }
         for (id, record) in self.registry.borrow().iter() {
             // For all other engines, the follower knows the resident models from their entries in the list.
             if let Some(resident) = record.published.clone() {
@@ -210,7 +222,7 @@
         let loads = self.loads.borrow_mut().take();
         if !loads.is_empty() {
             self.state.receive_loads(&loads);
-            self.broadcast(&LeaderMessage::Loads(loads));
+            self.broadcast(&LeaderMessage::Loads { loads, streams: Vec::new() });
         }
     }
 
@@ -234,7 +246,8 @@
     pub fn handle_message(&self, from: &InstanceId, message: FollowerMessage) {
         match message {
             FollowerMessage::Hello { .. } => {}
-            FollowerMessage::Report { demand: samples, loads } => {
+            FollowerMessage::Report { demand: samples, loads, streams } => {
+                self.handle_streams(from, streams);
                 let mut demand = self.demand.borrow_mut();
                 for sample in &samples {
                     demand.add(sample, now());
--- /dev/null
+++ b/crates/gateway/src/coordinator/streams.rs
@@ -0,0 +1,37 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use carobwick_core::InstanceId;
+use carobwick_core::gateway::StreamOrigin;
+use tokio::time::sleep;
+
+use crate::coordinator::Coordinator;
+use crate::message::LeaderMessage;
+
+/// Time for which streams are gathered before the followers are told, for each follower: 5,000 messages per second at
+/// most.
+const GATHER_TIME: Duration = Duration::from_micros(200);
+
+/// Streams that callers may take up at any instance.
+impl Coordinator {
+    /// Handles streams that an instance has begun.
+    pub(super) fn handle_streams(&self, from: &InstanceId, streams: Vec<StreamOrigin>) {
+        let is_own = *from == self.state.settings.instance;
+        let new = if is_own { streams } else { self.state.receive_streams(streams) };
+        if !new.is_empty() {
+            self.new_streams.borrow_mut().extend(new);
+            self.streams_changed.notify_one();
+        }
+    }
+
+    /// Tells the followers of new streams until the task is aborted.
+    pub async fn share_streams(self: Rc<Self>) {
+        loop {
+            self.streams_changed.notified().await;
+            let followers = self.followers.borrow().len() as u32;
+            sleep(GATHER_TIME * followers).await;
+            let streams = std::mem::take(&mut *self.new_streams.borrow_mut());
+            self.broadcast(&LeaderMessage::streams(streams));
+        }
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -82,6 +82,7 @@
         tasks.spawn_local(peers::accept(Rc::clone(&coordinator), Rc::clone(&election), peers));
         tasks.spawn_local(peers::follow(Rc::clone(&state), Rc::clone(&coordinator), Rc::clone(&election)));
         tasks.spawn_local(Rc::clone(&coordinator).issue_tokens());
+        tasks.spawn_local(Rc::clone(&coordinator).share_streams());
         tasks.spawn_local(coordinator.run());
         tracing::info!(
             "gateway: {} accepts callers at {}",
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -245,6 +245,7 @@
         state.balancer.borrow_mut().retain(|id| endpoints.get(id).is_some(), now());
         self.coordinator.update_endpoints(&endpoints);
         drop(endpoints);
+        state.share_streams();
         state.endpoints_changed.notify_waiters();
     }
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -15,6 +15,7 @@
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::SharedLoad;
 use carobwick_core::gateway::SoftwareVersion;
+use carobwick_core::gateway::StreamOrigin;
 use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::Ticket;
 use carobwick_core::gateway::TokenReply;
@@ -42,8 +43,9 @@
 pub(crate) enum FollowerMessage {
     /// The first message of a connection.
     Hello { instance: InstanceId },
-    /// Demand and endpoint loads since the last report; also serves as a heartbeat.
-    Report { demand: Vec<DemandSample>, loads: Vec<SharedLoad> },
+    /// Demand and endpoint loads since the last report; also serves as a heartbeat. The streams that the instance has
+    /// begun do not wait for the next report; instances of the version before neither send nor read them.
+    Report { demand: Vec<DemandSample>, loads: Vec<SharedLoad>, streams: Vec<StreamOrigin> },
     /// A request needs a model or adapter that is resident on no endpoint, or on none in the instance's zone.
     RequestWeights { service: ServiceId, weights: Weights, zone: ZoneId },
     /// The connection to an endpoint was lost while it processed a request.
@@ -80,8 +82,9 @@
     /// Number of instances that share the retry budget, once all had time to connect; also serves as a
     /// heartbeat.
     InstanceCount(Option<u32>),
-    /// Loads that endpoints reported to other instances.
-    Loads(Vec<SharedLoad>),
+    /// Loads that endpoints reported to other instances, and streams that others have begun, which instances of the
+    /// version before neither send nor read.
+    Loads { loads: Vec<SharedLoad>, streams: Vec<StreamOrigin> },
     /// Models and adapters that are resident on an engine.
     EngineModels { endpoint: EndpointId, incarnation: Incarnation, resident: ResidentModels },
     /// Another instance lost the connection to an endpoint while it processed a request.
@@ -106,6 +109,20 @@
     Config(Box<RouteTable>),
 }
 
+impl FollowerMessage {
+    /// Returns the message that tells the leader of streams.
+    pub fn streams(streams: Vec<StreamOrigin>) -> Self {
+        Self::Report { demand: Vec::new(), loads: Vec::new(), streams }
+    }
+}
+
+impl LeaderMessage {
+    /// Returns the message that tells an instance of streams.
+    pub fn streams(streams: Vec<StreamOrigin>) -> Self {
+        Self::Loads { loads: Vec::new(), streams }
+    }
+}
+
 /// Changes of the list of endpoints between two revisions of the store.
 #[data]
 pub(crate) struct ListUpdate {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -115,6 +115,7 @@
 async fn receive_as_leader(state: &State, coordinator: &Coordinator, election: &Election) {
     let (sender, mut receiver) = mpsc::unbounded_channel();
     state.set_leader_sender(Some(sender));
+    state.share_streams();
     let mut next_report = now() + REPORT_INTERVAL;
     while election.leading_since().is_some() {
         match timeout(next_report - now(), receiver.recv()).await {
@@ -146,8 +147,8 @@
     write_frame(&mut to, &FollowerMessage::Hello { instance: state.settings.instance.clone() }).await?;
     // An instance that is not the leader closes the connection without a message.
     handle_message(state, election, read_message(&mut from).await?);
-    // A new leader may not know the leaving endpoints, the rate limits and the losses; it ignores those that it
-    // does.
+    // A new leader may not know the leaving endpoints, the rate limits, the losses and the streams; it ignores those
+    // that it does.
     let leaving: Vec<_> = state.endpoints.borrow().leaving().collect();
     for (endpoint, incarnation) in leaving {
         write_frame(&mut to, &FollowerMessage::EndpointLeaving { endpoint, incarnation }).await?;
@@ -158,8 +159,13 @@
     for loss in state.losses_to_share() {
         write_message(&mut to, &FollowerMessage::SuspectsLost(loss)).await?;
     }
+    let streams = state.streams.borrow().own_shared(now());
+    if !streams.is_empty() {
+        write_message(&mut to, &FollowerMessage::streams(streams)).await?;
+    }
     let (sender, mut receiver) = mpsc::unbounded_channel();
     state.set_leader_sender(Some(sender));
+    state.share_streams();
     election.set_connected(true);
     tracing::info!("peers: following {leader}");
     let writer = async {
@@ -218,7 +224,10 @@
             state.apply_config(Arc::new(*table), "from the leader");
         }
         LeaderMessage::Trial { number, granted } => state.trial_requests.complete(number, granted),
-        LeaderMessage::Loads(loads) => state.receive_loads(&loads),
+        LeaderMessage::Loads { loads, streams } => {
+            state.receive_loads(&loads);
+            let _new = state.receive_streams(streams);
+        }
         LeaderMessage::EndpointList(update) => state.receive_list_update(update),
         LeaderMessage::ConfigVersion { version, age } => state.set_leader_version(version, age.duration()),
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -121,6 +121,12 @@
                 }
                 None => {}
             }
+            if self.is_bound_elsewhere() {
+                break Placement::None {
+                    reason: "no endpoint of the version that began the stream can go on",
+                    retry_after: RETRY_AFTER,
+                };
+            }
             let Some(weights) = self.head.weights.clone() else {
                 break Placement::None { reason: "no endpoint takes the request", retry_after: RETRY_AFTER };
             };
@@ -291,8 +297,19 @@
     }
 
     fn can_serve(&self, entry: &EndpointEntry) -> bool {
-        self.binding.allows(entry.version.as_ref())
-            && self.head.weights.as_ref().is_none_or(|weights| entry.resident.has(weights))
+        self.binding.allows(entry.version.as_ref()) && self.is_resident(entry)
+    }
+
+    fn is_resident(&self, entry: &EndpointEntry) -> bool {
+        self.head.weights.as_ref().is_none_or(|weights| entry.resident.has(weights))
+    }
+
+    /// Returns whether only endpoints of other software versions can serve the request. The leader loads no other copy
+    /// of a model for it.
+    fn is_bound_elsewhere(&self) -> bool {
+        let endpoints = self.state.endpoints.borrow();
+        let mut resident = endpoints.live(&self.service).filter(|entry| self.is_resident(entry)).peekable();
+        resident.peek().is_some() && !resident.any(|entry| self.can_serve(entry))
     }
 
     /// Returns the longest time to wait until the model is loaded, or none if the service does not have the
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -49,6 +49,7 @@
 use crate::stream;
 use crate::suspicion::SuspicionStep;
 use crate::suspicion::Trial;
+use crate::take_up::TakeUpStep;
 
 /// Timeout of connecting to an endpoint, after which another one is chosen.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -98,6 +99,14 @@
     async fn process(mut self) -> Response<ResponseBody> {
         self.state.count_request(&self.service);
         self.state.count_demand(&self.service, &self.head);
+        let refusing = self.state.refusing.clone();
+        match refusing.run_until_cancelled(self.bind_version()).await {
+            Some(TakeUpStep::Send) => {}
+            Some(TakeUpStep::Refuse) => {
+                return self.refuse("no instance knows the version that began the stream", RETRY_AFTER);
+            }
+            None => return self.refuse(LocalResponse::STOPPING.message, Duration::ZERO),
+        }
         loop {
             let choice = match self.place_before_stop().await {
                 Placement::Endpoint(choice) => choice,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 use carobwick_core::gateway::RetryBudget;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::SharedLoad;
+use carobwick_core::gateway::StreamTable;
 use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::SuspectTable;
 use carobwick_core::gateway::TokenReply;
@@ -83,6 +84,10 @@
     pub trial_requests: PendingReplies<bool>,
     /// Notifies requests that wait for the outcome of a trial.
     pub suspects_changed: Notify,
+    /// Streams that callers may take up again.
+    pub streams: RefCell<StreamTable>,
+    /// Notifies requests that wait for the version that began a stream.
+    pub streams_changed: Notify,
     leader_sender: RefCell<Option<mpsc::UnboundedSender<FollowerMessage>>>,
     /// Age of the configuration in force, by which it is decided when to read it again.
     pub freshness: RefCell<ConfigFreshness>,
@@ -137,6 +142,8 @@
             token_requests: PendingReplies::default(),
             trial_requests: PendingReplies::default(),
             suspects_changed: Notify::new(),
+            streams: RefCell::default(),
+            streams_changed: Notify::new(),
             leader_sender: RefCell::default(),
             leader_version: Cell::default(),
             leader_version_changed: Notify::new(),
@@ -202,7 +209,11 @@
     /// Returns the demand and the endpoint loads since the last call as a report to the leader.
     pub fn take_report(&self) -> FollowerMessage {
         let demand = std::mem::take(&mut *self.demand.borrow_mut()).into_values().collect();
-        FollowerMessage::Report { demand, loads: self.balancer.borrow_mut().take_loads() }
+        FollowerMessage::Report {
+            demand,
+            loads: self.balancer.borrow_mut().take_loads(),
+            streams: Vec::new(),
+        }
     }
 
     /// Applies loads that endpoints reported to other instances.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,7 +8,6 @@
 use carobwick_core::gateway::RetryStep;
 use carobwick_core::gateway::SendFailure;
 use carobwick_core::gateway::SendOutcome;
-use carobwick_core::gateway::VersionBinding;
 use carobwick_runtime::now;
 use futures_util::StreamExt;
 use futures_util::stream;
@@ -234,9 +233,7 @@
     fn record_shown(&mut self) {
         self.body.request.record_begun();
         self.proxied.progress.shown = true;
-        if self.proxied.binding == VersionBinding::Any {
-            self.proxied.binding = VersionBinding::of(self.body.request.choice.version.clone());
-        }
+        self.proxied.bind_to(self.body.request.choice.version.clone());
     }
 
     /// Returns whether a response holds the rest of the stream, and not the text of a failure.
--- /dev/null
+++ b/crates/gateway/src/take_up.rs
@@ -0,0 +1,147 @@
+use std::time::Duration;
+
+use carobwick_core::Millis;
+use carobwick_core::ServiceId;
+use carobwick_core::Time;
+use carobwick_core::gateway::SoftwareVersion;
+use carobwick_core::gateway::StreamKey;
+use carobwick_core::gateway::StreamOrigin;
+use carobwick_core::gateway::VersionBinding;
+use carobwick_runtime::now;
+use tokio::time::timeout;
+
+use crate::message::FollowerMessage;
+use crate::proxied_request::ProxiedRequest;
+use crate::state::State;
+
+/// Time for which a request waits for the leader's word on the stream that it takes up: the instance that began the
+/// stream may have ended just after it told the leader.
+const ORIGIN_WAIT: Duration = Duration::from_millis(300);
+/// Time for which it waits without a leader; a new one is there within 4 s, and the instances tell it what they know.
+const LEADERLESS_WAIT: Duration = Duration::from_secs(4);
+/// Interval at which the wait looks for a leader.
+const LEADER_POLL: Duration = Duration::from_millis(100);
+
+/// Whether a request that takes a stream up again may be sent.
+pub(crate) enum TakeUpStep {
+    /// It may be sent to the endpoints that its binding allows.
+    Send,
+    /// No instance knows the version that began the stream, and several serve.
+    Refuse,
+}
+
+/// Streams that callers may take up at any instance.
+impl State {
+    /// Returns whether endpoints of several software versions serve, or have served while a stream may have begun.
+    pub fn has_several_versions(&self, service: &ServiceId) -> bool {
+        self.endpoints.borrow().has_several_versions(service, now())
+    }
+
+    /// Records a stream that this instance has begun, and tells the leader if other versions serve.
+    pub fn record_stream(&self, origin: StreamOrigin) {
+        let service = origin.service.clone();
+        self.streams.borrow_mut().record_begun(origin, now());
+        if self.has_several_versions(&service) {
+            self.share_streams_of(&service);
+        }
+    }
+
+    /// Records streams that other instances have begun; returns those that were not known.
+    pub fn receive_streams(&self, origins: Vec<StreamOrigin>) -> Vec<StreamOrigin> {
+        let mut streams = self.streams.borrow_mut();
+        let is_new = |origin: &StreamOrigin| streams.record_shared(origin.clone(), now());
+        let new: Vec<StreamOrigin> = origins.into_iter().filter(is_new).collect();
+        drop(streams);
+        if !new.is_empty() {
+            self.streams_changed.notify_waiters();
+        }
+        new
+    }
+
+    /// Tells the leader of the streams that began before endpoints of a second version were known.
+    pub fn share_streams(&self) {
+        let services = self.endpoints.borrow().services_with_several_versions(now());
+        for service in services {
+            self.share_streams_of(&service);
+        }
+    }
+
+    fn share_streams_of(&self, service: &ServiceId) {
+        if !self.has_leader() {
+            return;
+        }
+        let streams = self.streams.borrow_mut().take_unshared(service, now());
+        if !streams.is_empty() {
+            self.send_to_leader(FollowerMessage::streams(streams));
+        }
+    }
+
+    fn stream_version(&self, key: StreamKey) -> Option<SoftwareVersion> {
+        self.streams.borrow().version(key, now()).cloned()
+    }
+}
+
+impl ProxiedRequest {
+    /// Binds a request that takes a stream up to the version that began the stream.
+    pub async fn bind_version(&mut self) -> TakeUpStep {
+        if !self.route.resumable || self.head.resumes.is_none() && self.head.last_event.is_none() {
+            return TakeUpStep::Send;
+        }
+        let (request, key) = (self.head.attempt_id.clone(), self.stream_key());
+        let (state, started) = (self.state.clone(), now());
+        let mut leader_since = None;
+        loop {
+            let changed = state.streams_changed.notified();
+            if let Some(version) = state.stream_version(key) {
+                tracing::info!("gateway: request {request} takes up a stream that {version} began");
+                self.binding = VersionBinding::Version(version);
+                return TakeUpStep::Send;
+            }
+            if !state.has_several_versions(&self.service) {
+                tracing::info!("gateway: request {request} takes up a stream, one version serves");
+                return TakeUpStep::Send;
+            }
+            leader_since = leader_since.filter(|_| state.has_leader()).or(state.has_leader().then(now));
+            let wait = self.origin_wait(started, leader_since);
+            if wait.is_zero() {
+                return TakeUpStep::Refuse;
+            }
+            let _elapsed = timeout(wait.min(LEADER_POLL), changed).await;
+        }
+    }
+
+    /// Records that the caller has received the first event of the stream, and binds the stream to the version of the
+    /// endpoint that wrote it.
+    pub fn bind_to(&mut self, version: Option<SoftwareVersion>) {
+        if self.binding != VersionBinding::Any {
+            return;
+        }
+        if let Some(version) = &version {
+            let lifetime = self.head.deadline.map_or(Duration::MAX, Millis::duration);
+            let remaining = lifetime.saturating_sub(now() - self.arrived);
+            self.state.record_stream(StreamOrigin {
+                key: self.stream_key(),
+                service: self.service.clone(),
+                version: version.clone(),
+                remaining: Millis(u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)),
+            });
+        }
+        self.binding = VersionBinding::of(version);
+    }
+
+    /// Returns the key by which the stream of this request is taken up.
+    fn stream_key(&self) -> StreamKey {
+        StreamKey::new(self.head.resumes.as_ref().unwrap_or(&self.head.attempt_id))
+    }
+
+    /// Returns how much longer to wait for the version that began a stream.
+    fn origin_wait(&self, started: Time, leader_since: Option<Time>) -> Duration {
+        let (since, wait) = match leader_since {
+            Some(since) => (since, ORIGIN_WAIT),
+            None => (started, LEADERLESS_WAIT),
+        };
+        let patience = (self.deadline - started) / 3;
+        let remaining = patience.saturating_sub(now() - started);
+        wait.saturating_sub(now() - since).min(remaining)
+    }
+}
