A stopping planner tells its peers what its last requests have changed

Change: when all tasks have ended, the planner exchanges once more with its peers, for a second at most.

a_drain_that_a_stopping_planner_accepts_reaches_a_peer failed before and passes.

--- a/crates/planner/src/exchange.rs
+++ b/crates/planner/src/exchange.rs
@@ -9,10 +9,12 @@
 use carobwick_core::PeerMessage;
 use rand::Rng;
 use rand::seq::IndexedRandom;
+use tokio::task::JoinSet;
 
 use crate::Context;
 
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
+const LAST_EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Number of peers of the own zone with which one round exchanges.
 const LOCAL_PEER_COUNT: usize = 2;
 
@@ -33,6 +35,22 @@
     }
 }
 
+/// Exchanges state once with some peers, for changes that were accepted while the planner stopped.
+pub(crate) async fn run_last(context: &Context) {
+    let mut exchanges = JoinSet::new();
+    for addr in choose_peers(context) {
+        let context = context.clone();
+        exchanges.spawn(async move {
+            if let Err(err) = context.node.exchange(&context.peers, &addr, &context.instance).await {
+                tracing::info!("peer: last exchange with {addr} failed: {err}");
+            }
+        });
+    }
+    if tokio::time::timeout(LAST_EXCHANGE_TIMEOUT, exchanges.join_all()).await.is_err() {
+        tracing::info!("peer: last exchange timed out after {LAST_EXCHANGE_TIMEOUT:?}");
+    }
+}
+
 /// Handles a message of a peer or entry and returns the reply.
 pub(crate) async fn handle_message(context: Context, message: PeerMessage) -> PeerMessage {
     match message {
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -85,7 +85,7 @@
         (&mut self.task).await?
     }
 
-    /// Stops the planner after the requests in flight are finished.
+    /// Stops the planner after the requests in flight are finished, and tells peers what these have changed.
     ///
     /// # Errors
     ///
@@ -93,7 +93,9 @@
     pub async fn stop(self) -> anyhow::Result<()> {
         self.context.timeline.add(EventKind::Process, "stopping");
         self.stop.cancel();
-        self.task.await?
+        let result = self.task.await?;
+        exchange::run_last(&self.context).await;
+        result
     }
 }
 
--- a/crates/planner/tests/process.rs
+++ b/crates/planner/tests/process.rs
@@ -27,6 +27,9 @@
 use carobwick_standins::KvStandin;
 use serde_json::json;
 use test_case::test_case;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 const ANY_LOCAL_PORT: &str = "127.0.0.1:0";
 
@@ -211,3 +214,34 @@
     let value = text.lines().find(|line| line.starts_with("carobwick_manifest_version")).unwrap();
     assert!(value.ends_with(" 1"), "{value}");
 }
+
+/// Guards against drains that a stopping planner accepts and that end with it.
+#[tokio::test]
+async fn a_drain_that_a_stopping_planner_accepts_reaches_a_peer() {
+    let (first, second) = start_pair().await;
+    let http = HttpClient::open(Duration::from_secs(10));
+    let url = format!("http://{}/admin/drains", second.operator_addr());
+    let early = DrainRequest { target: DrainTarget::Endpoint("e0".parse().unwrap()), drained: true };
+    let _reply: DrainReply = http.post(&url, &early).await.unwrap();
+    wait_for_state(&first, |state| state.drains.is_drained(&early.target)).await;
+    let late = DrainRequest { target: DrainTarget::Endpoint("e1".parse().unwrap()), drained: true };
+    let body = serde_json::to_string(&late).unwrap();
+    let mut stream = TcpStream::connect(second.operator_addr()).await.unwrap();
+    let head = format!(
+        "POST /admin/drains HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
+         connection: close\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let stopping = tokio::spawn(second.stop());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    stream.write_all(body.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+    assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+    stopping.await.unwrap().unwrap();
+    let reached = wait_for_state(&first, |state| state.drains.is_drained(&late.target));
+    let reached = tokio::time::timeout(Duration::from_secs(3), reached).await;
+    assert!(reached.is_ok(), "the drain was accepted and is lost");
+}
