--- a/crates/core/src/gateway/stream_table.rs
+++ b/crates/core/src/gateway/stream_table.rs
@@ -10,7 +10,7 @@
 use crate::Time;
 use crate::gateway::SoftwareVersion;
 
-/// Largest number of streams in a table: those of 15 s at 2,000 requests per second, some 3 MB.
+/// Largest number of streams in a table: those of 15 s at 2,000 requests per second, under 6 MB.
 const MAX_STREAMS: usize = 1 << 15;
 /// Longest time for which a stream is kept, also if its caller states a longer deadline.
 const MAX_LIFETIME: Duration = Duration::from_mins(1);
--- a/crates/gateway/tests/framing.rs
+++ b/crates/gateway/tests/framing.rs
@@ -9,6 +9,8 @@
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::ResidentModels;
+use carobwick_core::gateway::StreamKey;
+use carobwick_core::gateway::StreamOrigin;
 use carobwick_core::gateway::Weights;
 use carobwick_gateway::EventFramer;
 use carobwick_gateway::HeadCheck;
@@ -159,6 +161,8 @@
 const MODELS: usize = 1_600;
 /// Engines of that fleet, one for each accelerator.
 const ENGINES: usize = 2_700;
+/// Streams that an instance keeps at most.
+const STREAMS: u64 = 1 << 15;
 /// Adapters of each model.
 const ADAPTERS: usize = 4;
 
@@ -189,6 +193,15 @@
     }))
 }
 
+fn stream_origin(index: u64) -> StreamOrigin {
+    StreamOrigin {
+        key: StreamKey(u64::MAX - index),
+        service: "large-language-models".parse().unwrap(),
+        version: "v1.20.3-rc1".to_owned().into(),
+        remaining: Millis(15_000),
+    }
+}
+
 /// Guards against messages of a large fleet that no instance accepts, so that its connection to the leader
 /// ends again and again.
 #[test]
@@ -202,10 +215,15 @@
             work: 1_000_000_000,
         })
         .collect();
-    let [mut list_frame, mut demand_frame] = [Vec::new(), Vec::new()];
+    let streams: Vec<StreamOrigin> = (0..STREAMS).map(stream_origin).collect();
+    let [mut list_frame, mut demand_frame, mut streams_frame] = [Vec::new(), Vec::new(), Vec::new()];
     block_on(write_frame(&mut list_frame, &list)).unwrap();
     block_on(write_frame(&mut demand_frame, &demand)).unwrap();
-    println!("list {} bytes, demand {} bytes", list_frame.len(), demand_frame.len());
+    block_on(write_frame(&mut streams_frame, &streams)).unwrap();
+    let (list_bytes, demand_bytes) = (list_frame.len(), demand_frame.len());
+    println!("list {list_bytes} bytes, demand {demand_bytes} bytes, streams {} bytes", streams_frame.len());
+    let read = block_on(read_frame::<Vec<StreamOrigin>>(&mut streams_frame.as_slice())).unwrap();
+    assert_eq!(read, streams);
     let read = block_on(read_frame::<Vec<EndpointChange>>(&mut list_frame.as_slice())).unwrap();
     assert_eq!(read, list);
     let read = block_on(read_frame::<Vec<DemandSample>>(&mut demand_frame.as_slice())).unwrap();
