--- a/crates/core/src/gateway/stream_table.rs
+++ b/crates/core/src/gateway/stream_table.rs
@@ -115,9 +115,24 @@
         true
     }
 
+    /// Removes the streams whose callers have given up.
+    pub fn remove_expired(&mut self, now: Time) {
+        self.streams.retain(|_, stream| now < stream.expires);
+    }
+
+    /// Returns the number of streams, with those that have expired since the last removal.
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Returns whether the table holds no stream.
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+
     /// Removes the expired streams, and the oldest quarter if that is not enough.
     fn make_room(&mut self, now: Time) {
-        self.streams.retain(|_, stream| now < stream.expires);
+        self.remove_expired(now);
         if self.streams.len() > MAX_STREAMS / 4 * 3 {
             self.streams.drain(..MAX_STREAMS / 4);
         }
--- a/crates/core/tests/stream_table.rs
+++ b/crates/core/tests/stream_table.rs
@@ -70,7 +70,11 @@
     table.record_begun(origin("a", "v1"), at(0));
     assert!(table.version(StreamKey::new("a"), at(4_999)).is_some());
     assert!(table.version(StreamKey::new("a"), at(5_000)).is_none());
-    assert!(table.record_shared(origin("a", "v2"), at(5_000)), "the key is free again");
+    table.remove_expired(at(4_999));
+    assert_eq!(table.len(), 1);
+    table.remove_expired(at(5_000));
+    assert!(table.is_empty());
+    assert!(table.record_shared(origin("a", "v2"), at(5_000)), "the key is not free again");
 }
 
 /// Guards against streams that are told twice or never, and against passing on as one's own what others have begun.
