Keep the system's own calls off the connections of callers' requests

What callers saw: a request on a stream that can't be resumed ran twice. A replica had turned away queries of its state (no attempt id, so none in the refusal) and wrote such a refusal once more on the kept connection, ahead of the answer to a caller's request.

Cause: `query_engine` put the connection of a refused query into the pool that callers' requests share, and `send_order` did the same after an order; `response_kind` takes a refusal without an id as that of the request in flight, as 400 without an id must be.

Ruled out: refusals of callers' requests (`check_head` drops the connection of each one), copies of other answers to requests (they bear their id and are taken as foreign).

Change: a pooled connection has a purpose, callers' requests or calls of the system itself, and is reused for that alone. A query's connection is kept only if the response is a report; after any other response it is closed.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -35,6 +35,7 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use crate::Error;
 use crate::coordinator::tokens::TermIssuer;
 use crate::election::Election;
 use crate::message::FollowerMessage;
@@ -42,6 +43,7 @@
 use crate::message::ListUpdate;
 use crate::message::encode_frame;
 use crate::meters::SendKind;
+use crate::pool::Purpose;
 use crate::state::State;
 
 /// Longest time between two planning passes of the leader.
@@ -430,7 +432,7 @@
 
     async fn send_order(&self, order: &EngineOrder) -> OrderReply {
         let Some(choice) = self.find(&order.endpoint, order.incarnation) else { return OrderReply::Refused };
-        let mut connection = match self.state.pool.take(&choice, CONNECT_TIMEOUT).await {
+        let mut connection = match self.state.pool.take(&choice, Purpose::Calls, CONNECT_TIMEOUT).await {
             Ok(connection) => connection,
             Err(err) => {
                 tracing::info!("leader: no connection to {}: {err}", order.endpoint);
@@ -452,7 +454,7 @@
                     self.state.wire.parse_notice(response.status(), response.headers()),
                     sent,
                 );
-                self.state.pool.put(&choice, connection, None);
+                self.state.pool.put(&choice, Purpose::Calls, connection, None);
                 self.state.wire.parse_order_reply(response.status())
             }
             Err(err) => {
@@ -477,14 +479,16 @@
         }
         let request = self.state.wire.report_request(&id);
         let exchange = async {
-            let mut connection = self.state.pool.take(&choice, CONNECT_TIMEOUT).await?;
+            let mut connection = self.state.pool.take(&choice, Purpose::Calls, CONNECT_TIMEOUT).await?;
             self.state.count_send(&choice, SendKind::Report);
             let sent = now();
             let response = connection.exchange(request, ENGINE_RESPONSE_TIMEOUT).await?;
             let notice = self.state.wire.parse_notice(response.status(), response.headers());
             self.state.apply_notice(&choice, notice, sent);
-            self.state.pool.put(&choice, connection, None);
-            self.state.wire.parse_report(response.body())
+            // Any other response, such as a refusal, can't be tied to the query, so its connection is closed.
+            let report = self.state.wire.parse_report(response.body())?;
+            self.state.pool.put(&choice, Purpose::Calls, connection, None);
+            Ok::<_, Error>(report)
         };
         match exchange.await {
             Ok(report) if report.incarnation.is_none_or(|reported| reported == incarnation) => {
--- a/crates/gateway/src/endpoint_request.rs
+++ b/crates/gateway/src/endpoint_request.rs
@@ -17,6 +17,7 @@
 
 use crate::Connection;
 use crate::platform::ResponseHead;
+use crate::pool::Purpose;
 use crate::state::State;
 use crate::suspicion::Trial;
 use crate::suspicion::UnstartedRequest;
@@ -102,7 +103,7 @@
     pub fn finish(&mut self, outcome: SendOutcome) {
         self.outcome = outcome;
         if let Some(connection) = self.connection.take_if(|_| self.reusable) {
-            self.state.pool.put(&self.choice, connection, self.idle_timeout);
+            self.state.pool.put(&self.choice, Purpose::Requests, connection, self.idle_timeout);
         }
     }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -26,7 +26,19 @@
     idle: RefCell<IndexMap<Key, Vec<IdleConnection>>>,
 }
 
-type Key = (EndpointId, Incarnation, SocketAddr);
+type Key = (EndpointId, Incarnation, SocketAddr, Purpose);
+
+/// What a connection carries.
+///
+/// Responses to calls of the system itself have no attempt id. On a connection that callers' requests share, a late
+/// copy of one could pass for the response to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Purpose {
+    /// Callers' requests.
+    Requests,
+    /// Calls of the system itself, such as queries of an engine's state.
+    Calls,
+}
 
 #[derive(Debug)]
 struct IdleConnection {
@@ -35,13 +47,13 @@
 }
 
 impl Pool {
-    /// Returns an idle connection to an endpoint, or opens a new one.
+    /// Returns an idle connection to an endpoint that has carried nothing else than `purpose`, or opens a new one.
     ///
     /// # Errors
     ///
     /// Fails if no connection can be opened within `timeout`.
-    pub async fn take(&self, choice: &Choice, timeout: Duration) -> Result<Connection> {
-        while let Some(mut connection) = self.pop(choice) {
+    pub async fn take(&self, choice: &Choice, purpose: Purpose, timeout: Duration) -> Result<Connection> {
+        while let Some(mut connection) = self.pop(choice, purpose) {
             // The connection's task may not have processed the end of the last response yet.
             let ready = tokio::time::timeout(timeout, connection.wait_ready()).await;
             if ready == Ok(true) {
@@ -53,14 +65,22 @@
 
     /// Returns a connection to the pool after its response has ended; `idle_timeout` is what the endpoint
     /// announced.
-    pub fn put(&self, choice: &Choice, connection: Connection, idle_timeout: Option<Duration>) {
+    ///
+    /// The response must have been tied to its request, since a connection that is out of step stays so.
+    pub fn put(
+        &self,
+        choice: &Choice,
+        purpose: Purpose,
+        connection: Connection,
+        idle_timeout: Option<Duration>,
+    ) {
         if connection.is_closed() {
             return;
         }
         let expires = now()
             + idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| timeout.mul_f64(USABLE_IDLE_FRACTION));
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(pool_key(choice)).or_default();
+        let connections = idle.entry(pool_key(choice, purpose)).or_default();
         if connections.len() < MAX_IDLE_CONNECTIONS {
             connections.push(IdleConnection { connection, expires });
         }
@@ -79,13 +99,13 @@
     pub fn close_incarnation(&self, id: &EndpointId, incarnation: Incarnation) {
         self.idle
             .borrow_mut()
-            .retain(|(key_id, key_incarnation, _), _| key_id != id || *key_incarnation != incarnation);
+            .retain(|(key_id, key_incarnation, ..), _| key_id != id || *key_incarnation != incarnation);
     }
 
-    fn pop(&self, choice: &Choice) -> Option<Connection> {
+    fn pop(&self, choice: &Choice, purpose: Purpose) -> Option<Connection> {
         let now = now();
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&pool_key(choice))?;
+        let connections = idle.get_mut(&pool_key(choice, purpose))?;
         while let Some(pooled) = connections.pop() {
             if now < pooled.expires && !pooled.connection.is_closed() {
                 return Some(pooled.connection);
@@ -95,6 +115,6 @@
     }
 }
 
-fn pool_key(choice: &Choice) -> Key {
-    (choice.id.clone(), choice.incarnation, choice.addr)
+fn pool_key(choice: &Choice, purpose: Purpose) -> Key {
+    (choice.id.clone(), choice.incarnation, choice.addr, purpose)
 }
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -42,6 +42,7 @@
 use crate::placement::Placement;
 use crate::placement::Unplaced;
 use crate::platform::ResponseKind;
+use crate::pool::Purpose;
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
 use crate::response::strip_hop_by_hop;
@@ -206,7 +207,7 @@
         let mut attempt =
             EndpointRequest::start(&self.state, &self.service, &self.head, self.fingerprint, trial, choice);
         let Some(remaining) = self.remaining_time() else { return Err(SendFailure::Unsent) };
-        match self.state.pool.take(choice, CONNECT_TIMEOUT.min(remaining)).await {
+        match self.state.pool.take(choice, Purpose::Requests, CONNECT_TIMEOUT.min(remaining)).await {
             Ok(connection) => attempt.connection = Some(connection),
             Err(err) => {
                 tracing::info!(
