Send each order on a connection without earlier responses

What replicas saw: an engine with eight places for adapters, all in use, was ordered to load a ninth, on which a replica crashes. It had accepted an unload (202, runs still use the adapter) and wrote an earlier answer (200) once more ahead of that reply.

Cause: orders went over pooled connections, and `send_order` judged a reply by its status alone. A reply names neither its order nor an attempt, so on a connection with earlier responses nothing ties it to the order. The count of accepted orders didn't help: the engine had accepted the unload, and an unload that is done counts too.

Ruled out: the planner (with a true reply it waits for the adapter to go), an old report (one with a lower count is ignored).

Change: an order opens its own connection. Its reply counts only if it has no attempt id, otherwise the order is lost and the engine's state is queried. After a reply that counts, the connection is kept for queries of the state, whose answers are recognized by their form. Price: one new connection an order, less those that the next query reuses.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -35,6 +35,7 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use crate::Connection;
 use crate::Error;
 use crate::coordinator::tokens::TermIssuer;
 use crate::election::Election;
@@ -432,7 +433,8 @@
 
     async fn send_order(&self, order: &EngineOrder) -> OrderReply {
         let Some(choice) = self.find(&order.endpoint, order.incarnation) else { return OrderReply::Refused };
-        let mut connection = match self.state.pool.take(&choice, Purpose::Calls, CONNECT_TIMEOUT).await {
+        // A reply has no id of its order, so only a connection without earlier responses ties it to the order.
+        let mut connection = match Connection::connect(choice.addr, CONNECT_TIMEOUT).await {
             Ok(connection) => connection,
             Err(err) => {
                 tracing::info!("leader: no connection to {}: {err}", order.endpoint);
@@ -454,8 +456,11 @@
                     self.state.wire.parse_notice(response.status(), response.headers()),
                     sent,
                 );
-                self.state.pool.put(&choice, Purpose::Calls, connection, None);
-                self.state.wire.parse_order_reply(response.status())
+                let reply = self.state.wire.parse_order_reply(response.status(), response.headers());
+                if matches!(reply, OrderReply::Accepted | OrderReply::Done | OrderReply::Conflict) {
+                    self.state.pool.put(&choice, Purpose::Calls, connection, None);
+                }
+                reply
             }
             Err(err) => {
                 tracing::info!("leader: no response to an order to {}: {err}", order.endpoint);
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -51,8 +51,9 @@
     /// number.
     fn order_request(&self, order: &EngineOrder, holder: &InstanceId, fence: Fence) -> Request<Full<Bytes>>;
 
-    /// Maps the status of an engine's response to the outcome of an order.
-    fn parse_order_reply(&self, status: StatusCode) -> OrderReply;
+    /// Maps the head of an engine's response to the outcome of an order: [`OrderReply::Lost`] if it is the response to
+    /// another request.
+    fn parse_order_reply(&self, status: StatusCode, headers: &HeaderMap) -> OrderReply;
 
     /// Builds the request that queries an engine's state.
     fn report_request(&self, endpoint: &EndpointId) -> Request<Full<Bytes>>;
--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -180,7 +180,7 @@
         unreachable!("there are no engines")
     }
 
-    fn parse_order_reply(&self, _status: StatusCode) -> OrderReply {
+    fn parse_order_reply(&self, _status: StatusCode, _headers: &HeaderMap) -> OrderReply {
         unreachable!("there are no engines")
     }
 
