Wait for a stream's version until all instances had time to connect to the leader

Cause: the wait of 0.3 s ran from when there was a leader, not from when that leader could know what the others know.

Change: until the leader says that all instances had time to connect, which it says for the retry budget already, a request that takes a stream up waits for up to 4 s, half of its time at most (a third before).

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -196,10 +196,11 @@
 fn handle_message(state: &State, election: &Election, message: LeaderMessage) {
     match message {
         LeaderMessage::InstanceCount(Some(instances)) => {
+            state.is_settled.set(true);
             state.set_instances(instances);
             election.set_instances(instances);
         }
-        LeaderMessage::InstanceCount(None) => {}
+        LeaderMessage::InstanceCount(None) => state.is_settled.set(false),
         LeaderMessage::EngineModels { endpoint, incarnation, resident } => {
             state.endpoints.borrow_mut().set_resident(&endpoint, incarnation, &resident, now());
             state.endpoints_changed.notify_waiters();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -75,6 +75,8 @@
     /// Cancelled shortly before a stopping instance aborts the requests in flight.
     pub stop_ending: CancellationToken,
     retry_budgets: RefCell<IndexMap<ServiceId, RetryBudget>>,
+    /// Whether there is a leader to which all instances had time to connect.
+    pub is_settled: Cell<bool>,
     /// Number of instances that share the retry budget, once the leader has sent it.
     instances: Cell<Option<u32>>,
     demand: RefCell<IndexMap<(ServiceId, Weights), DemandSample>>,
@@ -137,6 +139,7 @@
             refusing: CancellationToken::new(),
             stop_ending: CancellationToken::new(),
             retry_budgets: RefCell::default(),
+            is_settled: Cell::new(false),
             instances: Cell::default(),
             demand: RefCell::default(),
             token_requests: PendingReplies::default(),
@@ -230,6 +233,7 @@
     /// Sets the channel for messages to the leader, or none without a connection to it.
     pub fn set_leader_sender(&self, sender: Option<mpsc::UnboundedSender<FollowerMessage>>) {
         *self.leader_sender.borrow_mut() = sender;
+        self.is_settled.set(false);
         self.token_requests.clear();
         self.trial_requests.clear();
         self.balancer.borrow_mut().reset_shares(now());
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -17,10 +17,11 @@
 /// Time for which a request waits for the leader's word on the stream that it takes up: the instance that began the
 /// stream may have ended just after it told the leader.
 const ORIGIN_WAIT: Duration = Duration::from_millis(300);
-/// Time for which it waits without a leader; a new one is there within 4 s, and the instances tell it what they know.
-const LEADERLESS_WAIT: Duration = Duration::from_secs(4);
-/// Interval at which the wait looks for a leader.
-const LEADER_POLL: Duration = Duration::from_millis(100);
+/// Time for which it waits without a leader to which all instances had time to connect; a new one is there within 4 s, and
+/// the instances tell it what they know.
+const UNSETTLED_WAIT: Duration = Duration::from_secs(4);
+/// Interval at which the wait looks at the connections to the leader.
+const SETTLED_POLL: Duration = Duration::from_millis(100);
 
 /// Whether a request that takes a stream up again may be sent.
 pub(crate) enum TakeUpStep {
@@ -89,7 +90,7 @@
         }
         let (request, key) = (self.head.attempt_id.clone(), self.stream_key());
         let (state, started) = (self.state.clone(), now());
-        let mut leader_since = None;
+        let mut settled_since = None;
         loop {
             let changed = state.streams_changed.notified();
             if let Some(version) = state.stream_version(key) {
@@ -101,12 +102,13 @@
                 tracing::info!("gateway: request {request} takes up a stream, one version serves");
                 return TakeUpStep::Send;
             }
-            leader_since = leader_since.filter(|_| state.has_leader()).or(state.has_leader().then(now));
-            let wait = self.origin_wait(started, leader_since);
+            let is_settled = state.is_settled.get();
+            settled_since = settled_since.filter(|_| is_settled).or(is_settled.then(now));
+            let wait = self.origin_wait(started, settled_since);
             if wait.is_zero() {
                 return TakeUpStep::Refuse;
             }
-            let _elapsed = timeout(wait.min(LEADER_POLL), changed).await;
+            let _elapsed = timeout(wait.min(SETTLED_POLL), changed).await;
         }
     }
 
@@ -135,12 +137,12 @@
     }
 
     /// Returns how much longer to wait for the version that began a stream.
-    fn origin_wait(&self, started: Time, leader_since: Option<Time>) -> Duration {
-        let (since, wait) = match leader_since {
+    fn origin_wait(&self, started: Time, settled_since: Option<Time>) -> Duration {
+        let (since, wait) = match settled_since {
             Some(since) => (since, ORIGIN_WAIT),
-            None => (started, LEADERLESS_WAIT),
+            None => (started, UNSETTLED_WAIT),
         };
-        let patience = (self.deadline - started) / 3;
+        let patience = (self.deadline - started) / 2;
         let remaining = patience.saturating_sub(now() - started);
         wait.saturating_sub(now() - since).min(remaining)
     }
