--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -14,8 +14,8 @@
 use crate::proxied_request::ProxiedRequest;
 use crate::state::State;
 
-/// Time for which a request waits for the leader's word on the stream that it takes up: the instance that began the
-/// stream may have ended just after it told the leader.
+/// Time for which a request waits for a message of the leader on the stream that it takes up: the instance that began
+/// the stream may have told the leader only just now.
 const ORIGIN_WAIT: Duration = Duration::from_millis(300);
 /// Time for which it waits without a leader to which all instances had time to connect; a new one is there within 4 s, and
 /// the instances tell it what they know.
