Require a key of a tenant on routes that are not public

Callers saw: with tenants in the configuration, requests ran without a key or with an unknown one, endpoints received the key and no tenant's name, and a revoked key went on working. Cause: no part of the system knew tenants. Ruled out: a check at the head alone, since requests wait seconds for a model; see docs/design/api-keys.md. An invalid configuration is logged once.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -1,6 +1,6 @@
 //! Decisions of an instance that routes requests to plain services and model engines.
 //!
-//! A [`RouteTable`] maps a request to a service, an [`EndpointTable`] holds the known endpoints, and a
+//! A [`RouteTable`] maps a request to a service, and its [`AccessTable`] a key to a tenant with its [`Quota`]; an [`EndpointTable`] holds the known endpoints, and a
 //! [`Balancer`] chooses the endpoint that runs the request. [`next_step`] decides what follows a failed send,
 //! and a [`RetryBudget`] bounds the number of retries. The leader of the region sends orders to engines,
 //! which a [`ModelPlacer`] and [`plan_adapter`] derive from its [`EngineRegistry`]. A [`ListCursor`] decides
@@ -34,6 +34,7 @@
 mod stream_table;
 mod suspects;
 mod table;
+mod tenants;
 mod token_bucket;
 mod token_issuer;
 mod trials;
@@ -104,6 +105,12 @@
 pub use table::ServiceEntry;
 pub use table::ServiceRoute;
 pub use table::ServiceShare;
+pub use tenants::Access;
+pub use tenants::AccessTable;
+pub use tenants::ApiKey;
+pub use tenants::Quota;
+pub use tenants::QuotaUnit;
+pub use tenants::Tenant;
 pub use token_issuer::Ticket;
 pub use token_issuer::TokenIssuer;
 pub use token_issuer::TokenReplies;
--- a/crates/core/src/gateway/request_head.rs
+++ b/crates/core/src/gateway/request_head.rs
@@ -3,6 +3,7 @@
 
 use crate::Millis;
 use crate::ModelId;
+use crate::gateway::ApiKey;
 
 /// Properties of a request that an instance reads from its head.
 #[data]
@@ -12,10 +13,14 @@
     pub attempt_id: String,
     /// Time for which the caller waits, if it is stated.
     pub deadline: Option<Millis>,
+    /// Key of the request's tenant, if it has a well-formed one.
+    pub key: Option<ApiKey>,
     /// Model and adapter that the request needs.
     pub weights: Option<Weights>,
     /// Parts of the prompt in order; the last one belongs to the request or its session.
     pub prompt: Vec<PromptPart>,
+    /// Whether the request states the numbers of its tokens.
+    pub states_tokens: bool,
     /// Number of prompt tokens.
     pub prompt_tokens: u64,
     /// Upper bound of the tokens in the response.
--- a/crates/core/src/gateway/retry.rs
+++ b/crates/core/src/gateway/retry.rs
@@ -9,6 +9,8 @@
 pub enum SendFailure {
     /// No byte of the request was written.
     Unsent,
+    /// No byte was written, since the configuration no longer has the request's key.
+    Revoked,
     /// The endpoint said that it did not run the request.
     Declined,
     /// The endpoint responded with a failure of its own; it may have run the request.
@@ -37,6 +39,8 @@
     PassOn,
     /// Refuse the request, which has not run.
     Refuse,
+    /// Reject the request, whose key is no longer valid and which has not run.
+    Deny,
     /// Respond that the outcome of the request is unknown.
     Unknown,
     /// Abort the response.
@@ -47,7 +51,7 @@
     /// Counts a send and how it ended.
     pub fn count(&mut self, failure: SendFailure) {
         match failure {
-            SendFailure::Unsent => {}
+            SendFailure::Unsent | SendFailure::Revoked => {}
             SendFailure::Declined => self.sends += 1,
             SendFailure::Failed | SendFailure::Lost => {
                 self.sends += 1;
@@ -70,6 +74,7 @@
         }
         SendFailure::Failed | SendFailure::Lost if can_repeat && can_send => RetryStep::Again,
         _ if progress.shown => RetryStep::BreakOff,
+        SendFailure::Revoked if progress.runs == 0 => RetryStep::Deny,
         SendFailure::Unsent | SendFailure::Declined if progress.runs == 0 => RetryStep::Refuse,
         SendFailure::Failed => RetryStep::PassOn,
         _ => RetryStep::Unknown,
--- a/crates/core/src/gateway/table.rs
+++ b/crates/core/src/gateway/table.rs
@@ -11,6 +11,7 @@
 use crate::ServiceId;
 use crate::Tokens;
 use crate::Version;
+use crate::gateway::AccessTable;
 
 /// Routes, services and limits of one version of the configuration.
 #[data]
@@ -23,6 +24,8 @@
     pub services: IndexMap<ServiceId, Arc<ServiceEntry>>,
     /// Routes by host, those with the longest prefix first.
     hosts: IndexMap<String, Vec<Arc<ServiceRoute>>>,
+    /// Tenants and their keys. It goes last: an instance of the version before neither sends nor reads it.
+    pub access: AccessTable,
 }
 
 /// A route: requests for a host whose path begins with a prefix.
@@ -136,7 +139,13 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Self { version, limits, services, hosts }
+        Self { version, limits, services, hosts, access: AccessTable::default() }
+    }
+
+    /// Sets the tenants and their keys.
+    #[must_use]
+    pub fn with_access(self, access: AccessTable) -> Self {
+        Self { access, ..self }
     }
 
     /// Returns the route of a host with the longest prefix that matches the path. A port in `host` is
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -15,6 +15,10 @@
     /// Name of a caller, the account of a client.
     CallerId
 }
+text_id! {
+    /// Name of a tenant, a client account with its own keys and quota.
+    TenantId
+}
 text_id! {
     /// Name of an endpoint, a model engine or one replica of a plain service.
     EndpointId
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -134,6 +134,7 @@
 pub use ids::RequestId;
 pub use ids::Revision;
 pub use ids::ServiceId;
+pub use ids::TenantId;
 pub use ids::Version;
 pub use ids::WriteId;
 pub use ids::ZoneId;
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -265,7 +265,13 @@
 #[test_case(RouteKind::Streaming, true)]
 #[test_case(RouteKind::Idempotent, false)]
 fn retries_and_refusals_respect_the_route(kind: RouteKind, resumable: bool) {
-    let failures = [SendFailure::Unsent, SendFailure::Declined, SendFailure::Failed, SendFailure::Lost];
+    let failures = [
+        SendFailure::Unsent,
+        SendFailure::Revoked,
+        SendFailure::Declined,
+        SendFailure::Failed,
+        SendFailure::Lost,
+    ];
     for attempts in 1..4 {
         let route = route(kind, resumable, attempts);
         let mut pending = vec![Progress::default()];
@@ -282,7 +288,7 @@
                             pending.push(after);
                         }
                     }
-                    RetryStep::Refuse => assert_eq!(after.runs, 0, "{after:?}"),
+                    RetryStep::Refuse | RetryStep::Deny => assert_eq!(after.runs, 0, "{after:?}"),
                     RetryStep::PassOn | RetryStep::Unknown | RetryStep::BreakOff => {
                         assert!(after.runs > 0, "{after:?}");
                     }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -8,8 +8,10 @@
 use carobwick_core::Fingerprint;
 use carobwick_core::Millis;
 use carobwick_core::Time;
+use carobwick_core::gateway::Access;
 use carobwick_core::gateway::CallerLimits;
 use carobwick_core::gateway::Progress;
+use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::ServiceRoute;
 use carobwick_core::gateway::Suspect;
@@ -25,6 +27,8 @@
 use http::header::HOST;
 use http::header::TRANSFER_ENCODING;
 use http::request::Parts;
+use http_body::Body;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -60,6 +64,10 @@
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// `Retry-After` of a response for lack of a configuration or a service.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Longest body that is read and dropped after its request was rejected by the head.
+const MAX_DISCARDED_BYTES: u64 = 64 << 10;
+/// Time for which such a body is read.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Deadline of a request whose caller sets none.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
 
@@ -124,12 +132,13 @@
         HeadCheck::Ambiguous => LocalResponse::new(StatusCode::BAD_REQUEST, "the head has two meanings")
             .close_connection()
             .into_response(),
-        HeadCheck::Unambiguous | HeadCheck::Unchecked => {
-            match read_request(&state, &inspector, parts, body, arrived).await {
+        HeadCheck::Unambiguous | HeadCheck::Unchecked => match check_head(&state, &parts) {
+            Ok(checked) => match read_request(&state, &inspector, checked, parts, body, arrived).await {
                 Ok(request) => request.run().await,
                 Err(local) => local.into_response(),
-            }
-        }
+            },
+            Err(local) => reject_head(local, body, inspector).into_response(),
+        },
     };
     // The bytes after a chunked body whose head was not inspected must not be parsed as a request.
     let is_unsafe = check == HeadCheck::Unchecked && is_chunked;
@@ -139,28 +148,85 @@
     response
 }
 
-/// Reads a whole request, or returns the response that rejects it.
+/// Request whose head is accepted, so that its body may be read.
+struct CheckedHead {
+    table: Arc<RouteTable>,
+    route: Arc<ServiceRoute>,
+    access: Access,
+    head: RequestHead,
+}
+
+/// Checks the head of a request, or returns the response that rejects it. What the head alone can decide is decided before
+/// the body takes any memory.
+fn check_head(state: &State, parts: &Parts) -> Result<CheckedHead, LocalResponse> {
+    let table = state.route_table.borrow().clone();
+    let table = table.ok_or_else(|| unavailable("no configuration yet").retry_after(RETRY_AFTER))?;
+    if state.refusing.is_cancelled() {
+        return Err(LocalResponse::STOPPING);
+    }
+    let route = find_route(&table, parts)?;
+    let head = state.wire.parse_request(&parts.headers).map_err(|err| {
+        tracing::info!("gateway: request on {} rejected: {err}", route.name);
+        LocalResponse::new(StatusCode::BAD_REQUEST, "the head can't be read")
+    })?;
+    let access = table.access.check(&route, head.key.as_ref());
+    if access == Access::Denied {
+        tracing::info!("gateway: request {} on {} has no known key", head.attempt_id, route.name);
+        state.meters.record_denied();
+        return Err(LocalResponse::UNAUTHORIZED);
+    }
+    Ok(CheckedHead { table, route, access, head })
+}
+
+/// Rejects a request by its head. Its body is read and dropped for a short time: closing the connection with unread bytes
+/// would reset it before the caller has the response.
+fn reject_head(local: LocalResponse, body: Incoming, inspector: HeadInspector) -> LocalResponse {
+    if body.is_end_stream() {
+        inspector.body_read();
+        return local;
+    }
+    let is_small = body.size_hint().upper().is_some_and(|length| length <= MAX_DISCARDED_BYTES);
+    tokio::task::spawn_local(async move {
+        let discarded = tokio::time::timeout(DISCARD_TIME, discard(body));
+        if discarded.await.is_ok_and(|is_complete| is_complete) {
+            inspector.body_read();
+        }
+    });
+    if is_small { local } else { local.close_connection() }
+}
+
+/// Reads and drops the rest of a body; returns whether it came to its end.
+async fn discard(mut body: Incoming) -> bool {
+    let mut bytes = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
+        if bytes > MAX_DISCARDED_BYTES {
+            return false;
+        }
+    }
+    body.is_end_stream()
+}
+
+fn unavailable(message: &'static str) -> LocalResponse {
+    LocalResponse::new(StatusCode::SERVICE_UNAVAILABLE, message)
+}
+
+/// Reads the body of a request whose head is accepted, or returns the response that rejects it.
 async fn read_request(
     state: &Rc<State>,
     inspector: &HeadInspector,
+    checked: CheckedHead,
     parts: Parts,
     body: Incoming,
     arrived: Time,
 ) -> Result<ProxiedRequest, LocalResponse> {
-    let unavailable = |message| LocalResponse::new(StatusCode::SERVICE_UNAVAILABLE, message);
-    let table = state.route_table.borrow().clone();
-    let table = table.ok_or_else(|| unavailable("no configuration yet").retry_after(RETRY_AFTER))?;
+    let CheckedHead { table, route, access, head } = checked;
     let body = read_body(body, &table.limits).await?;
     inspector.body_read();
     // The head or the body may have taken as long as the stop has lasted.
     if state.refusing.is_cancelled() {
         return Err(LocalResponse::STOPPING);
     }
-    let route = find_route(&table, &parts)?;
-    let head = state.wire.parse_request(&parts.headers).map_err(|err| {
-        tracing::info!("gateway: request on {} rejected: {err}", route.name);
-        LocalResponse::new(StatusCode::BAD_REQUEST, "the head can't be read")
-    })?;
     let fingerprint =
         Fingerprint(xxh3_64_with_seed(&body, xxh3_64_with_seed(parts.uri.path().as_bytes(), 0)));
     let suspects: Vec<Suspect> = head.shared_parts().map(Suspect::Part).collect();
@@ -184,6 +250,7 @@
         deadline: arrived + limit.min(route.timeout.duration()),
         route,
         service,
+        access,
         head,
         method: parts.method,
         uri: parts.uri,
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -29,6 +29,8 @@
     revision: Option<Revision>,
     /// Whether the configuration is read again since the leader has a newer version.
     outdated: bool,
+    /// Error of the last call, which is logged once while it repeats.
+    last_error: Option<String>,
 }
 
 /// Call by which a configuration was received.
@@ -60,7 +62,7 @@
 
 impl ConfigReader {
     pub fn new(state: Rc<State>, store: Rc<dyn Store>, coordinator: Rc<Coordinator>) -> Self {
-        Self { state, store, coordinator, revision: None, outdated: false }
+        Self { state, store, coordinator, revision: None, outdated: false, last_error: None }
     }
 
     /// Runs until the task is aborted.
@@ -70,6 +72,7 @@
             match self.next_action().await {
                 Ok(Action::Receive(update)) => {
                     backoff.reset();
+                    self.last_error = None;
                     self.receive(update);
                 }
                 Ok(Action::Reread(reason)) => {
@@ -85,7 +88,7 @@
                     tracing::debug!("config: no confirmation from the leader, watching without it");
                 }
                 Err(err) => {
-                    tracing::info!("config: can't read from the store: {err}");
+                    self.log_error(&err);
                     self.revision = revision_after_error(self.revision, &err);
                     backoff.wait().await;
                 }
@@ -93,6 +96,15 @@
         }
     }
 
+    /// Logs an error unless the call before failed with the same one, as each read of an invalid configuration does.
+    fn log_error(&mut self, err: &Error) {
+        let text = err.to_string();
+        if self.last_error.as_ref() != Some(&text) {
+            tracing::warn!("config: can't read from the store: {text}");
+        }
+        self.last_error = Some(text);
+    }
+
     /// Reads the configuration if its revision is unknown, or else waits for a change of it.
     async fn next_action(&self) -> Result<Action> {
         let Some(revision) = self.revision else { return self.read().await.map(Action::Receive) };
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -30,6 +30,7 @@
     limited: Gauge<u64>,
     limited_sends: Counter<u64>,
     losses: Counter<u64>,
+    denied: Counter<u64>,
 }
 
 /// How an instance learns that the connection to an endpoint was lost during a request.
@@ -79,6 +80,7 @@
         let limited = meter.u64_gauge("carobwick_endpoints_limited");
         let limited_sends = meter.u64_counter("carobwick_limited_sends");
         let losses = meter.u64_counter("carobwick_losses");
+        let denied = meter.u64_counter("carobwick_denied");
         Ok(Self {
             requests: requests.with_description("Requests by route and outcome").build(),
             first_output: first_output
@@ -103,6 +105,7 @@
             losses: losses
                 .with_description("Requests during which an endpoint was lost, own and reported by others")
                 .build(),
+            denied: denied.with_description("Requests without a known key on routes that need one").build(),
             metrics,
         })
     }
@@ -125,6 +128,11 @@
         self.requests.add(1, &[route, KeyValue::new("outcome", outcome(status))]);
     }
 
+    /// Counts a request that is rejected for lack of a known key.
+    pub fn record_denied(&self) {
+        self.denied.add(1, &[]);
+    }
+
     /// Counts a request during which the connection to an endpoint was lost.
     pub fn record_loss(&self, source: LossSource) {
         let source = match source {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -241,7 +241,7 @@
     }
 
     fn patience(&self, max_wait: Duration) -> Patience {
-        Patience { priority: self.route.priority, waited: now() - self.arrived, max_wait }
+        Patience { priority: self.priority(), waited: now() - self.arrived, max_wait }
     }
 
     /// Returns whether the request may be sent to an endpoint, for which a permit is taken if the endpoint
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -11,6 +11,7 @@
 use carobwick_core::LeaderRecord;
 use carobwick_core::LoadReport;
 use carobwick_core::Revision;
+use carobwick_core::gateway::Access;
 use carobwick_core::gateway::Conviction;
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::EndpointEntry;
@@ -77,6 +78,8 @@
     pub remaining: Duration,
     /// Priority of the route; 0 is the highest.
     pub priority: u8,
+    /// For whom the request runs.
+    pub access: &'a Access,
     /// Id of the last event that the caller has received of an interrupted stream.
     pub last_event: Option<&'a str>,
 }
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -7,6 +7,7 @@
 use carobwick_core::Fingerprint;
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
+use carobwick_core::gateway::Access;
 use carobwick_core::gateway::Choice;
 use carobwick_core::gateway::Progress;
 use carobwick_core::gateway::RequestHead;
@@ -66,6 +67,8 @@
     pub table: Arc<RouteTable>,
     pub route: Arc<ServiceRoute>,
     pub service: ServiceId,
+    /// For whom the request runs, by the newest configuration that was in force at a send.
+    pub access: Access,
     pub head: RequestHead,
     pub method: Method,
     pub uri: Uri,
@@ -237,6 +240,9 @@
         // The endpoint may have announced that it is leaving, a pause or a limit while the connection was
         // opened.
         let permit = self.permit.take();
+        if !self.recheck_access() {
+            return Err(SendFailure::Revoked);
+        }
         if !self.state.accepts_requests(&attempt.choice)
             || !self.state.permits_send(&attempt.choice, permit.as_ref())
             || !self.is_unsuspected(attempt.is_trial())
@@ -272,6 +278,33 @@
         }
     }
 
+    /// Returns the priority of the request; 0 is the highest.
+    pub fn priority(&self) -> u8 {
+        match &self.access {
+            Access::Tenant(tenant) => tenant.priority.unwrap_or(self.route.priority),
+            Access::Open | Access::Public | Access::Denied => self.route.priority,
+        }
+    }
+
+    /// Checks the key against the newest configuration, which may have revoked it while the request waited; returns whether
+    /// the request may still be sent.
+    fn recheck_access(&mut self) -> bool {
+        let Some(table) = self.state.route_table.borrow().clone() else { return true };
+        if table.version == self.table.version {
+            return true;
+        }
+        match table.access.check(&self.route, self.head.key.as_ref()) {
+            Access::Denied => {
+                tracing::info!("gateway: request {} has a key that was revoked", self.head.attempt_id);
+                false
+            }
+            access => {
+                self.access = access;
+                true
+            }
+        }
+    }
+
     fn send_kind(&self, last_event: Option<&str>) -> SendKind {
         match (last_event, self.progress.sends) {
             (Some(_), _) => SendKind::Resume,
@@ -290,7 +323,8 @@
             head: &self.head,
             endpoint: &choice.id,
             remaining,
-            priority: self.route.priority,
+            priority: self.priority(),
+            access: &self.access,
             last_event: last_event.or(self.head.last_event.as_deref()),
         };
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -433,6 +467,7 @@
                     .retry_after(RETRY_AFTER)
                     .into_response()
             }
+            RetryStep::Deny => LocalResponse::UNAUTHORIZED.into_response(),
             RetryStep::PassOn | RetryStep::Unknown | RetryStep::BreakOff
                 if self.remaining_time().is_none() =>
             {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -98,6 +98,14 @@
         closes: true,
     };
 
+    /// Rejection of a request without a known key on a route that needs one.
+    pub const UNAUTHORIZED: Self = Self {
+        status: StatusCode::UNAUTHORIZED,
+        message: "the route needs a known key",
+        retry_after: None,
+        closes: false,
+    };
+
     pub fn new(status: StatusCode, message: &'static str) -> Self {
         Self { status, message, retry_after: None, closes: false }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -320,6 +320,7 @@
             table: self.table.clone(),
             route: self.route.clone(),
             service: self.service.clone(),
+            access: self.access.clone(),
             head: self.head.clone(),
             method: self.method.clone(),
             uri: self.uri.clone(),
