--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -29,7 +29,6 @@
 mod registry;
 mod rejection;
 mod request_head;
-mod reservations;
 mod retry;
 mod software_version;
 mod stream_table;
--- a/crates/core/src/gateway/placer.rs
+++ b/crates/core/src/gateway/placer.rs
@@ -17,7 +17,6 @@
 use crate::gateway::EngineSpec;
 use crate::gateway::LoadRateLimiter;
 use crate::gateway::ModelDemand;
-use crate::gateway::reservations::Reservations;
 use crate::gateway::wanted_copies;
 
 /// Time for which demand is observed before any model is evicted for one with more demand.
@@ -43,7 +42,6 @@
 pub struct ModelPlacer {
     limiter: LoadRateLimiter,
     presence: IndexMap<ModelId, Presence>,
-    reservations: Reservations,
 }
 
 /// Since when a model is resident on an engine, or is requested without being resident on any.
@@ -56,11 +54,7 @@
 impl ModelPlacer {
     /// Creates a placer that knows no history of the models.
     pub fn new(now: Time) -> Self {
-        Self {
-            limiter: LoadRateLimiter::new(now),
-            presence: IndexMap::new(),
-            reservations: Reservations::default(),
-        }
+        Self { limiter: LoadRateLimiter::new(now), presence: IndexMap::new() }
     }
 
     /// Returns the orders on models to send now, at most one per engine.
@@ -72,11 +66,9 @@
         demand: &DemandTable,
         now: Time,
     ) -> Vec<EngineOrder> {
-        let live: IndexMap<&EndpointId, &EngineRecord> = registry.live(service).collect();
-        self.reservations.retain_valid(|id| live.get(id).copied(), now);
         let pass = PlacementPass::new(service, spec, registry, demand, now);
         self.update_presence(&pass);
-        pass.plan(&mut self.limiter, &self.presence, &mut self.reservations)
+        pass.plan(&mut self.limiter, &self.presence)
     }
 
     fn update_presence(&mut self, pass: &PlacementPass<'_>) {
@@ -109,6 +101,8 @@
     engines: IndexMap<&'a EndpointId, Engine<'a>>,
     /// Copies by zone and model.
     zone_copies: IndexMap<(&'a ZoneId, &'a ModelId), usize>,
+    /// Engines that carry out an unload and whose memory no model is going to use yet.
+    unloading: usize,
     is_warming_up: bool,
     /// Whether not all models fit on the engines.
     is_oversubscribed: bool,
@@ -120,8 +114,6 @@
 struct ModelRow {
     demand: ModelDemand,
     copies: usize,
-    /// Engines on which another model is being unloaded for a copy.
-    reserved: usize,
     /// Copies on engines that do not limit the rate of requests.
     unlimited: usize,
     wanted: usize,
@@ -201,7 +193,6 @@
             ModelRow {
                 demand,
                 copies: 0,
-                reserved: 0,
                 unlimited: 0,
                 wanted: wanted_copies(share, live.len()),
                 is_requested: demand.last_request.is_some_and(|last| now < last + REQUESTED_TIME),
@@ -215,6 +206,7 @@
             rows: spec.models.iter().map(|(model, size)| (model, row(model, size.weights))).collect(),
             engines: IndexMap::new(),
             zone_copies: IndexMap::new(),
+            unloading: 0,
             is_warming_up: now < first + WARM_UP_TIME,
             is_oversubscribed: models_per_engine(spec) * live.len() < spec.models.len(),
             orders: Vec::new(),
@@ -231,6 +223,10 @@
     fn count_copies(&mut self, record: &'a EngineRecord, is_unlimited: bool) {
         let loading = match record.open_order.as_ref().map(|order| &order.action) {
             Some(EngineAction::Load(model)) if !record.resident.models.contains_key(model) => Some(model),
+            Some(EngineAction::Unload(_)) => {
+                self.unloading += 1;
+                None
+            }
             _ => None,
         };
         for model in record.resident.models.keys().filter(|model| record.will_hold(model)).chain(loading) {
@@ -256,16 +252,13 @@
         mut self,
         limiter: &mut LoadRateLimiter,
         presence: &IndexMap<ModelId, Presence>,
-        reservations: &mut Reservations,
     ) -> Vec<EngineOrder> {
-        self.use_reservations(limiter, reservations);
         for (model, need) in self.needs(presence) {
             let allow_cold = limiter.allows(self.spec.load_rate, self.now);
             let Some(best) = self.best_candidate(model, need, allow_cold, presence) else { continue };
-            if best.evicted.is_some() {
-                reservations.insert(best.id, self.engines[best.id].record.incarnation, model, self.now);
+            if best.evicted.is_none() || !self.uses_unloading(need) {
+                self.issue_order(model, best, limiter);
             }
-            self.issue_order(model, best, limiter);
         }
         if self.orders.is_empty() && limiter.allows(self.spec.load_rate, self.now) && limiter.is_full() {
             self.preload(limiter, presence);
@@ -273,53 +266,19 @@
         self.orders
     }
 
-    /// Loads models on the engines that were freed for them, and keeps the other reserved engines for their models. A
-    /// reservation ends when its model needs no copy any more or the memory was not freed.
-    fn use_reservations(&mut self, limiter: &mut LoadRateLimiter, reservations: &mut Reservations) {
-        let reserved: Vec<(EndpointId, ModelId)> =
-            reservations.iter().map(|(id, model)| (id.clone(), model.clone())).collect();
-        for (id, model) in reserved {
-            let Some((_, model, row)) = self.rows.get_full(&model) else { continue };
-            let (model, row) = (*model, *row);
-            let is_needed = row.is_requested && row.copies + row.reserved < row.wanted;
-            let Some((_, id, engine)) = self.engines.get_full(&id) else {
-                // The unload is under way.
-                self.add_reserved(model);
-                continue;
-            };
-            let (id, is_cold) = (*id, !engine.record.resident.cached.contains(model));
-            let is_free = engine.free >= row.size && !engine.record.resident.models.contains_key(model);
-            if !is_needed || !is_free {
-                reservations.remove(id);
-            } else if is_cold && !limiter.allows(self.spec.load_rate, self.now) {
-                self.add_reserved(model);
-                self.engines.shift_remove(id);
-            } else {
-                reservations.remove(id);
-                self.issue_order(model, Candidate::freed(id, is_cold), limiter);
-            }
-        }
-    }
-
-    fn add_reserved(&mut self, model: &ModelId) {
-        if let Some(row) = self.rows.get_mut(model) {
-            row.reserved += 1;
-        }
-    }
-
     /// Returns the models that need a copy, most urgent first.
     fn needs(&self, presence: &IndexMap<ModelId, Presence>) -> Vec<(&'a ModelId, Need)> {
         let mut missing: Vec<(&ModelId, f64)> = Vec::new();
         let mut growing: Vec<(&ModelId, f64)> = Vec::new();
         for (model, row) in &self.rows {
-            if row.copies == 0 && row.reserved == 0 && row.is_requested {
+            if row.copies == 0 && row.is_requested {
                 let waited = match presence.get(*model) {
                     Some(Presence::Missing(since)) => (self.now - *since).as_secs_f64(),
                     Some(Presence::Resident(_)) | None => 0.0,
                 };
                 missing.push((model, (row.demand.rate + 1.0) * (1.0 + waited)));
-            } else if row.copies > 0 && row.copies + row.reserved < row.wanted {
-                growing.push((model, row.demand.rate / (row.copies + row.reserved + 1) as f64));
+            } else if row.copies > 0 && row.copies < row.wanted {
+                growing.push((model, row.demand.rate / (row.copies + 1) as f64));
             }
         }
         let by_value = |a: &(&ModelId, f64), b: &(&ModelId, f64)| b.1.total_cmp(&a.1);
@@ -332,7 +291,7 @@
 
     fn growth(&self, model: &ModelId, value: f64) -> Need {
         let row = &self.rows[model];
-        if row.copies > 1 && row.wanted < row.copies + row.reserved + MIN_SHORTFALL {
+        if row.copies > 1 && row.wanted < row.copies + MIN_SHORTFALL {
             Need::Preload
         } else {
             Need::Growth(value)
@@ -363,6 +322,14 @@
         }
     }
 
+    /// Returns whether the copy can use the memory of an engine that carries out an unload, and reserves that
+    /// engine.
+    fn uses_unloading(&mut self, need: Need) -> bool {
+        let uses = self.unloading > 0 && !matches!(need, Need::Absent);
+        self.unloading -= usize::from(uses);
+        uses
+    }
+
     /// Returns the best engine for a copy; unless `allow_cold` is set, only engines that have the weights
     /// cached.
     fn best_candidate(
@@ -490,21 +457,6 @@
     }
 }
 
-impl<'a> Candidate<'a> {
-    /// Returns an engine whose memory was freed for the model.
-    fn freed(id: &'a EndpointId, is_cold: bool) -> Self {
-        Self {
-            id,
-            is_limited: false,
-            evicted: None,
-            eviction_cost: EvictionCost::NoEviction,
-            is_cold,
-            zone_copies: 0,
-            demand: 0.0,
-        }
-    }
-}
-
 impl Candidate<'_> {
     /// Compares two candidates for one model, best first. Cached weights load several times faster than those
     /// from the weight store.
