Close a connection whose request was rejected before its body had arrived

Cause: the rest of a rejected request's body was dropped in the background, and the inspector of heads was told of its end after the next request had begun; it then took that one's body for a head. Change: the response waits up to 20 ms for the body; if it is not there by then, the connection closes. Test: a_rejected_request_does_not_spoil_the_next_ones, failing before.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -66,6 +66,8 @@
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest body that is read and dropped after its request was rejected by the head.
 const MAX_DISCARDED_BYTES: u64 = 64 << 10;
+/// Time by which the response to such a request is delayed at most, so that its connection can be kept.
+const DISCARD_DELAY: Duration = Duration::from_millis(20);
 /// Time for which such a body is read.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Deadline of a request whose caller sets none.
@@ -137,7 +139,7 @@
                 Ok(request) => request.run().await,
                 Err(local) => local.into_response(),
             },
-            Err(local) => reject_head(local, body, inspector).into_response(),
+            Err(local) => reject_head(local, body, inspector).await.into_response(),
         },
     };
     // The bytes after a chunked body whose head was not inspected must not be parsed as a request.
@@ -180,23 +182,22 @@
 
 /// Rejects a request by its head. Its body is read and dropped for a short time: closing the connection with unread bytes
 /// would reset it before the caller has the response.
-fn reject_head(local: LocalResponse, body: Incoming, inspector: HeadInspector) -> LocalResponse {
-    if body.is_end_stream() {
+///
+/// The connection is kept only if the whole body has been dropped before the response. Otherwise the next head could arrive
+/// while the inspector still expects the body, which it would then inspect from its middle.
+async fn reject_head(local: LocalResponse, mut body: Incoming, inspector: HeadInspector) -> LocalResponse {
+    if let Ok(true) = tokio::time::timeout(DISCARD_DELAY, discard(&mut body)).await {
         inspector.body_read();
         return local;
     }
-    let is_small = body.size_hint().upper().is_some_and(|length| length <= MAX_DISCARDED_BYTES);
     tokio::task::spawn_local(async move {
-        let discarded = tokio::time::timeout(DISCARD_TIME, discard(body));
-        if discarded.await.is_ok_and(|is_complete| is_complete) {
-            inspector.body_read();
-        }
+        let _elapsed = tokio::time::timeout(DISCARD_TIME, discard(&mut body)).await;
     });
-    if is_small { local } else { local.close_connection() }
+    local.close_connection()
 }
 
 /// Reads and drops the rest of a body; returns whether it came to its end.
-async fn discard(mut body: Incoming) -> bool {
+async fn discard(body: &mut Incoming) -> bool {
     let mut bytes = 0;
     while let Some(Ok(frame)) = body.frame().await {
         bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
