Order requests by the tenant's priority first and the route's second

Cause: the route's priority was dropped where a tenant has one. Change: RouteTable::priority ranks by tenant, then by route, scaled to the ten levels of engines. Test: the_priority_of_the_tenant_goes_before_that_of_the_route.

--- a/crates/core/src/gateway/table.rs
+++ b/crates/core/src/gateway/table.rs
@@ -3,6 +3,7 @@
 use carobwick_derive::data;
 use carobwick_derive::key;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::Bytes;
 use crate::Millis;
@@ -11,8 +12,12 @@
 use crate::ServiceId;
 use crate::Tokens;
 use crate::Version;
+use crate::gateway::Access;
 use crate::gateway::AccessTable;
 
+/// Number of priorities that engines tell apart.
+const PRIORITY_LEVELS: usize = 10;
+
 /// Routes, services and limits of one version of the configuration.
 #[data]
 pub struct RouteTable {
@@ -159,6 +164,27 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Returns the priority of a request among those of all routes and tenants; 0 is the highest.
+    ///
+    /// The priority of the tenant decides, and among requests of tenants of the same priority that of the route. A request
+    /// without a tenant's priority is placed among the tenants by that of its route. Without tenants it is the route's.
+    pub fn priority(&self, route: &ServiceRoute, access: &Access) -> u8 {
+        let tenants = self.access.priorities();
+        if tenants.is_empty() {
+            return route.priority;
+        }
+        let routes: IndexSet<u8> = self.routes().map(|route| route.priority).collect();
+        let own = match access {
+            Access::Tenant(tenant) => tenant.priority,
+            Access::Open | Access::Public | Access::Denied => None,
+        };
+        let rank = |priorities: &IndexSet<u8>, of: u8| priorities.iter().filter(|other| **other < of).count();
+        let level =
+            rank(&tenants, own.unwrap_or(route.priority)) * routes.len() + rank(&routes, route.priority);
+        let levels = (tenants.len() + 1) * routes.len();
+        (level * PRIORITY_LEVELS / levels.max(PRIORITY_LEVELS)) as u8
+    }
+
     /// Returns all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<ServiceRoute>> {
         self.hosts.values().flatten()
--- a/crates/core/src/gateway/tenants.rs
+++ b/crates/core/src/gateway/tenants.rs
@@ -25,7 +25,7 @@
 pub struct Tenant {
     /// Name of the tenant, which endpoints receive with each of its requests.
     pub id: TenantId,
-    /// Priority of its requests, which precedes that of their route; 0 is the highest.
+    /// Priority of its requests, which goes before that of their route; 0 is the highest.
     pub priority: Option<u8>,
     /// Quota of the tenant over all instances, or none without a limit.
     pub quota: Option<Quota>,
@@ -163,6 +163,11 @@
         self.tenants.get(id)
     }
 
+    /// Returns the priorities of the tenants, each once.
+    pub(super) fn priorities(&self) -> IndexSet<u8> {
+        self.tenants.values().filter_map(|tenant| tenant.priority).collect()
+    }
+
     /// Returns whether a request with this key may run on a route.
     pub fn check(&self, route: &ServiceRoute, key: Option<&ApiKey>) -> Access {
         if self.is_open() {
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -3,6 +3,7 @@
 
 mod endpoint_fixture;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use carobwick_core::Bytes;
@@ -13,6 +14,8 @@
 use carobwick_core::Millis;
 use carobwick_core::Time;
 use carobwick_core::Version;
+use carobwick_core::gateway::Access;
+use carobwick_core::gateway::AccessTable;
 use carobwick_core::gateway::Balancer;
 use carobwick_core::gateway::CallerLimits;
 use carobwick_core::gateway::EndpointChange;
@@ -34,6 +37,7 @@
 use carobwick_core::gateway::ServiceRoute;
 use carobwick_core::gateway::ServiceShare;
 use carobwick_core::gateway::SharedLoad;
+use carobwick_core::gateway::Tenant;
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::next_step;
 use carobwick_core::gateway::resolve_loads;
@@ -539,3 +543,31 @@
     let next = fixture.balancer.choose(&request, fixture.entries.iter(), at(12_000)).unwrap();
     assert_ne!(next.id, unresponsive.id);
 }
+
+/// Guards against a route that goes before the priority of a tenant, and against one that no longer counts among the requests
+/// of tenants of the same priority.
+#[test]
+fn the_priority_of_the_tenant_goes_before_that_of_the_route() {
+    let tenant = |name: &str, priority| Tenant { id: name.parse().unwrap(), priority, quota: None };
+    let mut access = AccessTable::new(IndexSet::new());
+    let tenants = [tenant("high", Some(0)), tenant("low", Some(3)), tenant("none", None)];
+    for tenant in &tenants {
+        access.insert(tenant.clone(), Vec::new()).unwrap();
+    }
+    let routes = [0, 2].map(|priority| ServiceRoute { priority, ..route(RouteKind::Streaming, false, 1) });
+    let limits = CallerLimits {
+        max_head: Bytes(1),
+        max_body: Bytes(1),
+        head_timeout: Millis(1),
+        idle_timeout: Millis(1),
+    };
+    let table = RouteTable::new(Version(1), limits, IndexMap::new(), routes.to_vec());
+    assert_eq!(table.priority(&routes[1], &Access::Open), 2, "without tenants the route decides");
+    let table = table.with_access(access);
+    let priority = |tenant: &Tenant, route| table.priority(route, &Access::Tenant(Arc::new(tenant.clone())));
+    let [high, low, none] = &tenants;
+    assert!(priority(high, &routes[0]) < priority(high, &routes[1]));
+    assert!(priority(high, &routes[1]) < priority(low, &routes[0]));
+    assert!(priority(low, &routes[0]) < priority(low, &routes[1]));
+    assert_eq!(priority(none, &routes[0]), table.priority(&routes[0], &Access::Public));
+}
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -280,10 +280,7 @@
 
     /// Returns the priority of the request; 0 is the highest.
     pub fn priority(&self) -> u8 {
-        match &self.access {
-            Access::Tenant(tenant) => tenant.priority.unwrap_or(self.route.priority),
-            Access::Open | Access::Public | Access::Denied => self.route.priority,
-        }
+        self.table.priority(&self.route, &self.access)
     }
 
     /// Checks the key against the newest configuration, which may have revoked it while the request waited; returns whether
