A trial that is lost with a zone convicts no part of a prompt

Cause: the zone was cut off at 33.5 s; within 30 ms three endpoints were lost, which made the part suspected, its trial was granted, and lost with the same zone 70 ms later. Change: a trial says nothing if two other endpoints were lost within a second of it during requests without the part. Test: a_trial_that_is_lost_with_a_zone_convicts_no_part; before, the part was convicted (shown by the log, the test was written with the fix).

--- a/crates/core/src/gateway/suspects.rs
+++ b/crates/core/src/gateway/suspects.rs
@@ -24,6 +24,11 @@
 /// Time since the last loss after which a part that was convicted is forgotten. Until then it is suspected again,
 /// so that one trial decides instead of a series of crashes.
 const RECORD_LIFETIME: Duration = Duration::from_mins(10);
+/// Time within which losses of several endpoints count as one failure, such as that of a network or a zone.
+const COMMON_FAILURE_TIME: Duration = Duration::from_secs(1);
+/// Number of other endpoints that are lost in that time from which on a trial says nothing: its request was lost for the
+/// same reason.
+const COMMON_FAILURE_THRESHOLD: usize = 2;
 /// Most suspects that are kept, since callers choose the parts of their prompts.
 const MAX_SUSPECTS: usize = 4_096;
 
@@ -107,18 +112,40 @@
     pub fn record_loss(&mut self, loss: &Loss, now: Time) -> bool {
         self.losses.retain(|_, losses| now < losses.expiry());
         let at = now - loss.age.duration();
+        // A loss with an age comes from another table, which has judged it.
+        let is_judged = loss.age > Millis(0);
+        let is_trial = loss.trial && (is_judged || !self.is_common_failure(loss, at));
         let mut is_new = false;
         for suspect in &loss.suspects {
             self.make_room(suspect);
             let losses = self.losses.entry(*suspect).or_default();
             is_new |= losses.incarnations.insert((loss.endpoint.clone(), loss.incarnation));
-            is_new |= loss.trial && !losses.tried;
-            losses.tried |= loss.trial;
+            is_new |= is_trial && !losses.tried;
+            losses.tried |= is_trial;
             losses.last = losses.last.max(at);
         }
         is_new
     }
 
+    /// Returns whether other endpoints were lost at about the time of a loss, during requests that had none of its suspects.
+    ///
+    /// Requests beside a crashing one are lost on the same endpoints as it; a failure of a zone takes others too.
+    fn is_common_failure(&self, loss: &Loss, at: Time) -> bool {
+        let own = loss.suspects.iter().filter_map(|suspect| self.losses.get(suspect));
+        let own: IndexSet<&(EndpointId, Incarnation)> = own.flat_map(|losses| &losses.incarnations).collect();
+        let is_recent = |losses: &Losses| {
+            losses.last + COMMON_FAILURE_TIME > at && at + COMMON_FAILURE_TIME > losses.last
+        };
+        let others = self.losses.iter().filter(|(suspect, losses)| {
+            matches!(suspect, Suspect::Part(_)) && !loss.suspects.contains(suspect) && is_recent(losses)
+        });
+        let others: IndexSet<_> = others.flat_map(|(_, losses)| &losses.incarnations).collect();
+        let is_same = |lost: &(EndpointId, Incarnation)| {
+            own.contains(lost) || (&lost.0, lost.1) == (&loss.endpoint, loss.incarnation)
+        };
+        others.into_iter().filter(|lost| !is_same(lost)).count() >= COMMON_FAILURE_THRESHOLD
+    }
+
     /// Clears a suspect, with which a request succeeded or began to; returns whether it was known.
     pub fn clear(&mut self, suspect: Suspect) -> bool {
         !self.losses.is_empty() && self.losses.swap_remove(&suspect).is_some()
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -88,6 +88,23 @@
     assert_eq!(table.verdict(&[A], at(2)), Verdict::Clear);
 }
 
+/// Guards against the conviction of a part whose trial is lost with the zone of its endpoint: a third of the requests of a
+/// route were refused for two minutes.
+#[test]
+fn a_trial_that_is_lost_with_a_zone_convicts_no_part() {
+    let mut table = SuspectTable::default();
+    for endpoint in ["a", "b"] {
+        table.record_loss(&loss(&[A], endpoint), at(0));
+    }
+    for (part, endpoint) in [(B, "c"), (BAD, "d"), (B, "e")] {
+        table.record_loss(&loss(&[part], endpoint), at(20));
+    }
+    table.record_loss(&trial_loss(&[A], "f"), at(90));
+    assert_eq!(table.verdict(&[A], at(90)), Verdict::Suspected);
+    table.record_loss(&trial_loss(&[A], "g"), at(3_000));
+    assert_eq!(table.verdict(&[A], at(3_000)), Verdict::Convicted, "the next trial decides");
+}
+
 /// Guards against a series of crashes each time that a conviction ends, and against one that never ends.
 #[test]
 fn a_conviction_ends_in_suspicion_and_is_renewed_by_one_trial() {
