Balancer: statistics of an endpoint and estimates in modules of their own

Callers see: nothing. Cause: balance.rs held the choice, the statistics of each endpoint and the cost estimate in 544 lines. Ruled out: a split together with the change of the cost, in which a change of behaviour could not be told from the move. Change: balance/stats.rs and balance/estimate.rs hold what was there; no statement is changed. Tests: gateway, rejection, reachability, rate_limit and rate_limit_fleet of carobwick-core pass as before.

--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -1,4 +1,6 @@
+mod estimate;
 mod limits;
+mod stats;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,49 +13,31 @@
 use crate::LoadReport;
 use crate::Time;
 use crate::ZoneId;
-use crate::breaker::Breaker;
 use crate::breaker::Permission;
 use crate::gateway::EndpointEntry;
 use crate::gateway::PendingLoads;
 use crate::gateway::RequestHead;
 use crate::gateway::SharedLoad;
 use crate::gateway::SoftwareVersion;
-use crate::gateway::rate_limit::RateLimit;
+use crate::gateway::balance::estimate::CandidateTier;
+use crate::gateway::balance::estimate::Estimate;
+use crate::gateway::balance::stats::EndpointStats;
+use crate::gateway::balance::stats::InFlight;
 use crate::gateway::reachability::Reachability;
 use crate::gateway::rejection::Rejection;
-use crate::load::EndpointLoad;
-use crate::load::LoadSnapshot;
 use crate::routing::weight;
 
-/// Cost of a running request for the next one, in prefill tokens: it makes each step of the batch longer.
-const RUNNING_REQUEST_TOKENS: f64 = 100.0;
-/// Cost of sending a request to another zone, in prefill tokens.
-const CROSS_ZONE_TOKENS: f64 = 1_000.0;
-/// Cost of sending a request to another zone for plain services, as a fraction of the slots of an endpoint.
-const CROSS_ZONE_LOAD: f64 = 0.25;
 /// Smoothing factor of the exponential moving averages.
 const SMOOTHING_FACTOR: f64 = 0.2;
 /// Fixed part of the expected time to the first event, in tokens; without it, short prompts would make an
 /// endpoint look slow.
 const BASE_LATENCY_TOKENS: f64 = 300.0;
-/// Increase of the cost of an endpoint that fails all its requests, as a multiple of that cost; proportional
-/// to the failure rate.
-const FAILURE_COST_FACTOR: f64 = 20.0;
-/// Upper bound of the latency of an endpoint relative to that of the fastest one.
-const MAX_LATENCY_RATIO: f64 = 30.0;
-/// Age from which a request without a response counts in the latency of its endpoint.
-const MIN_WAITING_AGE: Duration = Duration::from_millis(50);
-/// Prompt parts that are remembered per endpoint.
-const MAX_PROMPT_PARTS: usize = 512;
 /// Least number of candidates that are compared. Two random ones are enough to spread requests that no load
 /// report shows in time.
 const MIN_COMPARED: usize = 2;
 /// Number of instances up to which all candidates are compared, since each instance sees most of the load
 /// itself.
 const FULL_COMPARISON_INSTANCES: usize = 8;
-/// Time after which a prompt part that was not used again is expected to be evicted from the cache of the
-/// engine.
-const CACHE_LIFETIME: Duration = Duration::from_mins(1);
 
 /// Chooses the endpoint of each request, from the requests that this instance sent and their responses.
 #[derive(Debug)]
@@ -104,58 +88,6 @@
     Neutral,
 }
 
-/// Statistics of one incarnation of an endpoint.
-#[derive(Debug)]
-struct EndpointStats {
-    incarnation: Incarnation,
-    load: EndpointLoad,
-    breaker: Breaker,
-    /// Tokens of requests of this instance that have no first event yet.
-    backlog: f64,
-    /// Moving average of the seconds to the first event per expected token.
-    token_latency: Option<f64>,
-    failure_rate: f64,
-    recent_parts: IndexMap<u64, Time>,
-    in_flight: IndexMap<SendId, InFlight>,
-    /// The pause that the endpoint requested, kept until the endpoint has recovered.
-    rejection: Option<Rejection>,
-    /// The rate limit of the endpoint.
-    limit: Option<RateLimit>,
-    /// Whether the endpoint has announced an invalid limit.
-    invalid_limit: bool,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct InFlight {
-    sent: Time,
-    tokens: f64,
-    expected_tokens: f64,
-    snapshot: LoadSnapshot,
-    responded: bool,
-}
-
-/// Estimate for one candidate, which is compared with those for the others.
-#[derive(Debug, Clone, Copy)]
-struct Estimate {
-    cost: f64,
-    token_latency: Option<f64>,
-    failure_rate: f64,
-    tier: CandidateTier,
-}
-
-/// Order of preference of candidates; only those of the best tier are compared by cost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum CandidateTier {
-    Healthy,
-    /// A connection to the endpoint or its zone timed out recently.
-    Unreachable,
-    /// The circuit breaker permits one request.
-    Probe,
-    Blocked,
-    /// The endpoint requested a pause, or its rate limit is reached.
-    Paused,
-}
-
 impl Balancer {
     /// Creates a balancer for an instance in the given zone, with no endpoint known.
     pub fn new(zone: ZoneId) -> Self {
@@ -342,48 +274,6 @@
         ids
     }
 
-    fn estimate(
-        &self,
-        request: &RequestHead,
-        entry: &EndpointEntry,
-        is_preferred: bool,
-        now: Time,
-    ) -> Estimate {
-        let stats = self.endpoints.get(&entry.id).filter(|stats| stats.incarnation == entry.incarnation);
-        let is_remote = entry.zone != self.zone;
-        let load = stats.map_or(0.0, |stats| stats.load.total(now));
-        let cost = if request.weights.is_some() {
-            let cached = stats.map_or(0.0, |stats| stats.cached_tokens(request, now));
-            let cached = if is_preferred { shared_tokens(request).max(cached) } else { cached };
-            let queue = stats.map_or(0.0, |stats| stats.queued_tokens(now));
-            let zone_cost = if is_remote { CROSS_ZONE_TOKENS } else { 0.0 };
-            queue + request.prompt_tokens as f64 - cached + BASE_LATENCY_TOKENS + zone_cost
-        } else {
-            let zone_cost = if is_remote { CROSS_ZONE_LOAD } else { 0.0 };
-            (load + 1.0) / f64::from(entry.slots.max(1)) + zone_cost
-        };
-        Estimate {
-            cost,
-            token_latency: stats.and_then(|stats| stats.token_latency_at(now)),
-            failure_rate: stats.map_or(0.0, |stats| stats.failure_rate),
-            tier: self.tier(entry, stats, now),
-        }
-    }
-
-    fn tier(&self, entry: &EndpointEntry, stats: Option<&EndpointStats>, now: Time) -> CandidateTier {
-        if stats.is_some_and(|stats| !stats.admits(now)) {
-            return CandidateTier::Paused;
-        }
-        match stats.map_or(Permission::Pass, |stats| stats.breaker.permission(now)) {
-            Permission::Pass if self.reachability.is_unreachable(&entry.zone, &entry.id, now) => {
-                CandidateTier::Unreachable
-            }
-            Permission::Pass => CandidateTier::Healthy,
-            Permission::Probe => CandidateTier::Probe,
-            Permission::Block => CandidateTier::Blocked,
-        }
-    }
-
     fn stats(&mut self, id: &EndpointId, incarnation: Incarnation) -> &mut EndpointStats {
         let stats = self.endpoints.entry(id.clone()).or_insert_with(|| EndpointStats::new(incarnation));
         if stats.incarnation != incarnation {
@@ -411,118 +301,6 @@
     }
 }
 
-impl EndpointStats {
-    fn new(incarnation: Incarnation) -> Self {
-        Self {
-            incarnation,
-            load: EndpointLoad::default(),
-            breaker: Breaker::default(),
-            backlog: 0.0,
-            token_latency: None,
-            failure_rate: 0.0,
-            recent_parts: IndexMap::new(),
-            in_flight: IndexMap::new(),
-            rejection: None,
-            limit: None,
-            invalid_limit: false,
-        }
-    }
-
-    fn is_paused(&self, now: Time) -> bool {
-        self.rejection.is_some_and(|rejection| !rejection.remaining(now).is_zero())
-    }
-
-    /// Returns whether the pause and the rate limit of the endpoint, if any, may allow another request.
-    fn admits(&self, now: Time) -> bool {
-        let is_paused = self.rejection.is_some_and(|rejection| !rejection.admits(self.in_flight.len(), now));
-        !is_paused && self.may_have_token(now)
-    }
-
-    /// Returns the estimated queue before a new request, in prefill tokens.
-    fn queued_tokens(&self, now: Time) -> f64 {
-        self.backlog + self.load.total(now) * RUNNING_REQUEST_TOKENS
-    }
-
-    /// Returns the latency per token from the last responses, or from a request that already waits longer
-    /// than that.
-    fn token_latency_at(&self, now: Time) -> Option<f64> {
-        let waiting =
-            self.in_flight.values().filter(|send| !send.responded && now - send.sent >= MIN_WAITING_AGE);
-        let slowest =
-            waiting.map(|send| (now - send.sent).as_secs_f64() / send.expected_tokens).reduce(f64::max);
-        match (self.token_latency, slowest) {
-            (Some(token_latency), Some(slowest)) => Some(token_latency.max(slowest)),
-            (token_latency, slowest) => token_latency.or(slowest),
-        }
-    }
-
-    fn cached_tokens(&self, request: &RequestHead, now: Time) -> f64 {
-        let hash = weights_hash(request);
-        let cached = request.prompt.iter().take_while(|part| {
-            self.recent_parts.get(&(part.id.0 ^ hash)).is_some_and(|used| now < *used + CACHE_LIFETIME)
-        });
-        cached.map(|part| f64::from(part.tokens)).sum()
-    }
-
-    fn record_prompt(&mut self, request: &RequestHead, now: Time) {
-        let hash = weights_hash(request);
-        for part in &request.prompt {
-            self.recent_parts.shift_remove(&(part.id.0 ^ hash));
-            self.recent_parts.insert(part.id.0 ^ hash, now);
-        }
-        let excess = self.recent_parts.len().saturating_sub(MAX_PROMPT_PARTS);
-        self.recent_parts.drain(..excess);
-    }
-
-    fn record_outcome(&mut self, outcome: SendOutcome, now: Time) {
-        let failed = match outcome {
-            SendOutcome::Good => {
-                self.breaker.record_success();
-                0.0
-            }
-            SendOutcome::Lost => {
-                self.breaker.record_error(now);
-                1.0
-            }
-            SendOutcome::Declined => {
-                self.breaker.record_declined();
-                self.rejection = self.rejection.map(Rejection::declined);
-                1.0
-            }
-            SendOutcome::Failed => {
-                self.breaker.release_probe(now);
-                1.0
-            }
-            // Not counted in the failure rate, which would outlast a network partition. The circuit breaker
-            // stops retries to an endpoint that is the only one.
-            SendOutcome::Unreachable => {
-                self.breaker.record_error(now);
-                return;
-            }
-            SendOutcome::Neutral => {
-                self.breaker.release_probe(now);
-                return;
-            }
-        };
-        self.failure_rate += SMOOTHING_FACTOR * (failed - self.failure_rate);
-    }
-}
-
-impl Estimate {
-    /// Returns the cost, increased by the latency and the failure rate above those of the best endpoint.
-    fn weighted_cost(&self, lowest_latency: f64, lowest_failure_rate: f64) -> f64 {
-        let ratio = match self.token_latency {
-            Some(latency) if lowest_latency > 0.0 && lowest_latency.is_finite() => {
-                (latency / lowest_latency).clamp(1.0, MAX_LATENCY_RATIO)
-            }
-            _ => 1.0,
-        };
-        // Small differences in latency are noise and must not override prefix affinity.
-        let ratio = if ratio < 2.0 { 1.0 } else { ratio };
-        self.cost * ratio * (1.0 + FAILURE_COST_FACTOR * (self.failure_rate - lowest_failure_rate).max(0.0))
-    }
-}
-
 /// Returns the endpoint that prefix affinity prefers for a request; all instances agree on it by rendezvous
 /// hashing.
 fn preferred_endpoint<'a>(request: &RequestHead, candidates: &[&'a EndpointEntry]) -> Option<&'a EndpointId> {
@@ -531,12 +309,6 @@
     preferred.map(|entry| &entry.id)
 }
 
-/// Returns the number of tokens of the prompt that other requests may share.
-fn shared_tokens(request: &RequestHead) -> f64 {
-    let shared = request.prompt.len().saturating_sub(1);
-    request.prompt[..shared].iter().map(|part| f64::from(part.tokens)).sum()
-}
-
 /// Returns a hash of the model and adapter, which is mixed into the hashes of prompt parts: a cached part of
 /// one model is of no use to another.
 fn weights_hash(request: &RequestHead) -> u64 {
