Balancer: compare endpoints that name their pace by predicted time

Cause: requests were counted by number or tokens, and a latency ratio below 2 was ignored. The load of an engine without requests, which reports nothing, faded with a half-life of 5 s, so that the engine stayed idle while others queued. Change: Pace and PaceEstimate; paces at the end of Report and Loads in the order of the loads; a timed cost, used only if some candidate has named a pace; the half-life of others' load is 2 s there; carobwick_endpoint_pace. Existing tests in gateway.rs are changed in types only.

--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -10,15 +10,17 @@
 
 use crate::EndpointId;
 use crate::Incarnation;
-use crate::LoadReport;
 use crate::Time;
 use crate::ZoneId;
 use crate::breaker::Permission;
 use crate::gateway::EndpointEntry;
+use crate::gateway::PacedLoad;
 use crate::gateway::PendingLoads;
 use crate::gateway::RequestHead;
 use crate::gateway::SharedLoad;
+use crate::gateway::SharedLoads;
 use crate::gateway::SoftwareVersion;
+use crate::gateway::balance::estimate::Baseline;
 use crate::gateway::balance::estimate::CandidateTier;
 use crate::gateway::balance::estimate::Estimate;
 use crate::gateway::balance::stats::EndpointStats;
@@ -63,7 +65,8 @@
     pub zone: ZoneId,
     /// Version of its software, if known.
     pub version: Option<SoftwareVersion>,
-    /// Estimated cost, in prefill tokens for model engines and as a fraction of the slots for plain services.
+    /// Estimated cost, in prefill tokens for model engines and as a fraction of the slots for plain services; for the latter
+    /// in usual service times if the pace of some candidate is known.
     pub cost: f64,
 }
 
@@ -108,13 +111,17 @@
 
     /// Returns the loads that endpoints reported to this instance since the last call, newest of each
     /// endpoint.
-    pub fn take_loads(&mut self) -> Vec<SharedLoad> {
+    pub fn take_loads(&mut self) -> SharedLoads {
         self.pending_loads.take()
     }
 
     /// Records a load that an endpoint reported to another instance.
-    pub fn record_relayed(&mut self, id: &EndpointId, incarnation: Incarnation, load: LoadReport, now: Time) {
-        self.stats(id, incarnation).load.update_relayed(load, now);
+    pub fn record_relayed(&mut self, id: &EndpointId, incarnation: Incarnation, load: PacedLoad, now: Time) {
+        let stats = self.stats(id, incarnation);
+        stats.load.update_relayed(load.load, now);
+        if let Some(pace) = load.pace {
+            stats.pace.update_relayed(pace, now);
+        }
     }
 
     /// Returns the endpoint with the lowest estimated cost, or none if all are blocked by their circuit
@@ -139,14 +146,10 @@
         if best_tier >= CandidateTier::Blocked {
             return None;
         }
-        let lowest_latency =
-            estimates.iter().filter_map(|estimate| estimate.token_latency).fold(f64::INFINITY, f64::min);
-        let lowest_failure_rate =
-            estimates.iter().map(|estimate| estimate.failure_rate).fold(f64::INFINITY, f64::min);
+        let baseline = Baseline::new(&estimates);
         let weighted = candidates.iter().zip(&estimates).filter(|(_, estimate)| estimate.tier == best_tier);
-        let weighted: Vec<(&EndpointEntry, f64)> = weighted
-            .map(|(entry, estimate)| (*entry, estimate.weighted_cost(lowest_latency, lowest_failure_rate)))
-            .collect();
+        let weighted: Vec<(&EndpointEntry, f64)> =
+            weighted.map(|(entry, estimate)| (*entry, estimate.weighted_cost(&baseline))).collect();
         let sampled = self.sample(request, &weighted);
         let compared =
             weighted.iter().filter(|(entry, _)| preferred == Some(&entry.id) || sampled.contains(&&entry.id));
@@ -163,33 +166,39 @@
         let tokens = request.prompt_tokens as f64 - stats.cached_tokens(request, now);
         let expected_tokens = stats.queued_tokens(now) + tokens + BASE_LATENCY_TOKENS;
         let snapshot = stats.load.snapshot(now);
+        let pace = stats.pace.ratio(now).unwrap_or(1.0);
         stats.breaker.record_sent(now);
         stats.load.record_start();
         stats.backlog += tokens;
         stats.record_prompt(request, now);
-        stats
-            .in_flight
-            .insert(send_id, InFlight { sent: now, tokens, expected_tokens, snapshot, responded: false });
+        stats.in_flight.insert(
+            send_id,
+            InFlight { sent: now, tokens, expected_tokens, snapshot, pace, responded: false },
+        );
         send_id
     }
 
     /// Records the first event, or the head of a plain response, with the load that the endpoint reports.
-    pub fn record_response(&mut self, choice: &Choice, send_id: SendId, load: Option<LoadReport>, now: Time) {
+    pub fn record_response(&mut self, choice: &Choice, send_id: SendId, load: Option<PacedLoad>, now: Time) {
         if let Some(load) = load {
-            self.pending_loads.insert(SharedLoad::new(&choice.id, choice.incarnation, load));
+            let shared = SharedLoad::new(&choice.id, choice.incarnation, load.load);
+            self.pending_loads.insert(shared, load.pace);
         }
         self.reachability.record_response(&choice.zone, &choice.id);
         let Some(stats) = self.current_stats(choice) else { return };
         let Some(send) = stats.in_flight.get_mut(&send_id) else { return };
         if let Some(load) = load {
-            stats.load.update(load, send.snapshot);
+            stats.load.update(load.load, send.snapshot);
+            if let Some(pace) = load.pace {
+                stats.pace.update(pace, now);
+            }
         }
         if send.responded {
             return;
         }
         send.responded = true;
         stats.backlog = (stats.backlog - send.tokens).max(0.0);
-        let token_latency = (now - send.sent).as_secs_f64() / send.expected_tokens;
+        let token_latency = (now - send.sent).as_secs_f64() / (send.expected_tokens * send.pace);
         let previous = stats.token_latency.unwrap_or(token_latency);
         stats.token_latency = Some(previous + SMOOTHING_FACTOR * (token_latency - previous));
     }
--- a/crates/core/src/gateway/balance/stats.rs
+++ b/crates/core/src/gateway/balance/stats.rs
@@ -5,6 +5,7 @@
 use crate::Incarnation;
 use crate::Time;
 use crate::breaker::Breaker;
+use crate::gateway::PaceEstimate;
 use crate::gateway::RequestHead;
 use crate::gateway::SendId;
 use crate::gateway::SendOutcome;
@@ -30,10 +31,12 @@
 pub(super) struct EndpointStats {
     pub incarnation: Incarnation,
     pub load: EndpointLoad,
+    pub pace: PaceEstimate,
     pub breaker: Breaker,
     /// Tokens of requests of this instance that have no first event yet.
     pub backlog: f64,
-    /// Moving average of the seconds to the first event per expected token.
+    /// Moving average of the seconds to the first event per expected token, divided by the pace when the request was
+    /// sent.
     pub token_latency: Option<f64>,
     pub failure_rate: f64,
     pub recent_parts: IndexMap<u64, Time>,
@@ -52,6 +55,8 @@
     pub tokens: f64,
     pub expected_tokens: f64,
     pub snapshot: LoadSnapshot,
+    /// Estimated pace of the endpoint at that time; 1 if it is not known.
+    pub pace: f64,
     pub responded: bool,
 }
 
@@ -60,6 +65,7 @@
         Self {
             incarnation,
             load: EndpointLoad::default(),
+            pace: PaceEstimate::default(),
             breaker: Breaker::default(),
             backlog: 0.0,
             token_latency: None,
@@ -92,8 +98,9 @@
     pub fn token_latency_at(&self, now: Time) -> Option<f64> {
         let waiting =
             self.in_flight.values().filter(|send| !send.responded && now - send.sent >= MIN_WAITING_AGE);
-        let slowest =
-            waiting.map(|send| (now - send.sent).as_secs_f64() / send.expected_tokens).reduce(f64::max);
+        let slowest = waiting
+            .map(|send| (now - send.sent).as_secs_f64() / (send.expected_tokens * send.pace))
+            .reduce(f64::max);
         match (self.token_latency, slowest) {
             (Some(token_latency), Some(slowest)) => Some(token_latency.max(slowest)),
             (token_latency, slowest) => token_latency.or(slowest),
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -6,6 +6,10 @@
 /// Half-life of the estimate of other entries' requests while no new report arrives.
 const REPORT_HALF_LIFE: Duration = Duration::from_secs(5);
 
+/// Half-life of it where costs are compared by time. An endpoint that gets no requests reports nothing either; with 5 s,
+/// engines that had been busy stayed idle for up to 7% of a run while others queued, and with 1 s for up to 1.2%.
+const TIMED_HALF_LIFE: Duration = Duration::from_secs(2);
+
 /// Time for which a report received from the endpoint takes precedence over relayed ones.
 const OWN_REPORT_PRECEDENCE: Duration = Duration::from_millis(500);
 
@@ -68,7 +72,16 @@
 
     /// Returns the estimated number of requests in flight, of all entries.
     pub fn total(&self, now: Time) -> f64 {
+        self.decayed(REPORT_HALF_LIFE, now)
+    }
+
+    /// Returns the estimate of [`EndpointLoad::total`] for costs that are compared by time.
+    pub fn timed_total(&self, now: Time) -> f64 {
+        self.decayed(TIMED_HALF_LIFE, now)
+    }
+
+    fn decayed(&self, half_life: Duration, now: Time) -> f64 {
         let age = (now - self.reported_at).as_secs_f64();
-        f64::from(self.own) + self.others * 0.5_f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
+        f64::from(self.own) + self.others * 0.5_f64.powf(age / half_life.as_secs_f64())
     }
 }
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -34,6 +34,7 @@
 use carobwick_core::gateway::ServiceRoute;
 use carobwick_core::gateway::ServiceShare;
 use carobwick_core::gateway::SharedLoad;
+use carobwick_core::gateway::SharedLoads;
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::next_step;
 use carobwick_core::gateway::resolve_loads;
@@ -463,7 +464,8 @@
     let mut fixture = Fixture::new();
     let first = fixture.balancer.choose(&request(7, 1), fixture.entries.iter(), at(1_000)).unwrap();
     let load = LoadReport { running: 60, queued: 20, ..LoadReport::default() };
-    let shared = [SharedLoad::new(&first.id, first.incarnation, load)];
+    let loads = vec![SharedLoad::new(&first.id, first.incarnation, load)];
+    let shared = SharedLoads { loads, paces: Vec::new() };
     let mut table = EndpointTable::default();
     table.replace(fixture.entries.clone(), at(0));
     for (id, incarnation, load) in resolve_loads(&shared, &table) {
@@ -487,7 +489,7 @@
         balancer.set_instances(400);
         for (index, entry) in entries.iter().enumerate() {
             let load = LoadReport { running: 10 + index as u32, ..LoadReport::default() };
-            balancer.record_relayed(&entry.id, entry.incarnation, load, at(1_000));
+            balancer.record_relayed(&entry.id, entry.incarnation, load.into(), at(1_000));
         }
         let request =
             RequestHead { attempt_id: format!("{instance:016x}"), prompt: Vec::new(), ..request(0, 0) };
@@ -506,11 +508,11 @@
     let id: EndpointId = "e1".parse().unwrap();
     for running in [1, 2, 3] {
         let load = LoadReport { running, ..LoadReport::default() };
-        loads.insert(SharedLoad::new(&id, Incarnation(1), load));
+        loads.insert(SharedLoad::new(&id, Incarnation(1), load), None);
     }
-    let taken: Vec<u32> = loads.take().iter().map(|load| load.running).collect();
+    let taken: Vec<u32> = loads.take().loads.iter().map(|load| load.running).collect();
     assert_eq!(taken, [3]);
-    assert!(loads.take().is_empty());
+    assert!(loads.take().loads.is_empty());
 }
 
 /// Guards against further requests to an endpoint that refuses connections.
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -25,6 +25,7 @@
 use carobwick_core::gateway::ModelPlacer;
 use carobwick_core::gateway::OrderReply;
 use carobwick_core::gateway::PendingLoads;
+use carobwick_core::gateway::SharedLoads;
 use carobwick_core::gateway::StreamOrigin;
 use carobwick_core::gateway::TrialTable;
 use carobwick_core::gateway::Weights;
@@ -223,10 +224,11 @@
         }
         self.broadcast(&LeaderMessage::InstanceCount(instances));
         self.broadcast_version();
-        let loads = self.loads.borrow_mut().take();
-        if !loads.is_empty() {
-            self.state.receive_loads(&loads);
-            self.broadcast(&LeaderMessage::Loads { loads, streams: Vec::new() });
+        let shared = self.loads.borrow_mut().take();
+        if !shared.loads.is_empty() {
+            self.state.receive_loads(&shared);
+            let SharedLoads { loads, paces } = shared;
+            self.broadcast(&LeaderMessage::Loads { loads, streams: Vec::new(), paces });
         }
     }
 
@@ -250,16 +252,13 @@
     pub fn handle_message(&self, from: &InstanceId, message: FollowerMessage) {
         match message {
             FollowerMessage::Hello { .. } => {}
-            FollowerMessage::Report { demand: samples, loads, streams } => {
+            FollowerMessage::Report { demand: samples, loads, streams, paces } => {
                 self.handle_streams(from, streams);
                 let mut demand = self.demand.borrow_mut();
                 for sample in &samples {
                     demand.add(sample, now());
                 }
-                let mut pending = self.loads.borrow_mut();
-                for load in loads {
-                    pending.insert(load);
-                }
+                self.loads.borrow_mut().extend(&SharedLoads { loads, paces });
             }
             FollowerMessage::RequestWeights { service, weights, zone } => {
                 self.request_weights(service, AdapterRequest { weights, zone });
--- a/crates/gateway/src/endpoint_request.rs
+++ b/crates/gateway/src/endpoint_request.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use carobwick_core::Fingerprint;
-use carobwick_core::LoadReport;
 use carobwick_core::ServiceId;
 use carobwick_core::Time;
 use carobwick_core::gateway::Choice;
+use carobwick_core::gateway::PacedLoad;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::SendId;
 use carobwick_core::gateway::SendOutcome;
@@ -86,7 +86,7 @@
     }
 
     /// Records the first event of a stream, or the head of any other response.
-    pub fn record_started(&self, load: Option<LoadReport>) {
+    pub fn record_started(&self, load: Option<PacedLoad>) {
         self.first_output.set(Some(now()));
         self.record_response(load);
         if self.state.balancer.borrow_mut().record_accepted(&self.choice) {
@@ -95,7 +95,10 @@
     }
 
     /// Records that a response has arrived, with the load that the endpoint reports.
-    pub fn record_response(&self, load: Option<LoadReport>) {
+    pub fn record_response(&self, load: Option<PacedLoad>) {
+        if let Some(pace) = load.and_then(|load| load.pace) {
+            self.state.meters.record_pace(&self.service, pace);
+        }
         self.state.balancer.borrow_mut().record_response(&self.choice, self.send_id, load, now());
     }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -11,6 +11,7 @@
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::Loss;
+use carobwick_core::gateway::Pace;
 use carobwick_core::gateway::ResidentModels;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::SharedLoad;
@@ -44,8 +45,9 @@
     /// The first message of a connection.
     Hello { instance: InstanceId },
     /// Demand and endpoint loads since the last report; also serves as a heartbeat. The streams that the instance has
-    /// begun do not wait for the next report; instances of the version before neither send nor read them.
-    Report { demand: Vec<DemandSample>, loads: Vec<SharedLoad>, streams: Vec<StreamOrigin> },
+    /// begun do not wait for the next report; instances of the version before neither send nor read them, nor the
+    /// paces of the endpoints, in the order of their loads.
+    Report { demand: Vec<DemandSample>, loads: Vec<SharedLoad>, streams: Vec<StreamOrigin>, paces: Vec<Pace> },
     /// A request needs a model or adapter that is resident on no endpoint, or on none in the instance's zone.
     RequestWeights { service: ServiceId, weights: Weights, zone: ZoneId },
     /// The connection to an endpoint was lost while it processed a request.
@@ -83,8 +85,8 @@
     /// heartbeat.
     InstanceCount(Option<u32>),
     /// Loads that endpoints reported to other instances, and streams that others have begun, which instances of the
-    /// version before neither send nor read.
-    Loads { loads: Vec<SharedLoad>, streams: Vec<StreamOrigin> },
+    /// version before neither send nor read, nor the paces of the endpoints, in the order of their loads.
+    Loads { loads: Vec<SharedLoad>, streams: Vec<StreamOrigin>, paces: Vec<Pace> },
     /// Models and adapters that are resident on an engine.
     EngineModels { endpoint: EndpointId, incarnation: Incarnation, resident: ResidentModels },
     /// Another instance lost the connection to an endpoint while it processed a request.
@@ -112,14 +114,14 @@
 impl FollowerMessage {
     /// Returns the message that tells the leader of streams.
     pub fn streams(streams: Vec<StreamOrigin>) -> Self {
-        Self::Report { demand: Vec::new(), loads: Vec::new(), streams }
+        Self::Report { demand: Vec::new(), loads: Vec::new(), streams, paces: Vec::new() }
     }
 }
 
 impl LeaderMessage {
     /// Returns the message that tells an instance of streams.
     pub fn streams(streams: Vec<StreamOrigin>) -> Self {
-        Self::Loads { loads: Vec::new(), streams }
+        Self::Loads { loads: Vec::new(), streams, paces: Vec::new() }
     }
 }
 
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -2,6 +2,7 @@
 
 use carobwick_core::ServiceId;
 use carobwick_core::gateway::OrderReply;
+use carobwick_core::gateway::Pace;
 use carobwick_core::gateway::SendOutcome;
 use carobwick_runtime::Metrics;
 use http::StatusCode;
@@ -13,6 +14,9 @@
 /// Upper bounds of the buckets for the time to first output.
 const FIRST_OUTPUT_BUCKETS_SECONDS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0];
 
+/// Upper bounds of the buckets for the time that work takes at endpoints, relative to the usual time.
+const PACE_BUCKETS: [f64; 9] = [0.5, 0.7, 0.9, 1.1, 1.4, 2.0, 3.0, 5.0, 10.0];
+
 /// Counters, gauges and histograms of an instance.
 pub(crate) struct Meters {
     metrics: Metrics,
@@ -31,6 +35,7 @@
     limited_sends: Counter<u64>,
     losses: Counter<u64>,
     denied: Counter<u64>,
+    pace: Histogram<f64>,
 }
 
 /// How an instance learns that the connection to an endpoint was lost during a request.
@@ -81,6 +86,7 @@
         let limited_sends = meter.u64_counter("carobwick_limited_sends");
         let losses = meter.u64_counter("carobwick_losses");
         let denied = meter.u64_counter("carobwick_denied");
+        let pace = meter.f64_histogram("carobwick_endpoint_pace");
         Ok(Self {
             requests: requests.with_description("Requests by route and outcome").build(),
             first_output: first_output
@@ -106,6 +112,10 @@
                 .with_description("Requests during which an endpoint was lost, own and reported by others")
                 .build(),
             denied: denied.with_description("Requests without a known key on routes that need one").build(),
+            pace: pace
+                .with_description("Time that work takes at endpoints relative to the usual time, by service")
+                .with_boundaries(PACE_BUCKETS.to_vec())
+                .build(),
             metrics,
         })
     }
@@ -142,6 +152,11 @@
         self.losses.add(1, &[KeyValue::new("source", source)]);
     }
 
+    /// Records the pace that an endpoint of a service names.
+    pub fn record_pace(&self, service: &ServiceId, pace: Pace) {
+        self.pace.record(pace.ratio(), &[KeyValue::new("service", service.to_string())]);
+    }
+
     /// Counts a send to an endpoint, by service and outcome.
     pub fn record_send(&self, service: &ServiceId, outcome: SendOutcome) {
         let outcome = match outcome {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use carobwick_core::InstanceId;
+use carobwick_core::gateway::SharedLoads;
 use carobwick_runtime::now;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
@@ -225,8 +226,8 @@
             state.apply_config(Arc::new(*table), "from the leader");
         }
         LeaderMessage::Trial { number, granted } => state.trial_requests.complete(number, granted),
-        LeaderMessage::Loads { loads, streams } => {
-            state.receive_loads(&loads);
+        LeaderMessage::Loads { loads, streams, paces } => {
+            state.receive_loads(&SharedLoads { loads, paces });
             let _new = state.receive_streams(streams);
         }
         LeaderMessage::EndpointList(update) => state.receive_list_update(update),
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -9,7 +9,6 @@
 use carobwick_core::Incarnation;
 use carobwick_core::InstanceId;
 use carobwick_core::LeaderRecord;
-use carobwick_core::LoadReport;
 use carobwick_core::Revision;
 use carobwick_core::gateway::Access;
 use carobwick_core::gateway::Conviction;
@@ -19,6 +18,7 @@
 use carobwick_core::gateway::EngineOrder;
 use carobwick_core::gateway::EngineState;
 use carobwick_core::gateway::OrderReply;
+use carobwick_core::gateway::PacedLoad;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RouteTable;
 use carobwick_derive::data;
@@ -106,7 +106,7 @@
     /// Whether the response carries the endpoint's signature.
     pub signed: bool,
     /// Load that the endpoint reports.
-    pub load: Option<LoadReport>,
+    pub load: Option<PacedLoad>,
     /// Idle timeout of the connection, as the endpoint announces it.
     pub idle_timeout: Option<Duration>,
     /// Whether the endpoint closes the connection after the response.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RetryBudget;
 use carobwick_core::gateway::RouteTable;
-use carobwick_core::gateway::SharedLoad;
+use carobwick_core::gateway::SharedLoads;
 use carobwick_core::gateway::StreamTable;
 use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::SuspectTable;
@@ -214,15 +214,12 @@
     pub fn take_report(&self) -> FollowerMessage {
         self.streams.borrow_mut().remove_expired(now());
         let demand = std::mem::take(&mut *self.demand.borrow_mut()).into_values().collect();
-        FollowerMessage::Report {
-            demand,
-            loads: self.balancer.borrow_mut().take_loads(),
-            streams: Vec::new(),
-        }
+        let SharedLoads { loads, paces } = self.balancer.borrow_mut().take_loads();
+        FollowerMessage::Report { demand, loads, streams: Vec::new(), paces }
     }
 
     /// Applies loads that endpoints reported to other instances.
-    pub fn receive_loads(&self, loads: &[SharedLoad]) {
+    pub fn receive_loads(&self, loads: &SharedLoads) {
         let endpoints = self.endpoints.borrow();
         let mut balancer = self.balancer.borrow_mut();
         for (id, incarnation, load) in resolve_loads(loads, &endpoints) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carobwick_core::LoadReport;
 use carobwick_core::gateway::Choice;
+use carobwick_core::gateway::PacedLoad;
 use carobwick_core::gateway::RetryStep;
 use carobwick_core::gateway::SendFailure;
 use carobwick_core::gateway::SendOutcome;
@@ -64,7 +64,7 @@
 struct EndpointBody {
     incoming: Incoming,
     request: EndpointRequest,
-    head_load: Option<LoadReport>,
+    head_load: Option<PacedLoad>,
     timer: Pin<Box<Sleep>>,
     started: bool,
     /// Memory that the incomplete event uses.
