Order requests at engines by the cost of their delay for the work that they need

Cause: engines order requests of one priority by arrival, and each route had one priority. Ruled out: limits of full plain endpoints, shedding by the known queue, separate copies for short prompts (docs/design/least-cost.md). Change: engine_priority adds a step for each doubling of the prompt, four at most, at engines that name the pace of their machine.

--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -217,6 +217,12 @@
         stats.rejection = Some(Rejection::new(stats.rejection, pause, now));
     }
 
+    /// Returns whether an endpoint has named the pace of its machine, so that the work that requests need is weighed there.
+    pub fn names_pace(&self, choice: &Choice, now: Time) -> bool {
+        let stats = self.endpoints.get(&choice.id).filter(|stats| stats.incarnation == choice.incarnation);
+        stats.is_some_and(|stats| stats.pace.ratio(now).is_some())
+    }
+
     /// Returns whether an incarnation of an endpoint requested a pause that has not ended.
     pub fn is_paused(&self, id: &EndpointId, incarnation: Incarnation, now: Time) -> bool {
         self.endpoints.get(id).is_some_and(|stats| stats.incarnation == incarnation && stats.is_paused(now))
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -18,6 +18,7 @@
 use carobwick_core::gateway::ServiceRoute;
 use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::VersionBinding;
+use carobwick_core::gateway::engine_priority;
 use carobwick_core::gateway::next_step;
 use carobwick_runtime::now;
 use http::HeaderMap;
@@ -283,6 +284,15 @@
         self.table.priority(&self.route, &self.access)
     }
 
+    /// Returns the priority with which the request waits at an endpoint.
+    fn engine_priority(&self, choice: &Choice) -> u8 {
+        if self.state.balancer.borrow().names_pace(choice, now()) {
+            engine_priority(self.priority(), self.head.prompt_tokens)
+        } else {
+            self.priority()
+        }
+    }
+
     /// Checks the key against the newest configuration, which may have revoked it while the request waited; returns whether
     /// the request may still be sent.
     fn recheck_access(&mut self) -> bool {
@@ -320,7 +330,7 @@
             head: &self.head,
             endpoint: &choice.id,
             remaining,
-            priority: self.priority(),
+            priority: self.engine_priority(choice),
             access: &self.access,
             last_event: last_event.or(self.head.last_event.as_deref()),
         };
