A load figure that overflows no longer counts as an idle endpoint

Callers saw: nothing so far; found by reading. running + queued of the load header overflowed for figures near 2^32: a panic in debug builds, a small sum in release builds, so that the endpoint got the requests. Ruled out: figures that are no 32-bit numbers, which are ignored. Change: a saturating sum. Test: a_huge_load_makes_an_endpoint_the_last_choice, panics before.

--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -52,7 +52,8 @@
     /// Updates the estimate from a report of the endpoint, unless a later one is known.
     pub fn update(&mut self, report: LoadReport, snapshot: LoadSnapshot) {
         if snapshot.at >= self.reported_at {
-            self.others = f64::from((report.running + report.queued).saturating_sub(snapshot.own));
+            self.others =
+                f64::from(report.running.saturating_add(report.queued).saturating_sub(snapshot.own));
             self.reported_at = snapshot.at;
         }
     }
@@ -60,7 +61,7 @@
     /// Updates the estimate from a report that another entry relayed, which is some hundred milliseconds old.
     pub fn update_relayed(&mut self, report: LoadReport, now: Time) {
         if now >= self.reported_at + OWN_REPORT_PRECEDENCE {
-            self.others = f64::from((report.running + report.queued).saturating_sub(self.own));
+            self.others = f64::from(report.running.saturating_add(report.queued).saturating_sub(self.own));
             self.reported_at = now;
         }
     }
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -519,6 +519,20 @@
     assert!(loads.take().loads.is_empty());
 }
 
+/// Guards against a load figure of another writer that overflows, and ends the process or makes a full endpoint look idle.
+#[test]
+fn a_huge_load_makes_an_endpoint_the_last_choice() {
+    let mut balancer = Balancer::new("z".parse().unwrap());
+    let entries = [entry("a", 1, 1, EndpointState::Live), entry("b", 1, 1, EndpointState::Live)];
+    let id: EndpointId = "a".parse().unwrap();
+    let load = LoadReport { running: u32::MAX, queued: 1, ..LoadReport::default() };
+    balancer.record_relayed(&id, Incarnation(1), load.into(), at(1_000));
+    for own in 0..20 {
+        let choice = balancer.choose(&request(1, own), entries.iter(), at(1_000)).unwrap();
+        assert_eq!(choice.id.as_str(), "b");
+    }
+}
+
 /// Guards against further requests to an endpoint that refuses connections.
 #[test]
 fn a_lost_endpoint_is_skipped() {
