Share one byte budget among untrusted callers, and limit their connections

What callers see. Many large bodies, bodies that stop one byte short and bodies over the limit no longer end an instance for lack of memory, and many connections no longer use up its descriptors. A request that is shed gets 503 with Retry-After, one whose body stalls for the idle timeout 408, one that is too long 413, at the head if the length is declared. None of them has been executed, and the connection is closed. Ordinary callers are served beside such a crowd.

Each caller could fill maxBodyBytes and nothing limited the total. A body was read although its declared length was over the limit. Nothing ended a body that had stalled, and connections were limited by the process's descriptors only.

`MemoryBudget` (core) holds an account for each request and connection and decides who is shed: who has moved fewer than 4 KiB within a second, longest first, otherwise the newest. A request that runs is never shed. `ConnectionLimit` (core) closes the connection without a request for longest; if all have requests, the one whose body has stalled longest makes room. `BufferBudget` and `CallerConnections` carry this out. Capacities count.

Backpressure in place of shedding: bodies without their last byte would keep all the memory. Reserving the declared length: it costs a caller nothing. Any byte as progress: a byte a second would keep the memory for ever.

Read buffers of connections to endpoints (up to 64 KiB each) are not in the budget. A shed caller that goes on sending more than 64 KiB may see a reset before it has read the refusal, as for other rejections by the head.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -8,11 +8,13 @@
 //! may trust its configuration. Endpoints that limit the rate of requests get them only for tokens that the
 //! leader's [`TokenIssuer`] issues to all instances. A [`SuspectTable`] finds the requests and parts of prompts
 //! that crash endpoints, with trials that a [`TrialTable`] keeps apart. A [`StreamTable`] keeps which software version
-//! began each stream, since only endpoints of that version may go on with it.
+//! began each stream, since only endpoints of that version may go on with it. A [`MemoryBudget`] and a [`ConnectionLimit`] decide
+//! which callers are shed when memory or descriptors run short.
 
 mod adapters;
 mod balance;
 mod candidacy;
+mod connection_limit;
 mod copies;
 mod demand;
 mod departures;
@@ -21,6 +23,7 @@
 mod list;
 mod load_limiter;
 mod loads;
+mod memory_budget;
 mod notice;
 mod orders;
 mod placer;
@@ -49,6 +52,9 @@
 pub use balance::SendOutcome;
 pub use candidacy::Candidacy;
 pub use candidacy::InstanceSize;
+pub use connection_limit::Admission;
+pub use connection_limit::CallerId;
+pub use connection_limit::ConnectionLimit;
 pub use copies::wanted_copies;
 pub use demand::DemandSample;
 pub use demand::DemandTable;
@@ -66,6 +72,10 @@
 pub use loads::PendingLoads;
 pub use loads::SharedLoad;
 pub use loads::resolve_loads;
+pub use memory_budget::AccountId;
+pub use memory_budget::MemoryBudget;
+pub use memory_budget::MemoryUse;
+pub use memory_budget::Resize;
 pub use notice::AnnouncedLimit;
 pub use notice::EndpointNotice;
 pub use orders::AdapterRequest;
--- /dev/null
+++ b/crates/gateway/src/caller_body.rs
@@ -0,0 +1,44 @@
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+
+use crate::caller_connections::ActiveRequest;
+use crate::response::BodyError;
+use crate::response::HeldBytes;
+use crate::response::ResponseBody;
+
+/// Body of a response to a caller, whose connection is in use until it has been sent.
+pub(crate) struct CallerBody {
+    body: ResponseBody,
+    _request: ActiveRequest,
+}
+
+impl CallerBody {
+    pub fn new(body: ResponseBody, request: ActiveRequest) -> Self {
+        Self { body, _request: request }
+    }
+}
+
+impl Body for CallerBody {
+    type Data = HeldBytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<HeldBytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -1,15 +1,16 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use carobwick_core::Fingerprint;
 use carobwick_core::Millis;
 use carobwick_core::Time;
 use carobwick_core::gateway::Access;
 use carobwick_core::gateway::CallerLimits;
+use carobwick_core::gateway::MemoryUse;
 use carobwick_core::gateway::Progress;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RouteTable;
@@ -36,17 +37,22 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::Category;
-use crate::buffer::read_whole;
+use crate::buffer::BodyLimits;
+use crate::buffer::BufferShare;
+use crate::caller_body::CallerBody;
+use crate::caller_connections::CallerConnection;
 use crate::connection::configure_socket;
 use crate::head_inspector::HeadCheck;
 use crate::head_inspector::HeadInspector;
 use crate::head_inspector::InspectedStream;
 use crate::listener;
+use crate::meters::ShedCause;
 use crate::proxied_request::ProxiedRequest;
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
@@ -68,6 +74,12 @@
 const MAX_DISCARDED_BYTES: u64 = 64 << 10;
 /// Time for which such a body is read.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
+/// Least `Retry-After` of a request that is shed, to which as much is added at random: a crowd must not return at once.
+const SHED_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Buffer that a body of a declared length gets with its first bytes, which holds nearly all bodies.
+const FIRST_BODY_BYTES: usize = 64 << 10;
+/// The same for a body without a declared length.
+const FIRST_CHUNKED_BYTES: usize = 4 << 10;
 /// Deadline of a request whose caller sets none.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
 
@@ -83,12 +95,23 @@
             accepted = listener::accept(&listener, "gateway") => accepted,
             () = closing.cancelled() => return,
         };
-        let connection = serve(Rc::clone(&state), stream, peer, closing.clone());
-        connections.spawn_local(connection);
+        let (is_limited, connection) = state.connections.admit();
+        if is_limited {
+            state.meters.record_shed(ShedCause::Connections);
+        }
+        if let Some(connection) = connection {
+            connections.spawn_local(serve(Rc::clone(&state), stream, peer, connection, closing.clone()));
+        }
     }
 }
 
-async fn serve(state: Rc<State>, stream: TcpStream, peer: SocketAddr, closing: CancellationToken) {
+async fn serve(
+    state: Rc<State>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    connection: CallerConnection,
+    closing: CancellationToken,
+) {
     if let Err(err) = configure_socket(&stream) {
         tracing::debug!("gateway: caller {peer}: {err}");
         return;
@@ -96,21 +119,42 @@
     let inspector = HeadInspector::default();
     let io = TokioIo::new(InspectedStream::new(stream, inspector.clone()));
     let (max_head, idle_timeout) = connection_limits(&state);
+    let shed = connection.closing.clone();
+    let connection = Rc::new(connection);
     let service = service_fn(move |request| {
-        let (state, inspector) = (Rc::clone(&state), inspector.clone());
-        async move { Ok::<_, Infallible>(respond(state, inspector, request).await) }
+        let (state, inspector, connection) = (Rc::clone(&state), inspector.clone(), Rc::clone(&connection));
+        async move { Ok::<_, Infallible>(serve_request(state, inspector, &connection, request).await) }
     });
-    let connection = http1::Builder::new()
+    let served = http1::Builder::new()
         .auto_date_header(false)
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout + IDLE_MARGIN)
         .max_buf_size(max_head.max(MIN_BUFFER_BYTES))
         .serve_connection(io, service);
-    if let Err(err) = serve_until(connection, &closing).await {
-        tracing::debug!("gateway: caller {peer}: {err}");
+    match shed.run_until_cancelled(serve_until(served, &closing)).await {
+        Some(Ok(())) => {}
+        Some(Err(err)) => tracing::debug!("gateway: caller {peer}: {err}"),
+        None => tracing::debug!("gateway: caller {peer}: closed for lack of memory or descriptors"),
     }
 }
 
+/// Responds to one request, during which its connection is in use.
+async fn serve_request(
+    state: Rc<State>,
+    inspector: HeadInspector,
+    connection: &Rc<CallerConnection>,
+    request: Request<Incoming>,
+) -> Response<CallerBody> {
+    let active = connection.begin_request();
+    let response = respond(state, inspector, request).await;
+    if let ResponseBody::Buffered(Some(held)) = response.body()
+        && let Some(share) = &held.share
+    {
+        share.begin_sending(connection.closing.clone());
+    }
+    response.map(|body| CallerBody::new(body, active))
+}
+
 fn connection_limits(state: &State) -> (usize, Duration) {
     match state.route_table.borrow().as_ref() {
         Some(table) => (table.limits.max_head.0 as usize, table.limits.idle_timeout.duration()),
@@ -132,13 +176,15 @@
         HeadCheck::Ambiguous => LocalResponse::new(StatusCode::BAD_REQUEST, "the head has two meanings")
             .close_connection()
             .into_response(),
-        HeadCheck::Unambiguous | HeadCheck::Unchecked => match check_head(&state, &parts) {
-            Ok(checked) => match read_request(&state, &inspector, checked, parts, body, arrived).await {
-                Ok(request) => request.run().await,
-                Err(local) => local.into_response(),
-            },
-            Err(local) => reject_head(local, body, inspector).into_response(),
-        },
+        HeadCheck::Unambiguous | HeadCheck::Unchecked => {
+            match check_head(&state, &parts, body.size_hint().exact()) {
+                Ok(checked) => match read_request(&state, &inspector, checked, parts, body, arrived).await {
+                    Ok(request) => request.run().await,
+                    Err(local) => local.into_response(),
+                },
+                Err(local) => reject_head(local, body, inspector).into_response(),
+            }
+        }
     };
     // The bytes after a chunked body whose head was not inspected must not be parsed as a request.
     let is_unsafe = check == HeadCheck::Unchecked && is_chunked;
@@ -158,7 +204,7 @@
 
 /// Checks the head of a request, or returns the response that rejects it. What the head alone can decide is decided before
 /// the body takes any memory.
-fn check_head(state: &State, parts: &Parts) -> Result<CheckedHead, LocalResponse> {
+fn check_head(state: &State, parts: &Parts, length: Option<u64>) -> Result<CheckedHead, LocalResponse> {
     let table = state.route_table.borrow().clone();
     let table = table.ok_or_else(|| unavailable("no configuration yet").retry_after(RETRY_AFTER))?;
     if state.refusing.is_cancelled() {
@@ -175,6 +221,10 @@
         state.meters.record_denied();
         return Err(LocalResponse::UNAUTHORIZED);
     }
+    if length.is_some_and(|length| length > table.limits.max_body.0) {
+        state.meters.record_shed(ShedCause::TooLong);
+        return Err(LocalResponse::TOO_LONG);
+    }
     Ok(CheckedHead { table, route, access, head })
 }
 
@@ -217,11 +267,15 @@
     inspector: &HeadInspector,
     checked: CheckedHead,
     parts: Parts,
-    body: Incoming,
+    mut body: Incoming,
     arrived: Time,
 ) -> Result<ProxiedRequest, LocalResponse> {
     let CheckedHead { table, route, access, head } = checked;
-    let body = read_body(body, &table.limits).await?;
+    let share = state.buffers.open_share(MemoryUse::Receiving);
+    if let Err(local) = read_body(state, &mut body, &table.limits, &share).await {
+        return Err(reject_head(local, body, inspector.clone()));
+    }
+    let Ok(body) = share.take_body() else { return Err(refuse_shed(state)) };
     inspector.body_read();
     // The head or the body may have taken as long as the stop has lasted.
     if state.refusing.is_cancelled() {
@@ -256,6 +310,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        body_share: Rc::new(share),
         fingerprint,
         arrived,
         progress: Progress::default(),
@@ -283,15 +338,70 @@
     })
 }
 
-async fn read_body(body: Incoming, limits: &CallerLimits) -> Result<Bytes, LocalResponse> {
-    match read_whole(body, limits.max_body.0 as usize, |_size| Ok(())).await {
-        Ok(body) => Ok(body),
-        Err(err) if err.category() == Category::Codec => {
-            Err(LocalResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long").close_connection())
+/// Reads a body into its share, or returns the response that rejects it. The request has not been executed then.
+async fn read_body(
+    state: &State,
+    body: &mut Incoming,
+    limits: &CallerLimits,
+    share: &BufferShare,
+) -> Result<(), LocalResponse> {
+    let sizes = body_limits(body, limits);
+    let idle_timeout = limits.idle_timeout.duration();
+    let mut shed = pin!(share.wait_shed());
+    // Set again only when it has elapsed, so that a chunk costs no timer.
+    let mut timer = pin!(sleep(idle_timeout));
+    let mut progressed = now();
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = &mut shed => return Err(refuse_shed(state)),
+            frame = body.frame() => frame,
+            () = &mut timer => {
+                let idle = now() - progressed;
+                if idle >= idle_timeout {
+                    state.meters.record_shed(ShedCause::Stalled);
+                    return Err(LocalResponse::STALLED);
+                }
+                timer.as_mut().reset(Instant::now() + idle_timeout.saturating_sub(idle));
+                continue;
+            }
+        };
+        let data = match frame {
+            // Trailers are ignored.
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            Some(Err(err)) => {
+                tracing::debug!("gateway: request body interrupted: {err}");
+                return Err(LocalResponse::BROKEN_OFF);
+            }
+            None => return Ok(()),
+        };
+        if share.body_length() + data.len() > sizes.max {
+            state.meters.record_shed(ShedCause::TooLong);
+            return Err(LocalResponse::TOO_LONG);
+        }
+        if !data.is_empty() {
+            progressed = now();
         }
-        Err(err) => {
-            tracing::debug!("gateway: request body interrupted: {err}");
-            Err(LocalResponse::new(StatusCode::BAD_REQUEST, "the body broke off").close_connection())
+        if share.append(&data, sizes).is_err() {
+            return Err(refuse_shed(state));
+        }
+    }
+}
+
+fn refuse_shed(state: &State) -> LocalResponse {
+    state.meters.record_shed(ShedCause::Memory);
+    let retry_after = SHED_RETRY_AFTER.mul_f64(1.0 + rand::random::<f64>());
+    unavailable("the memory for requests is used up").retry_after(retry_after).close_connection()
+}
+
+/// Returns the sizes of the buffer for a body. A declared length is no reason to reserve it: it costs the caller nothing.
+fn body_limits(body: &Incoming, limits: &CallerLimits) -> BodyLimits {
+    let max = limits.max_body.0 as usize;
+    match body.size_hint().exact() {
+        Some(length) => {
+            let max = max.min(length as usize);
+            BodyLimits { first: max.min(FIRST_BODY_BYTES), max }
         }
+        None => BodyLimits { first: max.min(FIRST_CHUNKED_BYTES), max },
     }
 }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -31,6 +31,9 @@
     limited_sends: Counter<u64>,
     losses: Counter<u64>,
     denied: Counter<u64>,
+    shed: Counter<u64>,
+    buffer_bytes: Gauge<u64>,
+    connections: Gauge<u64>,
 }
 
 /// How an instance learns that the connection to an endpoint was lost during a request.
@@ -42,6 +45,19 @@
     Reported,
 }
 
+/// Reason for which a request is refused before it is whole, or a connection is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ShedCause {
+    /// The memory was used up.
+    Memory,
+    /// The body made no progress for the idle timeout.
+    Stalled,
+    /// The body exceeds the limit.
+    TooLong,
+    /// There were too many connections.
+    Connections,
+}
+
 /// Kind of a message to an endpoint, as the metrics count it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SendKind {
@@ -81,6 +97,9 @@
         let limited_sends = meter.u64_counter("carobwick_limited_sends");
         let losses = meter.u64_counter("carobwick_losses");
         let denied = meter.u64_counter("carobwick_denied");
+        let shed = meter.u64_counter("carobwick_shed");
+        let buffer_bytes = meter.u64_gauge("carobwick_buffer_bytes");
+        let connections = meter.u64_gauge("carobwick_caller_connections");
         Ok(Self {
             requests: requests.with_description("Requests by route and outcome").build(),
             first_output: first_output
@@ -106,6 +125,9 @@
                 .with_description("Requests during which an endpoint was lost, own and reported by others")
                 .build(),
             denied: denied.with_description("Requests without a known key on routes that need one").build(),
+            shed: shed.with_description("Requests refused and connections closed, by cause").build(),
+            buffer_bytes: buffer_bytes.with_description("Memory of callers' requests and responses").build(),
+            connections: connections.with_description("Connections of callers").build(),
             metrics,
         })
     }
@@ -133,6 +155,23 @@
         self.denied.add(1, &[]);
     }
 
+    /// Counts a request that is refused before it is whole, or a connection that is closed.
+    pub fn record_shed(&self, cause: ShedCause) {
+        let cause = match cause {
+            ShedCause::Memory => "memory",
+            ShedCause::Stalled => "stalled",
+            ShedCause::TooLong => "too_long",
+            ShedCause::Connections => "connections",
+        };
+        self.shed.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Sets the memory of callers' requests and the number of their connections.
+    pub fn set_buffers(&self, bytes: usize, connections: usize) {
+        self.buffer_bytes.record(bytes as u64, &[]);
+        self.connections.record(connections as u64, &[]);
+    }
+
     /// Counts a request during which the connection to an endpoint was lost.
     pub fn record_loss(&self, source: LossSource) {
         let source = match source {
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -9,6 +9,7 @@
 use carobwick_core::Time;
 use carobwick_core::gateway::Access;
 use carobwick_core::gateway::Choice;
+use carobwick_core::gateway::MemoryUse;
 use carobwick_core::gateway::Progress;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RetryStep;
@@ -34,6 +35,7 @@
 use crate::Category;
 use crate::Error;
 use crate::ForwardedRequest;
+use crate::buffer::BufferShare;
 use crate::buffer::read_whole;
 use crate::connection::SendError;
 use crate::endpoint_request::EndpointRequest;
@@ -44,6 +46,7 @@
 use crate::placement::Unplaced;
 use crate::platform::ResponseKind;
 use crate::pool::Purpose;
+use crate::response::HeldBytes;
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
 use crate::response::strip_hop_by_hop;
@@ -74,6 +77,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Memory that the body uses.
+    pub body_share: Rc<BufferShare>,
     pub fingerprint: Fingerprint,
     pub arrived: Time,
     pub deadline: Time,
@@ -395,7 +400,7 @@
         received.request.record_started(received.head.load);
         let (mut parts, body) = received.response.into_parts();
         let Some(remaining) = self.remaining_time() else { return Err(SendFailure::Lost) };
-        let mut share = self.state.buffers.open_share();
+        let share = self.state.buffers.open_share(MemoryUse::Running);
         let read = read_whole(body, MAX_BUFFERED_BYTES, |size| share.resize(size));
         let body = match tokio::time::timeout(remaining, read).await {
             Ok(Ok(body)) => body,
@@ -416,7 +421,8 @@
         }
         strip_hop_by_hop(&mut parts.headers);
         parts.headers.remove(CONTENT_LENGTH);
-        Ok(Response::from_parts(parts, ResponseBody::Buffered(Some(body))))
+        let held = HeldBytes { bytes: body, share: Some(share) };
+        Ok(Response::from_parts(parts, ResponseBody::Buffered(Some(held))))
     }
 
     /// Records a response that was not received whole.
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -4,6 +4,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use bytes::Buf;
 use bytes::Bytes;
 use futures_util::stream::LocalBoxStream;
 use http::HeaderMap;
@@ -20,6 +21,8 @@
 use http_body::Frame;
 use http_body::SizeHint;
 
+use crate::buffer::BufferShare;
+
 /// Headers that apply to one connection and must not be forwarded.
 static HOP_BY_HOP: [HeaderName; 3] = [CONNECTION, TRANSFER_ENCODING, UPGRADE];
 /// Other headers that apply to one connection, by name.
@@ -29,11 +32,41 @@
 /// Body of a response to a caller.
 pub(crate) enum ResponseBody {
     /// A buffered body, taken when it is sent.
-    Buffered(Option<Bytes>),
+    Buffered(Option<HeldBytes>),
     /// A body that is forwarded as it arrives; an error aborts the caller's connection.
     Streamed(LocalBoxStream<'static, Result<Bytes, BodyError>>),
 }
 
+/// Bytes for a caller, which use memory until the connection has written them.
+#[derive(Debug)]
+pub(crate) struct HeldBytes {
+    pub bytes: Bytes,
+    pub share: Option<BufferShare>,
+}
+
+impl Buf for HeldBytes {
+    fn remaining(&self) -> usize {
+        self.bytes.remaining()
+    }
+
+    fn chunk(&self) -> &[u8] {
+        self.bytes.chunk()
+    }
+
+    fn advance(&mut self, cnt: usize) {
+        self.bytes.advance(cnt);
+        if let Some(share) = &self.share {
+            share.record_moved(cnt);
+        }
+    }
+}
+
+impl From<Bytes> for HeldBytes {
+    fn from(bytes: Bytes) -> Self {
+        Self { bytes, share: None }
+    }
+}
+
 /// Error of a streamed body, on which the caller's connection is closed before the body is complete.
 #[derive(Debug, Clone)]
 pub(crate) struct BodyError(pub String);
@@ -47,18 +80,19 @@
 impl std::error::Error for BodyError {}
 
 impl Body for ResponseBody {
-    type Data = Bytes;
+    type Data = HeldBytes;
     type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    ) -> Poll<Option<Result<Frame<HeldBytes>, BodyError>>> {
         match self.get_mut() {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Streamed(stream) => {
-                stream.as_mut().poll_next(cx).map(|next| next.map(|item| item.map(Frame::data)))
-            }
+            Self::Streamed(stream) => stream
+                .as_mut()
+                .poll_next(cx)
+                .map(|next| next.map(|item| item.map(|bytes| Frame::data(bytes.into())))),
         }
     }
 
@@ -71,7 +105,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Buffered(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Buf::remaining) as u64),
             Self::Streamed(_) => SizeHint::default(),
         }
     }
@@ -106,7 +140,18 @@
         closes: false,
     };
 
-    pub fn new(status: StatusCode, message: &'static str) -> Self {
+    /// Rejection of a request whose body exceeds the limit.
+    pub const TOO_LONG: Self =
+        Self::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long").close_connection();
+
+    /// Rejection of a request whose body made no progress for the idle timeout.
+    pub const STALLED: Self =
+        Self::new(StatusCode::REQUEST_TIMEOUT, "the body made no progress").close_connection();
+
+    /// Rejection of a request whose body can't be read to its end.
+    pub const BROKEN_OFF: Self = Self::new(StatusCode::BAD_REQUEST, "the body broke off").close_connection();
+
+    pub const fn new(status: StatusCode, message: &'static str) -> Self {
         Self { status, message, retry_after: None, closes: false }
     }
 
@@ -114,13 +159,13 @@
         Self { retry_after: Some(retry_after), ..self }
     }
 
-    pub fn close_connection(self) -> Self {
+    pub const fn close_connection(self) -> Self {
         Self { closes: true, ..self }
     }
 
     pub fn into_response(self) -> Response<ResponseBody> {
         let body = Bytes::from(format!("{{\"error\":\"{}\"}}", self.message));
-        let mut response = Response::new(ResponseBody::Buffered(Some(body)));
+        let mut response = Response::new(ResponseBody::Buffered(Some(body.into())));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub store: SocketAddr,
     /// Processor cores and bandwidth of the instance.
     pub size: InstanceSize,
+    /// Most file descriptors of the process, or none without a limit.
+    pub max_fds: Option<usize>,
     /// Settings that may change while the instance runs.
     pub terms: Terms,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -35,6 +35,7 @@
 use crate::Terms;
 use crate::WireFormat;
 use crate::buffer::BufferBudget;
+use crate::caller_connections::CallerConnections;
 use crate::message::FollowerMessage;
 use crate::message::ListUpdate;
 use crate::meters::Meters;
@@ -61,8 +62,10 @@
     /// Sends convicted suspects to the task that writes them to the store.
     pub convicted: mpsc::UnboundedSender<Suspect>,
     pub pool: Pool,
-    /// Memory for the responses of endpoints.
+    /// Memory for the requests of callers and their responses.
     pub buffers: Rc<BufferBudget>,
+    /// Connections of callers.
+    pub connections: Rc<CallerConnections>,
     pub meters: Meters,
     /// Notifies requests that wait for an endpoint.
     pub endpoints_changed: Notify,
@@ -119,6 +122,7 @@
     ) -> Self {
         let balancer = Balancer::new(settings.zone.clone());
         let buffers = BufferBudget::new(settings.size.memory);
+        let connections = CallerConnections::new(settings.size.memory, settings.max_fds, &buffers);
         Self {
             terms: Cell::new(settings.terms),
             freshness: RefCell::new(ConfigFreshness::new(settings.terms.apply)),
@@ -132,6 +136,7 @@
             convicted,
             pool: Pool::default(),
             buffers,
+            connections,
             meters,
             endpoints_changed: Notify::new(),
             unplaced: Cell::new(0),
--- a/crates/gateway/src/status_pages.rs
+++ b/crates/gateway/src/status_pages.rs
@@ -52,5 +52,6 @@
 
 fn metrics(state: &State) -> String {
     let age = state.freshness.borrow().age(now());
+    state.meters.set_buffers(state.buffers.used(), state.connections.open());
     state.meters.render(age, state.unplaced.get())
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use carobwick_core::LoadReport;
 use carobwick_core::gateway::Choice;
+use carobwick_core::gateway::MemoryUse;
 use carobwick_core::gateway::RetryStep;
 use carobwick_core::gateway::SendFailure;
 use carobwick_core::gateway::SendOutcome;
@@ -46,7 +47,7 @@
     let framed = is_framed(&parts.headers);
     strip_hop_by_hop(&mut parts.headers);
     let timer = Box::pin(tokio::time::sleep(proxied.deadline - now()));
-    let share = proxied.state.buffers.open_share();
+    let share = proxied.state.buffers.open_share(MemoryUse::Running);
     let body = EndpointBody { incoming, request, head_load: head.load, timer, started: false, share, framed };
     let content_type = parts.headers.get(CONTENT_TYPE).cloned();
     let events = if proxied.route.resumable {
@@ -287,7 +288,7 @@
                         head_load: response.head.load,
                         timer,
                         started: false,
-                        share: self.proxied.state.buffers.open_share(),
+                        share: self.proxied.state.buffers.open_share(MemoryUse::Running),
                         framed,
                     };
                     return Ok(());
@@ -326,6 +327,7 @@
             uri: self.uri.clone(),
             headers: self.headers.clone(),
             body: self.body.clone(),
+            body_share: Rc::clone(&self.body_share),
             fingerprint: self.fingerprint,
             arrived: self.arrived,
             deadline: self.deadline,
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -112,6 +112,7 @@
         peers: addr,
         store: addr,
         size: InstanceSize { cores: 1.0, link: 1_000.0, memory: 256.0 },
+        max_fds: None,
         terms: Terms {
             grace: Duration::from_secs(8),
             drain: Duration::from_secs(2),
--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -217,6 +217,7 @@
         peers,
         store: SocketAddr::new(ip, 8_005),
         size: InstanceSize { cores: 1.0, link: 1_000.0, memory: 256.0 },
+        max_fds: None,
         terms: Terms {
             grace: Duration::from_secs(8),
             drain: DRAIN_TIME,
