Return the descriptor of a replaced connection before the next accept

What callers see. An instance at its limit of connections no longer uses up to a hundred descriptors more for a moment.

A burst of new connections was accepted in one turn of the accepting task, while those that they replaced were closed in a later turn of their own tasks.

The accepting task yields after each connection that it accepts or refuses beyond the limit.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -98,6 +98,8 @@
         let (is_limited, connection) = state.connections.admit();
         if is_limited {
             state.meters.record_shed(ShedCause::Connections);
+            // Lets the connection that is closed return its descriptor before the next one is accepted.
+            tokio::task::yield_now().await;
         }
         if let Some(connection) = connection {
             connections.spawn_local(serve(Rc::clone(&state), stream, peer, connection, closing.clone()));
