Decisions of tenants' quotas, at an instance and at the leader

Callers saw: a tenant could use any multiple of its quota; the configuration's rate and burst had no effect. Cause: nothing counted the usage of a tenant over all instances. Change: QuotaMeter admits a fraction of the requests; QuotaLedger derives it from a token bucket for each tenant.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -8,7 +8,8 @@
 //! may trust its configuration. Endpoints that limit the rate of requests get them only for tokens that the
 //! leader's [`TokenIssuer`] issues to all instances. A [`SuspectTable`] finds the requests and parts of prompts
 //! that crash endpoints, with trials that a [`TrialTable`] keeps apart. A [`StreamTable`] keeps which software version
-//! began each stream, since only endpoints of that version may go on with it.
+//! began each stream, since only endpoints of that version may go on with it. A [`QuotaMeter`] admits the requests of a
+//! tenant within its quota, by the fraction that the leader's [`QuotaLedger`] derives from the usage at all instances.
 
 mod adapters;
 mod balance;
@@ -24,6 +25,8 @@
 mod notice;
 mod orders;
 mod placer;
+mod quota_ledger;
+mod quota_meter;
 mod rate_limit;
 mod reachability;
 mod registry;
@@ -72,6 +75,14 @@
 pub use orders::EngineAction;
 pub use orders::EngineOrder;
 pub use placer::ModelPlacer;
+pub use quota_ledger::QuotaLedger;
+pub use quota_meter::QuotaDecision;
+pub use quota_meter::QuotaMeter;
+pub use quota_meter::QuotaTerms;
+pub use quota_meter::QuotaUpdate;
+pub use quota_meter::TenantGrant;
+pub use quota_meter::TenantUsage;
+pub use quota_meter::UsageReport;
 pub use rate_limit::LimitNews;
 pub use registry::EngineRecord;
 pub use registry::EngineRegistry;
