Enforce tenants' quotas at all instances together

Callers see: 429 with Retry-After beyond the quota of their tenant, before the body is read; units of requests that no endpoint ran, or whose body never ends, are returned. Ruled out: messages of their own. An instance of the version before can't decode a new variant and would close the connection, so usage and states are optional fields at the end of Report and Loads. Change: check_head takes the quota after the key; Coordinator keeps the ledger of its term; carobwick/quota holds the fractions for a restart of all instances, read once when a tenant has a quota and written at most once a second. New settings bounds.quotaWindowS, quotaOvershoot and quotaSlack may be absent (8 s, 0, 0).

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -48,6 +48,7 @@
 use crate::head_inspector::InspectedStream;
 use crate::listener;
 use crate::proxied_request::ProxiedRequest;
+use crate::quota::QuotaUse;
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
 use crate::state::State;
@@ -154,11 +155,12 @@
     route: Arc<ServiceRoute>,
     access: Access,
     head: RequestHead,
+    quota: Option<QuotaUse>,
 }
 
 /// Checks the head of a request, or returns the response that rejects it. What the head alone can decide is decided before
 /// the body takes any memory.
-fn check_head(state: &State, parts: &Parts) -> Result<CheckedHead, LocalResponse> {
+fn check_head(state: &Rc<State>, parts: &Parts) -> Result<CheckedHead, LocalResponse> {
     let table = state.route_table.borrow().clone();
     let table = table.ok_or_else(|| unavailable("no configuration yet").retry_after(RETRY_AFTER))?;
     if state.refusing.is_cancelled() {
@@ -175,7 +177,8 @@
         state.meters.record_denied();
         return Err(LocalResponse::UNAUTHORIZED);
     }
-    Ok(CheckedHead { table, route, access, head })
+    let quota = state.take_quota(&access, &head)?;
+    Ok(CheckedHead { table, route, access, head, quota })
 }
 
 /// Rejects a request by its head. Its body is read and dropped for a short time: closing the connection with unread bytes
@@ -220,7 +223,7 @@
     body: Incoming,
     arrived: Time,
 ) -> Result<ProxiedRequest, LocalResponse> {
-    let CheckedHead { table, route, access, head } = checked;
+    let CheckedHead { table, route, access, head, quota } = checked;
     let body = read_body(body, &table.limits).await?;
     inspector.body_read();
     // The head or the body may have taken as long as the stop has lasted.
@@ -265,6 +268,7 @@
         permit: None,
         suspects,
         trial: None,
+        quota,
     })
 }
 
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -1,3 +1,4 @@
+mod quotas;
 mod streams;
 mod tokens;
 mod trials;
@@ -37,6 +38,7 @@
 
 use crate::Connection;
 use crate::Error;
+use crate::coordinator::quotas::TermLedger;
 use crate::coordinator::tokens::TermIssuer;
 use crate::election::Election;
 use crate::message::FollowerMessage;
@@ -86,6 +88,7 @@
     new_streams: RefCell<Vec<StreamOrigin>>,
     /// Notifies the task that tells them.
     streams_changed: Notify,
+    ledger: RefCell<TermLedger>,
 }
 
 impl Coordinator {
@@ -106,6 +109,7 @@
             trials: RefCell::default(),
             new_streams: RefCell::default(),
             streams_changed: Notify::new(),
+            ledger: RefCell::default(),
         }
     }
 
@@ -210,8 +214,8 @@
         }
     }
 
-    /// Broadcasts the number of instances, the version of the configuration and the loads reported since the
-    /// last heartbeat.
+    /// Broadcasts the number of instances, the version of the configuration, the state of the quotas and the loads reported
+    /// since the last heartbeat.
     pub fn send_heartbeat(&self) {
         let mut followers = self.followers.borrow_mut();
         followers.retain(|_, sender| !sender.is_closed());
@@ -224,9 +228,10 @@
         self.broadcast(&LeaderMessage::InstanceCount(instances));
         self.broadcast_version();
         let loads = self.loads.borrow_mut().take();
-        if !loads.is_empty() {
+        let quotas = self.take_quota_update();
+        if !loads.is_empty() || quotas.is_some() {
             self.state.receive_loads(&loads);
-            self.broadcast(&LeaderMessage::Loads { loads, streams: Vec::new() });
+            self.broadcast(&LeaderMessage::Loads { loads, streams: Vec::new(), quotas });
         }
     }
 
@@ -250,7 +255,10 @@
     pub fn handle_message(&self, from: &InstanceId, message: FollowerMessage) {
         match message {
             FollowerMessage::Hello { .. } => {}
-            FollowerMessage::Report { demand: samples, loads, streams } => {
+            FollowerMessage::Report { demand: samples, loads, streams, usage } => {
+                if let Some(usage) = usage {
+                    self.handle_usage(from, &usage);
+                }
                 self.handle_streams(from, streams);
                 let mut demand = self.demand.borrow_mut();
                 for sample in &samples {
@@ -327,6 +335,7 @@
             self.followers.borrow_mut().clear();
         }
         self.trials.borrow_mut().clear();
+        self.clear_quotas();
         if self.demand.borrow().first_report().is_some() {
             *self.demand.borrow_mut() = DemandTable::default();
             self.adapter_requests.borrow_mut().clear();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! `ProxiedRequest`, which chooses an endpoint (`placement`), takes a token if the endpoint limits its rate
 //! (`permits`), waits for a trial if its prompt is suspected of crashing endpoints (`suspicion`), sends the
 //! request over a pooled [`Connection`], and returns the response whole or, for a stream, as its events
-//! arrive. `take_up` binds a stream that a caller takes up again to the software version that began it. `buffer` limits the memory of all responses together. `convictions` keeps in the store which requests crash
+//! arrive. `quota` takes the request from the quota of its tenant. `take_up` binds a stream that a caller takes up again to the software version that began it. `buffer` limits the memory of all responses together. `convictions` keeps in the store which requests crash
 //! endpoints. `config` keeps the routes up to date, `list` the endpoints, and `election`
 //! the lease of the region's leader. `coordinator` runs on the leader: it sends orders to engines, issues
 //! tokens and sends updates to the other instances, which connect to it through `peers`. The decisions are
@@ -39,6 +39,7 @@
 mod platform;
 mod pool;
 mod proxied_request;
+mod quota;
 mod response;
 mod settings;
 mod state;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -11,6 +11,7 @@
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::Loss;
+use carobwick_core::gateway::QuotaUpdate;
 use carobwick_core::gateway::ResidentModels;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::SharedLoad;
@@ -20,6 +21,7 @@
 use carobwick_core::gateway::Ticket;
 use carobwick_core::gateway::TokenReply;
 use carobwick_core::gateway::TokenRequest;
+use carobwick_core::gateway::UsageReport;
 use carobwick_core::gateway::Weights;
 use carobwick_derive::data;
 use tokio::io::AsyncRead;
@@ -44,8 +46,14 @@
     /// The first message of a connection.
     Hello { instance: InstanceId },
     /// Demand and endpoint loads since the last report; also serves as a heartbeat. The streams that the instance has
-    /// begun do not wait for the next report; instances of the version before neither send nor read them.
-    Report { demand: Vec<DemandSample>, loads: Vec<SharedLoad>, streams: Vec<StreamOrigin> },
+    /// begun do not wait for the next report; instances of the version before neither send nor read them. Neither do they
+    /// the usage of tenants, which is there if a tenant has a quota.
+    Report {
+        demand: Vec<DemandSample>,
+        loads: Vec<SharedLoad>,
+        streams: Vec<StreamOrigin>,
+        usage: Option<UsageReport>,
+    },
     /// A request needs a model or adapter that is resident on no endpoint, or on none in the instance's zone.
     RequestWeights { service: ServiceId, weights: Weights, zone: ZoneId },
     /// The connection to an endpoint was lost while it processed a request.
@@ -83,8 +91,8 @@
     /// heartbeat.
     InstanceCount(Option<u32>),
     /// Loads that endpoints reported to other instances, and streams that others have begun, which instances of the
-    /// version before neither send nor read.
-    Loads { loads: Vec<SharedLoad>, streams: Vec<StreamOrigin> },
+    /// version before neither send nor read. Neither do they the state of the quotas, which is there if a tenant has one.
+    Loads { loads: Vec<SharedLoad>, streams: Vec<StreamOrigin>, quotas: Option<QuotaUpdate> },
     /// Models and adapters that are resident on an engine.
     EngineModels { endpoint: EndpointId, incarnation: Incarnation, resident: ResidentModels },
     /// Another instance lost the connection to an endpoint while it processed a request.
@@ -112,14 +120,19 @@
 impl FollowerMessage {
     /// Returns the message that tells the leader of streams.
     pub fn streams(streams: Vec<StreamOrigin>) -> Self {
-        Self::Report { demand: Vec::new(), loads: Vec::new(), streams }
+        Self::Report { demand: Vec::new(), loads: Vec::new(), streams, usage: None }
+    }
+
+    /// Returns the message that tells the leader of the usage of tenants.
+    pub fn usage(usage: UsageReport) -> Self {
+        Self::Report { demand: Vec::new(), loads: Vec::new(), streams: Vec::new(), usage: Some(usage) }
     }
 }
 
 impl LeaderMessage {
     /// Returns the message that tells an instance of streams.
     pub fn streams(streams: Vec<StreamOrigin>) -> Self {
-        Self::Loads { loads: Vec::new(), streams }
+        Self::Loads { loads: Vec::new(), streams, quotas: None }
     }
 }
 
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -31,6 +31,8 @@
     limited_sends: Counter<u64>,
     losses: Counter<u64>,
     denied: Counter<u64>,
+    quota_refused: Counter<u64>,
+    over_quota: Gauge<u64>,
 }
 
 /// How an instance learns that the connection to an endpoint was lost during a request.
@@ -81,6 +83,8 @@
         let limited_sends = meter.u64_counter("carobwick_limited_sends");
         let losses = meter.u64_counter("carobwick_losses");
         let denied = meter.u64_counter("carobwick_denied");
+        let quota_refused = meter.u64_counter("carobwick_quota_refused");
+        let over_quota = meter.u64_gauge("carobwick_tenants_over_quota");
         Ok(Self {
             requests: requests.with_description("Requests by route and outcome").build(),
             first_output: first_output
@@ -106,6 +110,12 @@
                 .with_description("Requests during which an endpoint was lost, own and reported by others")
                 .build(),
             denied: denied.with_description("Requests without a known key on routes that need one").build(),
+            quota_refused: quota_refused
+                .with_description("Requests refused since their tenant is over its quota")
+                .build(),
+            over_quota: over_quota
+                .with_description("Tenants over their quota, on the instance that gives orders")
+                .build(),
             metrics,
         })
     }
@@ -133,6 +143,16 @@
         self.denied.add(1, &[]);
     }
 
+    /// Counts a request that is refused since its tenant is over its quota.
+    pub fn record_over_quota(&self) {
+        self.quota_refused.add(1, &[]);
+    }
+
+    /// Sets the number of tenants over their quota.
+    pub fn set_over_quota(&self, tenants: usize) {
+        self.over_quota.record(tenants as u64, &[]);
+    }
+
     /// Counts a request during which the connection to an endpoint was lost.
     pub fn record_loss(&self, source: LossSource) {
         let source = match source {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -225,7 +225,10 @@
             state.apply_config(Arc::new(*table), "from the leader");
         }
         LeaderMessage::Trial { number, granted } => state.trial_requests.complete(number, granted),
-        LeaderMessage::Loads { loads, streams } => {
+        LeaderMessage::Loads { loads, streams, quotas } => {
+            if let Some(update) = quotas {
+                state.receive_quotas(&update);
+            }
             state.receive_loads(&loads);
             let _new = state.receive_streams(streams);
         }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -11,6 +11,7 @@
 use carobwick_core::LeaderRecord;
 use carobwick_core::LoadReport;
 use carobwick_core::Revision;
+use carobwick_core::TenantId;
 use carobwick_core::gateway::Access;
 use carobwick_core::gateway::Conviction;
 use carobwick_core::gateway::EndpointChange;
@@ -27,6 +28,7 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
+use indexmap::IndexMap;
 
 use crate::Result;
 
@@ -204,6 +206,23 @@
     /// Fails if the outcome is unknown.
     fn add_conviction(&self, conviction: Conviction) -> LocalBoxFuture<'_, Result<()>>;
 
+    /// Reads the fractions of tenants' requests that were admitted when they were written last; empty if none were.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not respond.
+    fn quota_fractions(&self) -> LocalBoxFuture<'_, Result<IndexMap<TenantId, f64>>>;
+
+    /// Writes the fractions of tenants over their quota.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the outcome is unknown, or if another instance has written at the same time.
+    fn write_quota_fractions<'a>(
+        &'a self,
+        fractions: &'a IndexMap<TenantId, f64>,
+    ) -> LocalBoxFuture<'a, Result<()>>;
+
     /// Creates a lease and returns its id.
     ///
     /// # Errors
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -44,6 +44,7 @@
 use crate::placement::Unplaced;
 use crate::platform::ResponseKind;
 use crate::pool::Purpose;
+use crate::quota::QuotaUse;
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
 use crate::response::strip_hop_by_hop;
@@ -89,6 +90,8 @@
     pub suspects: Vec<Suspect>,
     /// Right to make the next attempt although these parts are suspected of crashing endpoints.
     pub trial: Option<Trial>,
+    /// Units taken from the quota of the tenant, if it has one.
+    pub quota: Option<QuotaUse>,
 }
 
 impl ProxiedRequest {
@@ -175,6 +178,7 @@
     /// Decides what follows a failed attempt; a retry is taken from the budget.
     pub fn on_failure(&mut self, failure: SendFailure, choice: &Choice) -> RetryStep {
         self.progress.count(failure);
+        self.set_run(self.progress.runs > 0);
         self.tried.push(choice.id.clone());
         let step = next_step(&self.route, failure, self.progress);
         let is_retry = self.progress.sends > 0;
@@ -253,6 +257,7 @@
         let request = self.build_request(&attempt.choice, remaining, last_event);
         let Some(connection) = attempt.connection.as_mut() else { return Err(SendFailure::Unsent) };
         self.is_sent = true;
+        self.set_run(true);
         match tokio::time::timeout(remaining, connection.send(request)).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(SendError::Unsent(_))) => Err(SendFailure::Unsent),
@@ -278,6 +283,13 @@
         }
     }
 
+    /// Sets whether an endpoint may have run the request, so that its units are not refunded.
+    fn set_run(&mut self, is_run: bool) {
+        if let Some(quota) = &mut self.quota {
+            quota.is_run = is_run;
+        }
+    }
+
     /// Returns the priority of the request; 0 is the highest.
     pub fn priority(&self) -> u8 {
         match &self.access {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use carobwick_core::InstanceId;
 use carobwick_core::ZoneId;
 use carobwick_core::gateway::InstanceSize;
+use carobwick_core::gateway::QuotaTerms;
 use carobwick_core::gateway::RetryTerms;
 use carobwick_derive::data;
 
@@ -45,4 +46,6 @@
     pub handover: Duration,
     /// Limits of the retry budget.
     pub retry: RetryTerms,
+    /// Limits of tenants' usage beyond their quotas.
+    pub quota: QuotaTerms,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,6 +15,7 @@
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::EndpointNotice;
 use carobwick_core::gateway::EndpointTable;
+use carobwick_core::gateway::QuotaMeter;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RetryBudget;
 use carobwick_core::gateway::RouteTable;
@@ -90,6 +91,8 @@
     pub streams: RefCell<StreamTable>,
     /// Notifies requests that wait for the version that began a stream.
     pub streams_changed: Notify,
+    /// Usage of tenants with a quota.
+    pub quotas: RefCell<QuotaMeter>,
     leader_sender: RefCell<Option<mpsc::UnboundedSender<FollowerMessage>>>,
     /// Age of the configuration in force, by which it is decided when to read it again.
     pub freshness: RefCell<ConfigFreshness>,
@@ -147,6 +150,7 @@
             suspects_changed: Notify::new(),
             streams: RefCell::default(),
             streams_changed: Notify::new(),
+            quotas: RefCell::default(),
             leader_sender: RefCell::default(),
             leader_version: Cell::default(),
             leader_version_changed: Notify::new(),
@@ -209,7 +213,7 @@
         sample.work += head.work();
     }
 
-    /// Returns the demand and the endpoint loads since the last call as a report to the leader. Forgets the streams whose
+    /// Returns the demand, the endpoint loads and the usage of tenants since the last call as a report to the leader. Forgets the streams whose
     /// callers have given up.
     pub fn take_report(&self) -> FollowerMessage {
         self.streams.borrow_mut().remove_expired(now());
@@ -218,6 +222,7 @@
             demand,
             loads: self.balancer.borrow_mut().take_loads(),
             streams: Vec::new(),
+            usage: self.take_usage(),
         }
     }
 
@@ -233,6 +238,7 @@
     /// Sets the channel for messages to the leader, or none without a connection to it.
     pub fn set_leader_sender(&self, sender: Option<mpsc::UnboundedSender<FollowerMessage>>) {
         *self.leader_sender.borrow_mut() = sender;
+        self.quotas.borrow_mut().discard_unreported(now());
         self.is_settled.set(false);
         self.token_requests.clear();
         self.trial_requests.clear();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -336,6 +336,8 @@
             permit: None,
             suspects: self.suspects.clone(),
             trial: None,
+            // The first endpoint may have run the request, so nothing is refunded.
+            quota: None,
         }
     }
 }
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -8,11 +8,13 @@
 use carobwick_core::Era;
 use carobwick_core::LeaderRecord;
 use carobwick_core::Revision;
+use carobwick_core::TenantId;
 use carobwick_core::WriteId;
 use carobwick_core::gateway::Conviction;
 use carobwick_core::gateway::EndpointChange;
 use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::InstanceSize;
+use carobwick_core::gateway::QuotaTerms;
 use carobwick_core::gateway::RetryTerms;
 use carobwick_core::gateway::RouteTable;
 use carobwick_gateway::ClaimOutcome;
@@ -27,6 +29,7 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::future::pending;
 use futures_util::future::ready;
+use indexmap::IndexMap;
 use tokio::task::LocalSet;
 
 /// Longest time that a test waits for a change.
@@ -88,6 +91,17 @@
         ready(Ok(())).boxed_local()
     }
 
+    fn quota_fractions(&self) -> LocalBoxFuture<'_, Result<IndexMap<TenantId, f64>>> {
+        ready(Ok(IndexMap::new())).boxed_local()
+    }
+
+    fn write_quota_fractions<'a>(
+        &'a self,
+        _fractions: &'a IndexMap<TenantId, f64>,
+    ) -> LocalBoxFuture<'a, Result<()>> {
+        ready(Ok(())).boxed_local()
+    }
+
     fn grant(&self, _ttl: Duration) -> LocalBoxFuture<'_, Result<u64>> {
         ready(Ok(1)).boxed_local()
     }
@@ -118,6 +132,7 @@
             apply: Duration::from_secs(2),
             handover: Duration::from_secs(3),
             retry: RetryTerms { ratio: 0.2, window: Duration::from_secs(10), slack: 50.0 },
+            quota: QuotaTerms { window: Duration::from_secs(8), overshoot: 0.0, slack: 0.0 },
         },
     }
 }
--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -18,6 +18,7 @@
 use carobwick_core::InstanceId;
 use carobwick_core::Millis;
 use carobwick_core::Revision;
+use carobwick_core::TenantId;
 use carobwick_core::Version;
 use carobwick_core::gateway::CallerLimits;
 use carobwick_core::gateway::Conviction;
@@ -27,6 +28,7 @@
 use carobwick_core::gateway::EngineOrder;
 use carobwick_core::gateway::InstanceSize;
 use carobwick_core::gateway::OrderReply;
+use carobwick_core::gateway::QuotaTerms;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RetryTerms;
 use carobwick_core::gateway::RouteTable;
@@ -137,6 +139,17 @@
         ready(Ok(())).boxed_local()
     }
 
+    fn quota_fractions(&self) -> LocalBoxFuture<'_, Result<IndexMap<TenantId, f64>>> {
+        ready(Ok(IndexMap::new())).boxed_local()
+    }
+
+    fn write_quota_fractions<'a>(
+        &'a self,
+        _fractions: &'a IndexMap<TenantId, f64>,
+    ) -> LocalBoxFuture<'a, Result<()>> {
+        ready(Ok(())).boxed_local()
+    }
+
     fn grant(&self, _ttl: Duration) -> LocalBoxFuture<'_, Result<u64>> {
         if self.can_lead { ready(Ok(1)).boxed_local() } else { pending().boxed_local() }
     }
@@ -223,6 +236,7 @@
             apply: APPLY_TIME,
             handover: Duration::from_secs(3),
             retry: RetryTerms { ratio: 0.2, window: Duration::from_secs(10), slack: 50.0 },
+            quota: QuotaTerms { window: Duration::from_secs(8), overshoot: 0.0, slack: 0.0 },
         },
     }
 }
