--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -54,6 +54,7 @@
 use crate::listener;
 use crate::meters::ShedCause;
 use crate::proxied_request::ProxiedRequest;
+use crate::quota::QuotaUse;
 use crate::response::LocalResponse;
 use crate::response::ResponseBody;
 use crate::state::State;
@@ -204,11 +205,12 @@
     route: Arc<ServiceRoute>,
     access: Access,
     head: RequestHead,
+    quota: Option<QuotaUse>,
 }
 
 /// Checks the head of a request, or returns the response that rejects it. What the head alone can decide is decided before
 /// the body takes any memory.
-fn check_head(state: &State, parts: &Parts, length: Option<u64>) -> Result<CheckedHead, LocalResponse> {
+fn check_head(state: &Rc<State>, parts: &Parts, length: Option<u64>) -> Result<CheckedHead, LocalResponse> {
     let table = state.route_table.borrow().clone();
     let table = table.ok_or_else(|| unavailable("no configuration yet").retry_after(RETRY_AFTER))?;
     if state.refusing.is_cancelled() {
@@ -229,7 +231,8 @@
         state.meters.record_shed(ShedCause::TooLong);
         return Err(LocalResponse::TOO_LONG);
     }
-    Ok(CheckedHead { table, route, access, head })
+    let quota = state.take_quota(&access, &head)?;
+    Ok(CheckedHead { table, route, access, head, quota })
 }
 
 /// Rejects a request by its head. Its body is read and dropped for a short time: closing the connection with unread bytes
@@ -273,7 +276,7 @@
     mut body: Incoming,
     arrived: Time,
 ) -> Result<ProxiedRequest, LocalResponse> {
-    let CheckedHead { table, route, access, head } = checked;
+    let CheckedHead { table, route, access, head, quota } = checked;
     let share = state.buffers.open_share(MemoryUse::Receiving);
     if let Err(local) = read_body(state, &mut body, &table.limits, &share).await {
         return Err(reject_head(local, body, inspector.clone()).await);
@@ -323,6 +326,7 @@
         permit: None,
         suspects,
         trial: None,
+        quota,
     })
 }
 
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -1,3 +1,4 @@
+mod quotas;
 mod streams;
 mod tokens;
 mod trials;
@@ -38,6 +39,7 @@
 
 use crate::Connection;
 use crate::Error;
+use crate::coordinator::quotas::TermLedger;
 use crate::coordinator::tokens::TermIssuer;
 use crate::election::Election;
 use crate::message::FollowerMessage;
@@ -87,6 +89,7 @@
     new_streams: RefCell<Vec<StreamOrigin>>,
     /// Notifies the task that tells them.
     streams_changed: Notify,
+    ledger: RefCell<TermLedger>,
 }
 
 impl Coordinator {
@@ -107,6 +110,7 @@
             trials: RefCell::default(),
             new_streams: RefCell::default(),
             streams_changed: Notify::new(),
+            ledger: RefCell::default(),
         }
     }
 
@@ -211,8 +215,8 @@
         }
     }
 
-    /// Broadcasts the number of instances, the version of the configuration and the loads reported since the
-    /// last heartbeat.
+    /// Broadcasts the number of instances, the version of the configuration, the state of the quotas and the loads reported
+    /// since the last heartbeat.
     pub fn send_heartbeat(&self) {
         let mut followers = self.followers.borrow_mut();
         followers.retain(|_, sender| !sender.is_closed());
@@ -225,10 +229,11 @@
         self.broadcast(&LeaderMessage::InstanceCount(instances));
         self.broadcast_version();
         let shared = self.loads.borrow_mut().take();
-        if !shared.loads.is_empty() {
+        let quotas = self.take_quota_update();
+        if !shared.loads.is_empty() || quotas.is_some() {
             self.state.receive_loads(&shared);
             let SharedLoads { loads, paces } = shared;
-            self.broadcast(&LeaderMessage::Loads { loads, streams: Vec::new(), paces });
+            self.broadcast(&LeaderMessage::Loads { loads, streams: Vec::new(), paces, quotas });
         }
     }
 
@@ -252,7 +257,10 @@
     pub fn handle_message(&self, from: &InstanceId, message: FollowerMessage) {
         match message {
             FollowerMessage::Hello { .. } => {}
-            FollowerMessage::Report { demand: samples, loads, streams, paces } => {
+            FollowerMessage::Report { demand: samples, loads, streams, paces, usage } => {
+                if let Some(usage) = usage {
+                    self.handle_usage(from, &usage);
+                }
                 self.handle_streams(from, streams);
                 let mut demand = self.demand.borrow_mut();
                 for sample in &samples {
@@ -326,6 +334,7 @@
             self.followers.borrow_mut().clear();
         }
         self.trials.borrow_mut().clear();
+        self.clear_quotas();
         if self.demand.borrow().first_report().is_some() {
             *self.demand.borrow_mut() = DemandTable::default();
             self.adapter_requests.borrow_mut().clear();
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -39,6 +39,8 @@
     shed: Counter<u64>,
     buffer_bytes: Gauge<u64>,
     connections: Gauge<u64>,
+    quota_refused: Counter<u64>,
+    over_quota: Gauge<u64>,
 }
 
 /// How an instance learns that the connection to an endpoint was lost during a request.
@@ -106,6 +108,8 @@
         let shed = meter.u64_counter("carobwick_shed");
         let buffer_bytes = meter.u64_gauge("carobwick_buffer_bytes");
         let connections = meter.u64_gauge("carobwick_caller_connections");
+        let quota_refused = meter.u64_counter("carobwick_quota_refused");
+        let over_quota = meter.u64_gauge("carobwick_tenants_over_quota");
         Ok(Self {
             requests: requests.with_description("Requests by route and outcome").build(),
             first_output: first_output
@@ -138,6 +142,12 @@
             shed: shed.with_description("Requests refused and connections closed, by cause").build(),
             buffer_bytes: buffer_bytes.with_description("Memory of callers' requests and responses").build(),
             connections: connections.with_description("Connections of callers").build(),
+            quota_refused: quota_refused
+                .with_description("Requests refused since their tenant is over its quota")
+                .build(),
+            over_quota: over_quota
+                .with_description("Tenants over their quota, on the instance that gives orders")
+                .build(),
             metrics,
         })
     }
@@ -182,6 +192,16 @@
         self.connections.record(connections as u64, &[]);
     }
 
+    /// Counts a request that is refused since its tenant is over its quota.
+    pub fn record_over_quota(&self) {
+        self.quota_refused.add(1, &[]);
+    }
+
+    /// Sets the number of tenants over their quota.
+    pub fn set_over_quota(&self, tenants: usize) {
+        self.over_quota.record(tenants as u64, &[]);
+    }
+
     /// Counts a request during which the connection to an endpoint was lost.
     pub fn record_loss(&self, source: LossSource) {
         let source = match source {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,6 +15,7 @@
 use carobwick_core::gateway::DemandSample;
 use carobwick_core::gateway::EndpointNotice;
 use carobwick_core::gateway::EndpointTable;
+use carobwick_core::gateway::QuotaMeter;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RetryBudget;
 use carobwick_core::gateway::RouteTable;
@@ -93,6 +94,8 @@
     pub streams: RefCell<StreamTable>,
     /// Notifies requests that wait for the version that began a stream.
     pub streams_changed: Notify,
+    /// Usage of tenants with a quota.
+    pub quotas: RefCell<QuotaMeter>,
     leader_sender: RefCell<Option<mpsc::UnboundedSender<FollowerMessage>>>,
     /// Age of the configuration in force, by which it is decided when to read it again.
     pub freshness: RefCell<ConfigFreshness>,
@@ -152,6 +155,7 @@
             suspects_changed: Notify::new(),
             streams: RefCell::default(),
             streams_changed: Notify::new(),
+            quotas: RefCell::default(),
             leader_sender: RefCell::default(),
             leader_version: Cell::default(),
             leader_version_changed: Notify::new(),
@@ -214,13 +218,13 @@
         sample.work += head.work();
     }
 
-    /// Returns the demand and the endpoint loads since the last call as a report to the leader. Forgets the streams whose
+    /// Returns the demand, the endpoint loads and the usage of tenants since the last call as a report to the leader. Forgets the streams whose
     /// callers have given up.
     pub fn take_report(&self) -> FollowerMessage {
         self.streams.borrow_mut().remove_expired(now());
         let demand = std::mem::take(&mut *self.demand.borrow_mut()).into_values().collect();
         let SharedLoads { loads, paces } = self.balancer.borrow_mut().take_loads();
-        FollowerMessage::Report { demand, loads, streams: Vec::new(), paces }
+        FollowerMessage::Report { demand, loads, streams: Vec::new(), paces, usage: self.take_usage() }
     }
 
     /// Applies loads that endpoints reported to other instances.
@@ -235,6 +239,7 @@
     /// Sets the channel for messages to the leader, or none without a connection to it.
     pub fn set_leader_sender(&self, sender: Option<mpsc::UnboundedSender<FollowerMessage>>) {
         *self.leader_sender.borrow_mut() = sender;
+        self.quotas.borrow_mut().discard_unreported(now());
         self.is_settled.set(false);
         self.token_requests.clear();
         self.trial_requests.clear();
