Rename the id of a caller's connection to ConnectionId

Callers see: no change. A reader met two types named CallerId: that of crates/core/src/ids.rs names a caller, that of connection_limit.rs numbered one connection of a caller. The latter is now ConnectionId. It is neither on the wire nor stored.

--- a/crates/core/src/gateway/connection_limit.rs
+++ b/crates/core/src/gateway/connection_limit.rs
@@ -13,25 +13,25 @@
     limit: usize,
     next_id: u64,
     /// Time since which each connection has no request, or none while it has one.
-    connections: IndexMap<CallerId, Option<Time>>,
+    connections: IndexMap<ConnectionId, Option<Time>>,
 }
 
 /// Id of a caller's connection.
 #[key]
 #[derive(Copy)]
-pub struct CallerId(u64);
+pub struct ConnectionId(u64);
 
 /// Decision on a new connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
     /// The connection is accepted.
-    Accepted(CallerId),
+    Accepted(ConnectionId),
     /// The connection is accepted in place of another one, which must be closed.
     Replaced {
         /// Id of the new connection.
-        accepted: CallerId,
+        accepted: ConnectionId,
         /// Id of the connection to close.
-        closed: CallerId,
+        closed: ConnectionId,
     },
     /// All connections have requests.
     Refused,
@@ -55,26 +55,26 @@
     }
 
     /// Accepts a connection above the limit in place of one that is about to close, unless too many still are.
-    pub fn admit_beyond(&mut self, now: Time) -> Option<CallerId> {
+    pub fn admit_beyond(&mut self, now: Time) -> Option<ConnectionId> {
         (self.connections.len() < self.limit + self.limit / 4).then(|| self.insert(now))
     }
 
     /// Records that a request has begun on a connection.
-    pub fn record_request(&mut self, id: CallerId) {
+    pub fn record_request(&mut self, id: ConnectionId) {
         if let Some(since) = self.connections.get_mut(&id) {
             *since = None;
         }
     }
 
     /// Records that a request on a connection has ended.
-    pub fn record_idle(&mut self, id: CallerId, now: Time) {
+    pub fn record_idle(&mut self, id: ConnectionId, now: Time) {
         if let Some(since) = self.connections.get_mut(&id) {
             *since = Some(now);
         }
     }
 
     /// Removes a connection that is closed.
-    pub fn remove(&mut self, id: CallerId) {
+    pub fn remove(&mut self, id: ConnectionId) {
         self.connections.swap_remove(&id);
     }
 
@@ -83,8 +83,8 @@
         self.connections.len()
     }
 
-    fn insert(&mut self, now: Time) -> CallerId {
-        let id = CallerId(self.next_id);
+    fn insert(&mut self, now: Time) -> ConnectionId {
+        let id = ConnectionId(self.next_id);
         self.next_id += 1;
         self.connections.insert(id, Some(now));
         id
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -59,7 +59,7 @@
 pub use candidacy::Candidacy;
 pub use candidacy::InstanceSize;
 pub use connection_limit::Admission;
-pub use connection_limit::CallerId;
+pub use connection_limit::ConnectionId;
 pub use connection_limit::ConnectionLimit;
 pub use copies::wanted_copies;
 pub use demand::DemandSample;
--- a/crates/core/tests/connection_limit.rs
+++ b/crates/core/tests/connection_limit.rs
@@ -4,14 +4,14 @@
 
 use carobwick_core::Time;
 use carobwick_core::gateway::Admission;
-use carobwick_core::gateway::CallerId;
+use carobwick_core::gateway::ConnectionId;
 use carobwick_core::gateway::ConnectionLimit;
 
 fn at(millis: u64) -> Time {
     Time::ZERO + Duration::from_millis(millis)
 }
 
-fn accept(limit: &mut ConnectionLimit, millis: u64) -> CallerId {
+fn accept(limit: &mut ConnectionLimit, millis: u64) -> ConnectionId {
     match limit.admit(at(millis)) {
         Admission::Accepted(id) => id,
         other => panic!("{other:?}"),
--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -5,7 +5,7 @@
 
 use carobwick_core::Time;
 use carobwick_core::gateway::Admission;
-use carobwick_core::gateway::CallerId;
+use carobwick_core::gateway::ConnectionId;
 use carobwick_core::gateway::ConnectionLimit;
 use carobwick_core::gateway::MemoryUse;
 use carobwick_runtime::now;
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 pub(crate) struct CallerConnections {
     limit: RefCell<ConnectionLimit>,
-    closing: RefCell<IndexMap<CallerId, CancellationToken>>,
+    closing: RefCell<IndexMap<ConnectionId, CancellationToken>>,
     buffers: Rc<BufferBudget>,
     /// Connections that were closed or refused since the last log line about them.
     unlogged: Cell<u64>,
@@ -43,7 +43,7 @@
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
     connections: Rc<CallerConnections>,
-    id: CallerId,
+    id: ConnectionId,
     /// Cancelled when the connection must be closed.
     pub closing: CancellationToken,
     _share: BufferShare,
@@ -104,7 +104,7 @@
         self.limit.borrow().open()
     }
 
-    fn open_connection(self: &Rc<Self>, id: CallerId) -> CallerConnection {
+    fn open_connection(self: &Rc<Self>, id: ConnectionId) -> CallerConnection {
         let closing = CancellationToken::new();
         self.closing.borrow_mut().insert(id, closing.clone());
         let share = self.buffers.open_share(MemoryUse::Running);
