Move the intake of a request out of the module of callers' connections

Callers see: no change. callers.rs had two jobs, connections and the checks of a request's head and body, so that a reader had to skip between them and their constants. request_intake.rs has check_head, read_request, reject_head and what they call. The functions and constants are moved as they were; those that callers.rs uses are now visible in the crate.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod pool;
 mod proxied_request;
 mod quota;
+mod request_intake;
 mod response;
 mod settings;
 mod state;
