--- a/crates/core/src/gateway/balance.rs
+++ b/crates/core/src/gateway/balance.rs
@@ -65,8 +65,8 @@
     pub zone: ZoneId,
     /// Version of its software, if known.
     pub version: Option<SoftwareVersion>,
-    /// Estimated cost, in prefill tokens for model engines and as a fraction of the slots for plain services; for the latter
-    /// in usual service times if the pace of some candidate is known.
+    /// Estimated cost: in prefill tokens for model engines, and as a fraction of the slots for plain services, or in usual
+    /// service times if the pace of some candidate is known.
     pub cost: f64,
 }
 
@@ -217,7 +217,8 @@
         stats.rejection = Some(Rejection::new(stats.rejection, pause, now));
     }
 
-    /// Returns whether an endpoint has named the pace of its machine, so that the work that requests need is weighed there.
+    /// Returns whether an endpoint has named the pace of its machine. Requests then wait there by the work that they need
+    /// too, not by their priority alone.
     pub fn names_pace(&self, choice: &Choice, now: Time) -> bool {
         let stats = self.endpoints.get(&choice.id).filter(|stats| stats.incarnation == choice.incarnation);
         stats.is_some_and(|stats| stats.pace.ratio(now).is_some())
--- a/crates/core/src/gateway/connection_limit.rs
+++ b/crates/core/src/gateway/connection_limit.rs
@@ -3,6 +3,10 @@
 
 use crate::Time;
 
+/// Part of the limit, one in so many, by which connections that are about to close may exceed it. Without a bound, callers
+/// whose connections close slowly could use up the descriptors.
+const EXCESS_DIVISOR: usize = 4;
+
 /// Limits the connections of callers, and decides which one is closed for a new one.
 ///
 /// It is meant for callers that open many connections without a request on them. The one that has been without a request
@@ -56,7 +60,7 @@
 
     /// Accepts a connection above the limit in place of one that is about to close, unless too many still are.
     pub fn admit_beyond(&mut self, now: Time) -> Option<ConnectionId> {
-        (self.connections.len() < self.limit + self.limit / 4).then(|| self.insert(now))
+        (self.connections.len() < self.limit + self.limit / EXCESS_DIVISOR).then(|| self.insert(now))
     }
 
     /// Records that a request has begun on a connection.
--- a/crates/core/src/gateway/memory_budget.rs
+++ b/crates/core/src/gateway/memory_budget.rs
@@ -10,12 +10,16 @@
 const STALL_TIME: Duration = Duration::from_secs(1);
 /// Bytes that an account must receive or send for progress. Otherwise a byte a second would keep any amount of memory.
 const PROGRESS_BYTES: usize = 4 << 10;
-/// Size of an account above which only a part of the budget may be used, so that large bodies leave room for small ones.
+/// Size of an account above which only [`LARGE_QUARTERS`] of the budget may be used, so that large bodies leave room for
+/// small ones.
 const LARGE_BYTES: usize = 64 << 10;
+/// Quarters of the budget that all accounts together may use when a large one grows.
+const LARGE_QUARTERS: usize = 3;
 /// Size up to which a request that runs is never refused memory, so that large responses do not displace small ones.
 const SMALL_BYTES: usize = 32 << 10;
 
-/// Divides the memory of an instance among the requests of its callers, and decides which of them are shed when it is used up.
+/// Divides the memory of an instance among the requests of its callers, and decides which of them are shed when it is
+/// used up.
 ///
 /// It is meant for callers that send many large bodies or do not read their responses. A request that receives its body has
 /// not been executed and can be refused, and a caller that does not read its response keeps only its own memory; a
@@ -54,7 +58,7 @@
 pub enum Resize {
     /// The account has the size.
     Granted,
-    /// The account that is to be shed first; it is closed, and the change must be tried again unless it is the same account.
+    /// The account that is shed, which has been closed. The change must be tried again, unless it is the account itself.
     Shed(AccountId),
     /// There is no account to shed.
     Refused,
@@ -118,16 +122,17 @@
 
     /// Sets the size of an account, if need be by shedding another one or the account itself.
     pub fn resize(&mut self, id: AccountId, bytes: usize, now: Time) -> Resize {
+        // An account that is gone has been shed for another one.
         let Some(account) = self.accounts.get(&id) else { return Resize::Shed(id) };
-        let is_small = account.purpose == MemoryUse::Running && bytes <= SMALL_BYTES;
+        let is_always_granted = account.purpose == MemoryUse::Running && bytes <= SMALL_BYTES;
         let is_growth = bytes > account.bytes;
-        let limit = if bytes > LARGE_BYTES { self.limit / 4 * 3 } else { self.limit };
+        let limit = if bytes > LARGE_BYTES { self.limit / 4 * LARGE_QUARTERS } else { self.limit };
         if is_growth && self.used - account.bytes + bytes > limit {
             if let Some(victim) = self.victim(id, now) {
                 self.close(victim);
                 return Resize::Shed(victim);
             }
-            if !is_small {
+            if !is_always_granted {
                 return Resize::Refused;
             }
         }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -1,7 +1,8 @@
 //! Decisions of an instance that routes requests to plain services and model engines.
 //!
-//! A [`RouteTable`] maps a request to a service, and its [`AccessTable`] a key to a tenant with its [`Quota`]; an [`EndpointTable`] holds the known endpoints, and a
-//! [`Balancer`] chooses the endpoint that runs the request. [`next_step`] decides what follows a failed send,
+//! A [`RouteTable`] maps a request to a service, and its [`AccessTable`] a key to a tenant with its [`Quota`]. An
+//! [`EndpointTable`] holds the known endpoints, and a [`Balancer`] chooses the one that runs the request, by predicted
+//! time where the [`Pace`] of an endpoint's machine is known. [`next_step`] decides what follows a failed send,
 //! and a [`RetryBudget`] bounds the number of retries. The leader of the region sends orders to engines,
 //! which a [`ModelPlacer`] and [`plan_adapter`] derive from its [`EngineRegistry`]. A [`ListCursor`] decides
 //! when an instance reads the list of endpoints from the store itself, and [`ConfigFreshness`] how long it
--- a/crates/core/src/gateway/pace.rs
+++ b/crates/core/src/gateway/pace.rs
@@ -46,15 +46,19 @@
 /// was made; the older it is, the more the estimate returns to the lasting pace.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PaceEstimate {
-    /// Average of the figures as a ratio to the usual time, and the last figure; none without a figure.
+    /// None until the endpoint has named a figure.
     known: Option<KnownPace>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct KnownPace {
+    /// Average of the figures, as a ratio to the usual time.
     lasting: f64,
+    /// Number of figures in the average, up to [`MAX_SAMPLES`].
     samples: f64,
+    /// Time of the last figure that entered the average.
     sampled_at: Time,
+    /// Last figure.
     figure: Pace,
     figure_at: Time,
 }
--- a/crates/core/src/gateway/suspects.rs
+++ b/crates/core/src/gateway/suspects.rs
@@ -26,8 +26,8 @@
 const RECORD_LIFETIME: Duration = Duration::from_mins(10);
 /// Time within which losses of several endpoints count as one failure, such as that of a network or a zone.
 const COMMON_FAILURE_TIME: Duration = Duration::from_secs(1);
-/// Number of other endpoints that are lost in that time from which on a trial says nothing: its request was lost for the
-/// same reason.
+/// Number of other endpoints lost within [`COMMON_FAILURE_TIME`] at which the loss of a trial is no evidence: its request
+/// is taken to be lost for the same reason.
 const COMMON_FAILURE_THRESHOLD: usize = 2;
 /// Most suspects that are kept, since callers choose the parts of their prompts.
 const MAX_SUSPECTS: usize = 4_096;
--- a/crates/core/src/gateway/table.rs
+++ b/crates/core/src/gateway/table.rs
@@ -16,7 +16,7 @@
 use crate::gateway::AccessTable;
 
 /// Number of priorities that engines tell apart.
-const PRIORITY_LEVELS: usize = 10;
+pub(super) const PRIORITY_LEVELS: usize = 10;
 
 /// Routes, services and limits of one version of the configuration.
 #[data]
@@ -182,6 +182,7 @@
         let level =
             rank(&tenants, own.unwrap_or(route.priority)) * routes.len() + rank(&routes, route.priority);
         let levels = (tenants.len() + 1) * routes.len();
+        // Scaled only if there are more levels than engines tell apart.
         (level * PRIORITY_LEVELS / levels.max(PRIORITY_LEVELS)) as u8
     }
 
--- a/crates/core/src/gateway/tenants.rs
+++ b/crates/core/src/gateway/tenants.rs
@@ -123,7 +123,7 @@
         Self { public_routes, ..Self::default() }
     }
 
-    /// Adds a tenant with its keys.
+    /// Adds a tenant with its keys. After a failure the table may hold a part of them and must not be used.
     ///
     /// # Errors
     ///
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -6,7 +6,7 @@
 /// Half-life of the estimate of other entries' requests while no new report arrives.
 const REPORT_HALF_LIFE: Duration = Duration::from_secs(5);
 
-/// Half-life of it where costs are compared by time. An endpoint that gets no requests reports nothing either; with 5 s,
+/// Half-life of the same estimate where costs are compared by time. An endpoint that gets no requests reports nothing either; with 5 s,
 /// engines that had been busy stayed idle for up to 7% of a run while others queued, and with 1 s for up to 1.2%.
 const TIMED_HALF_LIFE: Duration = Duration::from_secs(2);
 
--- a/crates/core/tests/engine_order.rs
+++ b/crates/core/tests/engine_order.rs
@@ -8,8 +8,9 @@
 
 /// Prompt tokens that the engine reads in a millisecond.
 const TOKENS_PER_MS: f64 = 38.0;
-/// Time after which callers leave a request whose response has not begun.
-const PATIENCE_MS: f64 = 3_200.0;
+/// Time after which callers abandon a request whose response has not begun.
+const ABANDON_TIME_MS: f64 = 3_200.0;
+/// Length of a run, in virtual time.
 const LENGTH_MS: f64 = 300_000.0;
 
 #[derive(Debug, Clone, Copy)]
@@ -20,7 +21,8 @@
     tokens: u64,
 }
 
-/// Kind of requests: most tokens of a prompt, target latency, worth in time.
+/// Kinds of requests, the more urgent first: most tokens of a prompt, target latency in milliseconds, and worth of a
+/// response within it.
 const KINDS: [(f64, f64, f64); 2] = [(1_500.0, 500.0, 0.94), (18_000.0, 800.0, 2.3)];
 
 /// Counts of a kind of requests.
@@ -34,9 +36,9 @@
     large_served: f64,
 }
 
-/// Plays one engine that reads one prompt after the other, in the order that `priority` gives; `load` is the demand relative to
-/// what it can read, half of the requests of each kind.
-fn play(load: f64, priority: impl Fn(&Request) -> u8) -> [Counts; 2] {
+/// Simulates one engine that reads one prompt after the other, in the order that `priority` gives. `load` is the demand
+/// relative to what it can read; half of the requests are of each kind.
+fn simulate(load: f64, priority: impl Fn(&Request) -> u8) -> [Counts; 2] {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     let mean_tokens = KINDS.iter().map(|(most, ..)| most / 2.0).sum::<f64>() / 2.0;
     let mean_gap = mean_tokens / TOKENS_PER_MS / load;
@@ -52,7 +54,7 @@
             counts[kind].large += f64::from(u8::from(is_large(kind, tokens)));
             next += -mean_gap * (1.0 - rng.random::<f64>()).ln();
         }
-        waiting.retain(|request| now - request.arrived < PATIENCE_MS);
+        waiting.retain(|request| now - request.arrived < ABANDON_TIME_MS);
         let Some(first) = (0..waiting.len()).min_by(|a, b| {
             let key = |index: &usize| (priority(&waiting[*index]), waiting[*index].arrived);
             key(a).partial_cmp(&key(b)).unwrap()
@@ -81,15 +83,15 @@
     sum(|counts| counts.in_time) / sum(|counts| counts.asked)
 }
 
-/// Guards against an order that makes more callers wait than needed, against a more urgent kind that is served less than a less
-/// urgent one, and against long prompts that are never read.
+/// Guards against an order that makes more callers wait than needed, against a more urgent kind that is served less than
+/// a less urgent one, and against long prompts that are never read.
 #[test_case(0.7)]
 #[test_case(0.9)]
 #[test_case(1.1)]
 fn short_prompts_go_before_long_ones_and_none_is_left_out(load: f64) {
-    let by_arrival = play(load, |_| 5);
-    let by_route = play(load, |request| request.kind as u8);
-    let by_cost = play(load, |request| engine_priority(request.kind as u8, request.tokens));
+    let by_arrival = simulate(load, |_| 5);
+    let by_route = simulate(load, |request| request.kind as u8);
+    let by_cost = simulate(load, |request| engine_priority(request.kind as u8, request.tokens));
     let shares = |counts: &[Counts; 2]| counts.map(|counts| counts.in_time / counts.asked);
     println!(
         "load {load}: worth in time {:.2} by arrival, {:.2} by route, {:.2} by cost; by kind {:.2?}, {:.2?}, {:.2?}",
--- a/crates/core/tests/quota_fleet.rs
+++ b/crates/core/tests/quota_fleet.rs
@@ -37,13 +37,17 @@
 const NORMAL: f64 = 1.0 / 1.8;
 /// What the hot tenants ask for, in parts of their rate: five times the normal usage, and up to six times the quota.
 const JUMPS: [f64; 3] = [5.0 * NORMAL, 4.0, 6.0];
+/// Step of the virtual time.
 const STEP: Duration = Duration::from_millis(5);
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 const MIN_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time until a lost leader is replaced, and an instance notices that it is frozen or out of reach.
 const ELECTION_TIME: Duration = Duration::from_secs(4);
+/// Time at which the hot tenants begin to ask for more than their quota.
 const JUMP: Time = Time(10_000_000);
+/// Time of the fault.
 const FAULT: Time = Time(20_000_000);
+/// End of a run.
 const RUN_TIME: Time = Time(45_000_000);
 
 /// What happens at [`FAULT`].
@@ -484,7 +488,8 @@
                 sum -= tenant.used[first].1;
                 first += 1;
             }
-            // A lowered quota is in force one window after its configuration is in force everywhere.
+            // The lowered quota binds a window that begins at least one window after the partition has ended and the
+            // configuration is in force everywhere.
             let in_force = FAULT + Duration::from_secs(10) + TERMS.window * 2;
             let rate = if is_lowered && *at >= in_force { rate / 2.0 } else { rate };
             most = most.max(sum / bound(rate));
--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -1,11 +1,8 @@
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use carobwick_core::Time;
 use carobwick_core::gateway::AccountId;
 use carobwick_core::gateway::MemoryBudget;
 use carobwick_core::gateway::MemoryUse;
@@ -19,12 +16,11 @@
 use crate::Category;
 use crate::Error;
 use crate::Result;
+use crate::log_throttle::LogThrottle;
 
 /// Fraction of an instance's memory that bodies, responses and connections may use together. The rest is for the program,
 /// the connections to endpoints, and what the allocator can't reuse.
 const MEMORY_FRACTION: f64 = 0.4;
-/// Least time between two log lines about shed requests, so that hostile callers can't fill the log.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Memory that the requests of all callers of an instance may use together.
 ///
@@ -33,9 +29,7 @@
 pub(crate) struct BufferBudget {
     budget: RefCell<MemoryBudget>,
     holders: RefCell<IndexMap<AccountId, Rc<Holder>>>,
-    /// Requests that were shed since the last log line about them.
-    unlogged: Cell<u64>,
-    last_logged: Cell<Option<Time>>,
+    shed_log: LogThrottle,
 }
 
 /// Part of the budget that one request uses; dropping it returns the part.
@@ -55,10 +49,11 @@
     pub max: usize,
 }
 
-/// What the shedding of a request ends.
+/// What is dropped or cancelled when a request is shed.
 #[derive(Debug, Default)]
 struct Holder {
-    /// Incomplete body, which is dropped at once: the task that reads it may run only after others have used the memory.
+    /// Incomplete body, which is dropped at once: the task that reads it may run only after others have used the
+    /// memory.
     body: RefCell<Vec<u8>>,
     shed: CancellationToken,
     /// Closes the connection of a caller that does not read its response.
@@ -71,8 +66,7 @@
         Rc::new(Self {
             budget: RefCell::new(MemoryBudget::new(budget_bytes(memory))),
             holders: RefCell::default(),
-            unlogged: Cell::default(),
-            last_logged: Cell::default(),
+            shed_log: LogThrottle::default(),
         })
     }
 
@@ -105,13 +99,11 @@
         if let Some(closing) = holder.closing.take() {
             closing.cancel();
         }
-        self.unlogged.set(self.unlogged.get() + 1);
-        if self.last_logged.get().is_none_or(|last| now() >= last + LOG_INTERVAL) {
-            let (count, used) = (self.unlogged.take(), self.used() >> 10);
+        if let Some(count) = self.shed_log.count() {
+            let used = self.used() >> 10;
             tracing::warn!(
                 "gateway: {count} requests shed for lack of memory or connections, {used} KiB are used"
             );
-            self.last_logged.set(Some(now()));
         }
     }
 }
@@ -243,7 +235,7 @@
         if buffer.len() + data.len() > max {
             return Err(Error::new(Category::Codec, format!("the body exceeds {max} bytes")));
         }
-        // Kept as they arrive, chunks of a few bytes would use many times their size.
+        // Chunks are copied into one buffer: kept as they arrive, those of a few bytes would use many times their size.
         buffer.extend_from_slice(&data);
         on_growth(buffer.capacity())?;
     }
--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -1,9 +1,6 @@
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
-use carobwick_core::Time;
 use carobwick_core::gateway::Admission;
 use carobwick_core::gateway::ConnectionId;
 use carobwick_core::gateway::ConnectionLimit;
@@ -15,6 +12,7 @@
 use crate::buffer::BufferBudget;
 use crate::buffer::BufferShare;
 use crate::buffer::budget_bytes;
+use crate::log_throttle::LogThrottle;
 
 /// Descriptors that the operators reserve for files.
 const RESERVED_FDS: usize = 200;
@@ -25,18 +23,15 @@
 const CONNECTION_BYTES: usize = 16 << 10;
 /// Largest fraction of the memory budget that connections may use.
 const MEMORY_FRACTION: f64 = 0.5;
-/// Least time between two log lines about closed connections.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Connections of the callers of an instance.
 #[derive(Debug)]
 pub(crate) struct CallerConnections {
     limit: RefCell<ConnectionLimit>,
+    /// Cancelled when the connection must be closed.
     closing: RefCell<IndexMap<ConnectionId, CancellationToken>>,
     buffers: Rc<BufferBudget>,
-    /// Connections that were closed or refused since the last log line about them.
-    unlogged: Cell<u64>,
-    last_logged: Cell<Option<Time>>,
+    closed_log: LogThrottle,
 }
 
 /// A connection of a caller, which counts until this is dropped.
@@ -65,8 +60,7 @@
             limit: RefCell::new(ConnectionLimit::new(by_memory.min(by_fds))),
             closing: RefCell::default(),
             buffers: Rc::clone(buffers),
-            unlogged: Cell::default(),
-            last_logged: Cell::default(),
+            closed_log: LogThrottle::default(),
         })
     }
 
@@ -108,19 +102,17 @@
         let closing = CancellationToken::new();
         self.closing.borrow_mut().insert(id, closing.clone());
         let share = self.buffers.open_share(MemoryUse::Running);
-        // A small account is never refused; bodies are shed for it.
+        // A running account of up to `SMALL_BYTES` is never refused memory; bodies are shed for it.
         let _granted = share.resize(CONNECTION_BYTES);
         CallerConnection { connections: Rc::clone(self), id, closing, _share: share }
     }
 
     fn log_closed(&self) {
-        self.unlogged.set(self.unlogged.get() + 1);
-        if self.last_logged.get().is_none_or(|last| now() >= last + LOG_INTERVAL) {
-            let (count, open) = (self.unlogged.take(), self.open());
+        if let Some(count) = self.closed_log.count() {
+            let open = self.open();
             tracing::warn!(
                 "gateway: {count} connections closed or refused beyond the limit, {open} are open"
             );
-            self.last_logged.set(Some(now()));
         }
     }
 }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -65,6 +65,7 @@
             // Lets the connection that is closed return its descriptor before the next one is accepted.
             tokio::task::yield_now().await;
         }
+        // Without a place for it, the stream is dropped here, which closes it.
         if let Some(connection) = connection {
             connections.spawn_local(serve(Rc::clone(&state), stream, peer, connection, closing.clone()));
         }
--- a/crates/gateway/src/coordinator/quotas.rs
+++ b/crates/gateway/src/coordinator/quotas.rs
@@ -29,7 +29,7 @@
     ledger: Option<QuotaLedger>,
     /// Time of the last update.
     updated: Time,
-    /// Number of tenants over their quota at that time.
+    /// Number of tenants over their quota at the last update.
     over: usize,
 }
 
@@ -78,15 +78,16 @@
         }
         let instances = self.followers.borrow().len() as u32 + 1;
         let update = self.with_ledger(|ledger| ledger.take_update(instances, now()));
+        self.ledger.borrow_mut().updated = now();
         self.record_over_quota();
         self.state.receive_quotas(&update);
         Some(update)
     }
 
+    /// Logs and measures the number of tenants over their quota if it has changed.
     fn record_over_quota(&self) {
         let over = self.with_ledger(|ledger| ledger.over_quota(now()));
         let mut term = self.ledger.borrow_mut();
-        term.updated = now();
         if std::mem::replace(&mut term.over, over) != over {
             tracing::info!("leader: {over} tenants are over their quota");
             self.state.meters.set_over_quota(over);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,13 +2,13 @@
 //!
 //! # Tour
 //!
-//! [`Gateway::bind`] starts all tasks. `callers` accepts connections and turns each request into a
+//! [`Gateway::bind`] starts all tasks. `callers` accepts connections, and `request_intake` turns each request into a
 //! `ProxiedRequest`, which chooses an endpoint (`placement`), takes a token if the endpoint limits its rate
 //! (`permits`), waits for a trial if its prompt is suspected of crashing endpoints (`suspicion`), sends the
 //! request over a pooled [`Connection`], and returns the response whole or, for a stream, as its events
-//! arrive. `quota` takes the request from the quota of its tenant. `take_up` binds a stream that a caller takes up again to
-//! the software version that began it. `buffer` limits the memory of all requests and responses together, and
-//! `caller_connections` the connections. `convictions` keeps in the store which requests crash
+//! arrive. `quota` takes the units of a request from the quota of its tenant. `take_up` binds a stream that a caller
+//! takes up again to the software version that began it. `buffer` limits the memory of all requests and responses
+//! together, and `caller_connections` the connections. `convictions` keeps in the store which requests crash
 //! endpoints. `config` keeps the routes up to date, `list` the endpoints, and `election`
 //! the lease of the region's leader. `coordinator` runs on the leader: it sends orders to engines, issues
 //! tokens and sends updates to the other instances, which connect to it through `peers`. The decisions are
@@ -34,6 +34,7 @@
 mod head_inspector;
 mod list;
 mod listener;
+mod log_throttle;
 mod message;
 mod meters;
 mod peers;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -47,9 +47,9 @@
     /// The first message of a connection.
     Hello { instance: InstanceId },
     /// Demand and endpoint loads since the last report; also serves as a heartbeat. The streams that the instance has
-    /// begun do not wait for the next report; instances of the version before neither send nor read them. Neither do they
-    /// the paces of the endpoints, in the order of their loads, nor the usage of tenants, which is there if a tenant has a
-    /// quota.
+    /// begun do not wait for the next report. The paces are those of the endpoints, in the order of their loads. The
+    /// usage of tenants is there if a tenant has a quota. Instances of the version before neither send nor read
+    /// streams, paces and usage.
     Report {
         demand: Vec<DemandSample>,
         loads: Vec<SharedLoad>,
@@ -93,9 +93,9 @@
     /// Number of instances that share the retry budget, once all had time to connect; also serves as a
     /// heartbeat.
     InstanceCount(Option<u32>),
-    /// Loads that endpoints reported to other instances, and streams that others have begun, which instances of the
-    /// version before neither send nor read. Neither do they the paces of the endpoints, in the order of their loads, nor the
-    /// state of the quotas, which is there if a tenant has one.
+    /// Loads that endpoints reported to other instances, and streams that others have begun. The paces are those of the
+    /// endpoints, in the order of their loads. The state of the quotas is there if a tenant has one. Instances of the
+    /// version before neither send nor read streams, paces and quotas.
     Loads {
         loads: Vec<SharedLoad>,
         streams: Vec<StreamOrigin>,
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -21,9 +21,11 @@
 use crate::response::LocalResponse;
 use crate::state::State;
 
-/// Interval at which the leader writes changed fractions to the store, and at which the configuration is checked for a
-/// first quota.
+/// Interval at which the leader writes changed fractions to the store.
 const STORE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which the configuration is checked for a first quota. It is short, since a tenant is not limited by the
+/// fractions of before a restart until they have been read.
+const FIRST_QUOTA_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Units of a request that its tenant's quota has admitted. Dropping it refunds them unless an endpoint may have run the
 /// request.
@@ -111,7 +113,7 @@
 /// store, until the task is aborted.
 pub(crate) async fn keep(state: Rc<State>, coordinator: Rc<Coordinator>, store: Rc<dyn Store>) {
     while !state.has_quotas() {
-        sleep(STORE_INTERVAL / 10).await;
+        sleep(FIRST_QUOTA_INTERVAL).await;
     }
     load(&state, store.as_ref()).await;
     loop {
--- a/crates/gateway/src/request_intake.rs
+++ b/crates/gateway/src/request_intake.rs
@@ -38,18 +38,19 @@
 use crate::suspicion::CONVICTED_RETRY_AFTER;
 
 /// `Retry-After` of a response for lack of a configuration or a service.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
+const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest body that is read and dropped after its request was rejected by the head.
 const MAX_DISCARDED_BYTES: u64 = 64 << 10;
-/// Time by which the response to such a request is delayed at most, so that its connection can be kept.
+/// Longest delay of the response to a request that is rejected by its head. If its body ends within this time, the
+/// connection can be kept.
 const DISCARD_DELAY: Duration = Duration::from_millis(20);
-/// Time for which such a body is read.
+/// Time for which the body of a rejected request is read after the response.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Least `Retry-After` of a request that is shed, to which as much is added at random: a crowd must not return at once.
 const SHED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Buffer that a body of a declared length gets with its first bytes, which holds nearly all bodies.
 const FIRST_BODY_BYTES: usize = 64 << 10;
-/// The same for a body without a declared length.
+/// Buffer that a body without a declared length gets with its first bytes.
 const FIRST_CHUNKED_BYTES: usize = 4 << 10;
 /// Deadline of a request whose caller sets none.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
@@ -71,7 +72,8 @@
     length: Option<u64>,
 ) -> Result<CheckedHead, LocalResponse> {
     let table = state.route_table.borrow().clone();
-    let table = table.ok_or_else(|| unavailable("no configuration yet").retry_after(RETRY_AFTER))?;
+    let table =
+        table.ok_or_else(|| unavailable("no configuration yet").retry_after(UNAVAILABLE_RETRY_AFTER))?;
     if state.refusing.is_cancelled() {
         return Err(LocalResponse::STOPPING);
     }
@@ -165,7 +167,8 @@
         tracing::info!("gateway: request {request} takes up the stream of {stream} after event {event}");
     }
     let service = route.pick(rand::random()).cloned();
-    let service = service.ok_or_else(|| unavailable("the route has no service").retry_after(RETRY_AFTER))?;
+    let service = service
+        .ok_or_else(|| unavailable("the route has no service").retry_after(UNAVAILABLE_RETRY_AFTER))?;
     let limit = head.deadline.map_or(DEFAULT_DEADLINE, Millis::duration);
     Ok(ProxiedRequest {
         state: Rc::clone(state),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -218,8 +218,8 @@
         sample.work += head.work();
     }
 
-    /// Returns the demand, the endpoint loads and the usage of tenants since the last call as a report to the leader. Forgets the streams whose
-    /// callers have given up.
+    /// Returns the demand, the endpoint loads and the usage of tenants since the last call as a report to the leader.
+    /// Forgets the streams whose callers have given up.
     pub fn take_report(&self) -> FollowerMessage {
         self.streams.borrow_mut().remove_expired(now());
         let demand = std::mem::take(&mut *self.demand.borrow_mut()).into_values().collect();
