--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -186,6 +186,7 @@
     let (mut asked, mut admitted, mut small) = (0.0, 0.0, 0);
     for index in 0..4_000_u32 {
         let now = at(u64::from(index) * 10);
+        meter.take_report(now);
         meter.apply(&update(0.5, 0.5, 100.0, 100.0), now);
         let cost = if index % 2 == 0 { 1.0 } else { 9.0 };
         let draw = f64::from(index.wrapping_mul(2_654_435_769)) / f64::from(u32::MAX);
