Faults that the read of the change has shown

Callers could see: X-Token-Usage near 2^64 counted as nothing in a release build and panicked in a debug build; one request of 10^12 tokens kept its tenant out for hours; a trial of a crashing part was ignored for endpoints lost a minute before; at the limit of connections each further one ended a stalled request and was refused all the same. Cause: a sum of two u64; a level without a floor; the time of the last loss of a part counted for all its losses; the room was checked after the shedding. Ruled out: that other fields overflow, they are parsed into smaller types or saturate. Change: a sum of floats, a floor of two windows at the full rate, a time for each loss, the check first. Tests: three, of which the first two panic or fail before; the reader showed the third with a scratch test.

--- a/crates/core/src/gateway/connection_limit.rs
+++ b/crates/core/src/gateway/connection_limit.rs
@@ -60,7 +60,12 @@
 
     /// Accepts a connection above the limit in place of one that is about to close, unless too many still are.
     pub fn admit_beyond(&mut self, now: Time) -> Option<ConnectionId> {
-        (self.connections.len() < self.limit + self.limit / EXCESS_DIVISOR).then(|| self.insert(now))
+        self.has_excess().then(|| self.insert(now))
+    }
+
+    /// Returns whether another connection may be accepted above the limit.
+    pub fn has_excess(&self) -> bool {
+        self.connections.len() < self.limit + self.limit / EXCESS_DIVISOR
     }
 
     /// Records that a request has begun on a connection.
--- a/crates/core/src/gateway/quota_ledger.rs
+++ b/crates/core/src/gateway/quota_ledger.rs
@@ -30,6 +30,8 @@
 /// Part of the range below the target at which a tenant starts that was over its quota before the term: what it used
 /// in the window before is not known.
 const INITIAL_DEBT_PART: f64 = 0.4;
+/// Windows at the full rate by which a level may be below zero.
+const MAX_DEBT_WINDOWS: f64 = 2.0;
 /// Time without a report after which an instance counts as lost; it reports every 500 ms.
 const LOST_TIME: Duration = Duration::from_millis(1_500);
 /// Time at the start of a term in which no fraction is above the last known one, since not all instances have reported yet.
@@ -197,7 +199,10 @@
         let elapsed = (now - from).as_secs_f64();
         let lost = self.instances.values().filter(|rate| now >= rate.reported + LOST_TIME);
         let lost: f64 = lost.map(|rate| rate.slow_admitted).sum();
-        self.level = (self.level + (self.quota.rate.0 - lost) * elapsed).min(self.quota.burst);
+        let level = self.level + (self.quota.rate.0 - lost) * elapsed;
+        // Without a floor, one request that states an absurd size would keep its tenant out for as long.
+        let lowest = -self.quota.rate.0 * window.as_secs_f64() * MAX_DEBT_WINDOWS;
+        self.level = level.max(lowest).min(self.quota.burst);
     }
 
     fn report(&mut self, from: &InstanceId, usage: Option<&TenantUsage>, elapsed: Duration, now: Time) {
--- a/crates/core/src/gateway/request_head.rs
+++ b/crates/core/src/gateway/request_head.rs
@@ -75,7 +75,7 @@
     ///
     /// A generated token takes a whole step of the batch, so it counts as ten tokens of the prompt.
     pub fn work(&self) -> u64 {
-        self.prompt_tokens + 10 * self.max_output
+        self.prompt_tokens.saturating_add(self.max_output.saturating_mul(10))
     }
 }
 
--- a/crates/core/src/gateway/suspects.rs
+++ b/crates/core/src/gateway/suspects.rs
@@ -5,6 +5,7 @@
 use carobwick_derive::key;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
+use indexmap::map::Entry;
 
 use crate::EndpointId;
 use crate::Fingerprint;
@@ -101,7 +102,8 @@
 
 #[derive(Debug, Default)]
 struct Losses {
-    incarnations: IndexSet<(EndpointId, Incarnation)>,
+    /// Endpoints that were lost, each with the time of the loss.
+    incarnations: IndexMap<(EndpointId, Incarnation), Time>,
     last: Time,
     /// Whether an endpoint was lost during a trial.
     tried: bool,
@@ -119,7 +121,9 @@
         for suspect in &loss.suspects {
             self.make_room(suspect);
             let losses = self.losses.entry(*suspect).or_default();
-            is_new |= losses.incarnations.insert((loss.endpoint.clone(), loss.incarnation));
+            let entry = losses.incarnations.entry((loss.endpoint.clone(), loss.incarnation));
+            is_new |= matches!(entry, Entry::Vacant(_));
+            entry.or_insert(at);
             is_new |= is_trial && !losses.tried;
             losses.tried |= is_trial;
             losses.last = losses.last.max(at);
@@ -132,18 +136,20 @@
     /// Requests beside a crashing one are lost on the same endpoints as it; a failure of a zone takes others too.
     fn is_common_failure(&self, loss: &Loss, at: Time) -> bool {
         let own = loss.suspects.iter().filter_map(|suspect| self.losses.get(suspect));
-        let own: IndexSet<&(EndpointId, Incarnation)> = own.flat_map(|losses| &losses.incarnations).collect();
-        let is_recent = |losses: &Losses| {
-            losses.last + COMMON_FAILURE_TIME > at && at + COMMON_FAILURE_TIME > losses.last
+        let own: IndexSet<&(EndpointId, Incarnation)> =
+            own.flat_map(|losses| losses.incarnations.keys()).collect();
+        let is_recent = |time: Time| time + COMMON_FAILURE_TIME > at && at + COMMON_FAILURE_TIME > time;
+        let others = self
+            .losses
+            .iter()
+            .filter(|(suspect, _)| matches!(suspect, Suspect::Part(_)) && !loss.suspects.contains(suspect));
+        let recent =
+            others.flat_map(|(_, losses)| &losses.incarnations).filter(|(_, time)| is_recent(**time));
+        let recent: IndexSet<_> = recent.map(|(endpoint, _)| endpoint).collect();
+        let is_same = |endpoint: &(EndpointId, Incarnation)| {
+            own.contains(endpoint) || (&endpoint.0, endpoint.1) == (&loss.endpoint, loss.incarnation)
         };
-        let others = self.losses.iter().filter(|(suspect, losses)| {
-            matches!(suspect, Suspect::Part(_)) && !loss.suspects.contains(suspect) && is_recent(losses)
-        });
-        let others: IndexSet<_> = others.flat_map(|(_, losses)| &losses.incarnations).collect();
-        let is_same = |lost: &(EndpointId, Incarnation)| {
-            own.contains(lost) || (&lost.0, lost.1) == (&loss.endpoint, loss.incarnation)
-        };
-        others.into_iter().filter(|lost| !is_same(lost)).count() >= COMMON_FAILURE_THRESHOLD
+        recent.into_iter().filter(|endpoint| !is_same(endpoint)).count() >= COMMON_FAILURE_THRESHOLD
     }
 
     /// Clears a suspect, with which a request succeeded or began to; returns whether it was known.
@@ -206,7 +212,7 @@
             matches!(other, Suspect::Part(_))
                 && now < others.expiry()
                 && !all.contains(other)
-                && losses.incarnations.is_subset(&others.incarnations)
+                && losses.incarnations.keys().all(|lost| others.incarnations.contains_key(lost))
         })
     }
 
@@ -230,7 +236,7 @@
 
     fn to_messages(&self, suspect: Suspect, now: Time) -> impl Iterator<Item = Loss> {
         let age = Millis((now - self.last).as_millis() as u64);
-        self.incarnations.iter().map(move |(endpoint, incarnation)| Loss {
+        self.incarnations.keys().map(move |(endpoint, incarnation)| Loss {
             suspects: vec![suspect],
             endpoint: endpoint.clone(),
             incarnation: *incarnation,
--- a/crates/core/src/gateway/tenants.rs
+++ b/crates/core/src/gateway/tenants.rs
@@ -111,7 +111,9 @@
     pub fn cost(&self, head: &RequestHead) -> f64 {
         match self.unit {
             QuotaUnit::Requests => 1.0,
-            QuotaUnit::Tokens { .. } if head.states_tokens => (head.prompt_tokens + head.max_output) as f64,
+            QuotaUnit::Tokens { .. } if head.states_tokens => {
+                head.prompt_tokens as f64 + head.max_output as f64
+            }
             QuotaUnit::Tokens { plain } => plain.0 as f64,
         }
     }
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -7,6 +7,7 @@
 use carobwick_core::Rate;
 use carobwick_core::TenantId;
 use carobwick_core::Time;
+use carobwick_core::Tokens;
 use carobwick_core::gateway::Quota;
 use carobwick_core::gateway::QuotaDecision;
 use carobwick_core::gateway::QuotaLedger;
@@ -14,6 +15,7 @@
 use carobwick_core::gateway::QuotaTerms;
 use carobwick_core::gateway::QuotaUnit;
 use carobwick_core::gateway::QuotaUpdate;
+use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::TenantGrant;
 use carobwick_core::gateway::TenantUsage;
 use carobwick_core::gateway::UsageReport;
@@ -201,3 +203,24 @@
     assert_eq!(small, 1_500, "a small request is refused");
     assert!((0.4..0.6).contains(&(admitted / asked)), "{admitted} of {asked} units are admitted");
 }
+
+/// Guards against a request that states an absurd size and keeps its tenant out for hours.
+#[test]
+fn an_absurd_size_keeps_a_tenant_out_for_three_windows_at_most() {
+    let mut ledger = ledger(IndexMap::new());
+    let instance: InstanceId = "i1".parse().unwrap();
+    let usage = TenantUsage { tenant: tenant(), asked: 1e12, admitted: 1e12 };
+    ledger.report(&instance, &UsageReport { elapsed: Millis(100), tenants: vec![usage] }, at(100));
+    let grant = report(&mut ledger, 200, 200 + 3 * 8_000, 10.0);
+    assert!(grant.level > -TERMS.window.as_secs_f64() as f32 * 100.0, "{grant:?}");
+}
+
+/// Guards against token counts whose sum overflows, so that a request counts as nothing.
+#[test]
+fn the_cost_of_huge_token_counts_does_not_overflow() {
+    let head =
+        RequestHead { states_tokens: true, prompt_tokens: u64::MAX, max_output: 1, ..RequestHead::default() };
+    let quota = Quota { unit: QuotaUnit::Tokens { plain: Tokens(200) }, ..QUOTA };
+    assert!(quota.cost(&head) >= u64::MAX as f64);
+    assert_eq!(head.work(), u64::MAX);
+}
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -105,6 +105,19 @@
     assert_eq!(table.verdict(&[A], at(3_000)), Verdict::Convicted, "the next trial decides");
 }
 
+/// Guards against a trial that is ignored for endpoints that were lost long before it.
+#[test]
+fn earlier_losses_of_other_endpoints_do_not_discard_a_trial() {
+    let mut table = SuspectTable::default();
+    for endpoint in ["a", "b"] {
+        table.record_loss(&loss(&[A], endpoint), at(60_000));
+    }
+    table.record_loss(&loss(&[B], "c"), at(0));
+    table.record_loss(&loss(&[B], "d"), at(60_020));
+    table.record_loss(&trial_loss(&[A], "e"), at(60_090));
+    assert_eq!(table.verdict(&[A], at(60_090)), Verdict::Convicted);
+}
+
 /// Guards against a series of crashes each time that a conviction ends, and against one that never ends.
 #[test]
 fn a_conviction_ends_in_suspicion_and_is_renewed_by_one_trial() {
--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -86,7 +86,7 @@
 
     /// Accepts a connection in place of one whose request makes no progress, if there is one.
     fn admit_beyond(self: &Rc<Self>) -> Option<CallerConnection> {
-        if !self.buffers.shed_stalled_body() {
+        if !self.limit.borrow().has_excess() || !self.buffers.shed_stalled_body() {
             return None;
         }
         let admitted = self.limit.borrow_mut().admit_beyond(now());
