Quotas: a new leader starts no tenant above the level of the one before

Cause (inferred from the formulas, not traced in a log): its fraction was 1 at that moment by chance, so that the new term took it for a tenant within its quota and started it at a quarter of the range above the target, although it had used that. Ruled out: small requests, which are few there. Change: QuotaLedger::with_levels takes the levels of the last update.

--- a/crates/core/src/gateway/quota_ledger.rs
+++ b/crates/core/src/gateway/quota_ledger.rs
@@ -55,6 +55,8 @@
     updated: Time,
     /// Fractions from before the term.
     initial: IndexMap<TenantId, f64>,
+    /// Levels that the leader before sent last.
+    known_levels: IndexMap<TenantId, f64>,
     /// Fractions that were sent last.
     sent: IndexMap<TenantId, f64>,
     /// Fractions that were stored last.
@@ -88,10 +90,17 @@
             updated: now,
             stored: fractions.clone(),
             initial: fractions,
+            known_levels: IndexMap::new(),
             sent: IndexMap::new(),
         }
     }
 
+    /// Sets the levels that the leader before sent last. No tenant starts above its own: nothing counted its usage since.
+    #[must_use]
+    pub fn with_levels(self, levels: IndexMap<TenantId, f64>) -> Self {
+        Self { known_levels: levels, ..self }
+    }
+
     /// Sets the terms and the quotas in force. The usage of a tenant before the term is not known: one that was over its quota
     /// starts below the target, any other one a quarter above.
     pub fn set_quotas<'a>(&mut self, terms: QuotaTerms, quotas: impl Iterator<Item = (&'a TenantId, Quota)>) {
@@ -101,7 +110,8 @@
         for (tenant, quota) in quotas {
             let is_over = self.initial.contains_key(tenant);
             let account = self.accounts.entry(tenant.clone());
-            account.or_insert_with(|| Account::new(quota, &terms, is_over)).set_quota(quota);
+            let known = self.known_levels.get(tenant).copied().unwrap_or(f64::INFINITY);
+            account.or_insert_with(|| Account::new(quota, &terms, is_over, known)).set_quota(quota);
         }
     }
 
@@ -182,9 +192,9 @@
 }
 
 impl Account {
-    fn new(quota: Quota, terms: &QuotaTerms, is_over: bool) -> Self {
+    fn new(quota: Quota, terms: &QuotaTerms, is_over: bool, known: f64) -> Self {
         let above = terms.range(&quota) * if is_over { -INITIAL_DEBT_PART } else { INITIAL_PART };
-        let level = terms.target(&quota) + above;
+        let level = known.min(terms.target(&quota) + above);
         Self { quota, level, instances: IndexMap::new() }
     }
 
--- a/crates/core/src/gateway/quota_meter.rs
+++ b/crates/core/src/gateway/quota_meter.rs
@@ -286,6 +286,12 @@
         over.map(|(tenant, meter)| (tenant.clone(), meter.steady)).collect()
     }
 
+    /// Returns the levels of the last update.
+    pub fn levels(&self) -> IndexMap<TenantId, f64> {
+        let known = self.tenants.iter().filter_map(|(tenant, meter)| Some((tenant, meter.state?)));
+        known.map(|(tenant, (level, _))| (tenant.clone(), level)).collect()
+    }
+
     /// Removes the tenants that no longer exist.
     pub fn retain(&mut self, exists: impl Fn(&TenantId) -> bool) {
         self.tenants.retain(|tenant, _| exists(tenant));
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -224,3 +224,13 @@
     assert!(quota.cost(&head) >= u64::MAX as f64);
     assert_eq!(head.work(), u64::MAX);
 }
+
+/// Guards against a new term that gives a tenant units again that it has used in the term before.
+#[test]
+fn a_new_term_starts_no_higher_than_the_level_before() {
+    let levels = IndexMap::from([(tenant(), -60.0)]);
+    let mut ledger = QuotaLedger::new(TERMS, IndexMap::new(), START).with_levels(levels);
+    ledger.set_quotas(TERMS, [(&tenant(), QUOTA)].into_iter());
+    let grant = report(&mut ledger, 100, 200, 10.0);
+    assert!(grant.level < -40.0, "{grant:?}");
+}
--- a/crates/gateway/src/coordinator/quotas.rs
+++ b/crates/gateway/src/coordinator/quotas.rs
@@ -35,15 +35,16 @@
 
 impl TermLedger {
     /// Returns the ledger of the term that began at `since`, with the quotas in force. A new one starts with the fractions
-    /// that this instance knows.
+    /// and levels that this instance knows.
     fn of_term(&mut self, since: Option<Time>, state: &State) -> &mut QuotaLedger {
         if self.since != since {
             *self = Self { since, ..Self::default() };
         }
         let terms = state.terms.get();
-        let ledger = self
-            .ledger
-            .get_or_insert_with(|| QuotaLedger::new(terms.quota, state.quotas.borrow().fractions(), now()));
+        let ledger = self.ledger.get_or_insert_with(|| {
+            let meter = state.quotas.borrow();
+            QuotaLedger::new(terms.quota, meter.fractions(), now()).with_levels(meter.levels())
+        });
         if let Some(table) = state.route_table.borrow().as_ref()
             && self.applied != Some((table.version, terms))
         {
--- a/crates/proof/tests/quota_fleet.rs
+++ b/crates/proof/tests/quota_fleet.rs
@@ -264,8 +264,8 @@
     fn elect(&mut self) {
         let usable = (1..self.instances.len()).rev().find(|index| !self.is_unreachable(*index));
         let leader = usable.unwrap();
-        let fractions = self.instances[leader].meter.fractions();
-        self.ledger = QuotaLedger::new(TERMS, fractions, self.now);
+        let meter = &self.instances[leader].meter;
+        self.ledger = QuotaLedger::new(TERMS, meter.fractions(), self.now).with_levels(meter.levels());
         self.leader = Some(leader);
         self.set_quotas();
         let now = self.now;
