--- a/review/8/main.rs
+++ b/review/8/main.rs
@@ -137,8 +137,8 @@
     }
     thread::sleep(Duration::from_secs(6));
     // Planned work, also without the disruption.
-    instance.signal("HUP");
-    record.line("SIGHUP");
+    instance.reload();
+    record.line("the settings file changes, SIGHUP");
     let cut: Arc<Mutex<usize>> = Arc::default();
     let threads: Vec<_> = (0..CALLERS)
         .map(|index| {
