--- a/review/standins-2/mod.rs
+++ b/review/standins-2/mod.rs
@@ -553,6 +553,8 @@
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     settings: PathBuf,
+    /// Settings of a second start; empty before the first one.
+    restart_settings: String,
     log: PathBuf,
     child: Option<Child>,
 }
@@ -604,10 +606,13 @@
         std::fs::write(&settings, text).unwrap();
         let log = temp_dir().join(format!("{name}.log"));
         let addr = |port| SocketAddr::from(([127, 0, 0, 1], port));
-        Self { name: name.to_owned(), callers: addr(callers), ready: addr(ready), settings, log, child: None }
+        Self { name: name.to_owned(), callers: addr(callers), ready: addr(ready), settings, restart_settings: String::new(), log, child: None }
     }
 
     pub fn start(&mut self) {
+        if !self.restart_settings.is_empty() {
+            std::fs::write(&self.settings, &self.restart_settings).unwrap();
+        }
         let log = File::options().create(true).append(true).open(&self.log).unwrap();
         let child = Command::new("target/release/carobwick-serve")
             .env_clear()
@@ -620,6 +625,9 @@
             .unwrap_or_else(|err| broken_setup(&format!("can't start target/release/carobwick-serve: {err}")));
         CHILDREN.lock().unwrap().push(child.id());
         self.child = Some(child);
+        // Only the first start is one of the whole system.
+        let text = std::fs::read_to_string(&self.settings).unwrap().replace("bootstrap=true", "bootstrap=false");
+        self.restart_settings = text;
     }
 
     /// Changes the settings file, in a field that means nothing, and sends SIGHUP.
