--- a/review/standins-2/mod.rs
+++ b/review/standins-2/mod.rs
@@ -547,6 +547,12 @@
     bounds.quotaOvershoot=0.1\nbounds.quotaSlack=110000\nbounds.recoveryS=15\nbounds.passMs=200\nplatform.writesPerS=1200\n\
     platform.readsPerS=6000\n";
 
+/// Limits and bounds of `sfax-scripts-grown`, for one of its smaller machines.
+pub const SFAX_SCRIPTS_GROWN: &str = "limits.cpuFraction=0.09\nlimits.memoryMb=120\nlimits.maxFds=3075\nlimits.linkMbps=10.0\n\
+    contracts=base,drain,config,cost,retry,recover,health,pool,fleet,stream,engine,pressure,platform\nbounds.stableWindowMs=4000\n\
+    bounds.ackMs=6000\nbounds.catchUpS=6\nbounds.drainMs=3000\nbounds.configApplyMs=3000\nbounds.maxStretchMs=6000\nbounds.retrySlack=172\n\
+    bounds.recoveryS=15\nbounds.passMs=200\nplatform.writesPerS=1200\nplatform.readsPerS=6000\n";
+
 /// Process of the project, started as the deploy file says.
 pub struct Instance {
     pub name: String,
@@ -717,6 +723,14 @@
         text.lines().filter(|line| line.contains(needle)).map(str::to_owned).collect()
     }
 
+    /// Returns the memory of the process's own in KiB, without the pages of its files.
+    pub fn own_memory(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let text = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+    }
+
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
