--- a/review/standins-2/mod.rs
+++ b/review/standins-2/mod.rs
@@ -679,45 +679,6 @@
         }
     }
 
-    /// Caps the use of the processor as the pages say: the process runs at full speed until `fraction` of a tenth of a second
-    /// is used up, and then not at all for the rest of that tenth. Ends with the process.
-    pub fn cap_usage(&self, fraction: f64) {
-        const SIGCONT: i32 = 18;
-        const SIGSTOP: i32 = 19;
-        const PERIOD: Duration = Duration::from_millis(100);
-        let Some(child) = &self.child else { return };
-        let id = child.id();
-        let used = move || {
-            let text = std::fs::read_to_string(format!("/proc/{id}/schedstat")).ok()?;
-            text.split_whitespace().next()?.parse::<u64>().ok().map(Duration::from_nanos)
-        };
-        // SAFETY: the process was started here and its id is not reused before it has been waited for.
-        let send = move |signal| unsafe { kill(id as i32, signal) };
-        thread::spawn(move || {
-            while CHILDREN.lock().unwrap().contains(&id) {
-                let (start, Some(before)) = (Instant::now(), used()) else { return };
-                while start.elapsed() < PERIOD {
-                    thread::sleep(Duration::from_millis(2));
-                    let Some(now) = used() else { return };
-                    if now - before >= PERIOD.mul_f64(fraction) {
-                        let children = CHILDREN.lock().unwrap();
-                        if !children.contains(&id) {
-                            return;
-                        }
-                        send(SIGSTOP);
-                        drop(children);
-                        thread::sleep(PERIOD.saturating_sub(start.elapsed()));
-                        let children = CHILDREN.lock().unwrap();
-                        if !children.contains(&id) {
-                            return;
-                        }
-                        send(SIGCONT);
-                    }
-                }
-            }
-        });
-    }
-
     pub fn log_lines(&self, needle: &str) -> Vec<String> {
         let text = std::fs::read_to_string(&self.log).unwrap_or_default();
         text.lines().filter(|line| line.contains(needle)).map(str::to_owned).collect()
@@ -769,7 +730,6 @@
 // ---------------------------------------------------------------- callers
 
 unsafe extern "C" {
-    fn kill(process: i32, signal: i32) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn connect(fd: i32, addr: *const [u8; 16], length: u32) -> i32;
