--- a/review/standins-2/mod.rs
+++ b/review/standins-2/mod.rs
@@ -46,17 +46,31 @@
     }
 }
 
-/// Returns a free loopback port.
+/// Ports below those that the kernel gives to outgoing connections, which could otherwise take the port of a process while it
+/// is down.
+const FIRST_PORT: u32 = 12_000;
+const PORTS: u32 = 20_000;
+
+/// Returns a free loopback port, another one at each call.
 pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+    free_ports(1)
 }
 
 /// Returns two free ports that follow each other.
 pub fn free_port_pair() -> u16 {
+    free_ports(2)
+}
+
+fn free_ports(count: u32) -> u16 {
+    static NEXT: Mutex<u32> = Mutex::new(0);
+    let mut next = NEXT.lock().unwrap();
     loop {
-        let port = free_port();
-        if port < 65_000 && TcpListener::bind(("127.0.0.1", port + 1)).is_ok() {
-            return port;
+        // Cases that run at the same time begin at different places.
+        let port = FIRST_PORT + (std::process::id().wrapping_mul(7_919) + *next) % PORTS;
+        *next += count;
+        let is_free = |port: u32| TcpListener::bind(("127.0.0.1", port as u16)).is_ok();
+        if (port..port + count).all(is_free) {
+            return port as u16;
         }
     }
 }
