An instance that starts reads from the store which software versions have served

Cause: an instance takes the versions that it has seen for those that there were. Those that have served in the last minute are in the memory of each instance only, and the list of endpoints holds what serves now. Without a leader, for 3 to 4 s if it was the leader itself, an instance that has started finds one version and lets a stream of unknown origin go on there. Logs of the three instances on: the one that was killed writes 36 times "takes up a stream, one version serves", the other two 36 times that v1 began it.

Ruled out: a wait for word of the stream that ends too early, and a binding that is lost on a later attempt: the line is written before any wait and any attempt. That the list is stale: it holds v2 only, which is right.

Change: the leader keeps the versions of all services in the store, by compare-and-swap, when one begins to serve or has ended. An instance reads them before it reads the list, and so before it is ready. The rest was there: a stream of unknown origin waits for word of it while several versions may have begun it, and is refused if none comes.

--- a/crates/core/src/gateway/endpoint_table.rs
+++ b/crates/core/src/gateway/endpoint_table.rs
@@ -13,9 +13,12 @@
 use crate::ServiceId;
 use crate::Time;
 use crate::ZoneId;
+use crate::gateway::ServedVersion;
 use crate::gateway::SoftwareVersion;
+use crate::gateway::VersionCount;
 use crate::gateway::Weights;
 use crate::gateway::departures::Departures;
+use crate::gateway::version_history::VersionHistory;
 
 /// Time after an outage of the store within which entries that expired during the outage may be added again.
 const RECOVERY_TIME: Duration = Duration::from_secs(2);
@@ -28,9 +31,6 @@
 /// A refusal while an adapter is being loaded holds only for a short time.
 const REFUSAL_LIFETIME: Duration = Duration::from_secs(2);
 
-/// Time for which the software version of an endpoint that has ended counts as one that may have begun a stream.
-const VERSION_MEMORY: Duration = Duration::from_mins(1);
-
 /// Entry of an endpoint in the list of endpoints, as the endpoint wrote it.
 #[data]
 pub struct EndpointEntry {
@@ -94,8 +94,7 @@
     pending_removals: IndexSet<EndpointId>,
     refusals: Vec<Refusal>,
     departures: Departures,
-    /// Software versions of processes that have ended, with the time.
-    past_versions: IndexMap<(ServiceId, Option<SoftwareVersion>), Time>,
+    version_history: VersionHistory,
 }
 
 /// Weights that an incarnation refused although its entry lists them.
@@ -282,15 +281,12 @@
         self.iter().filter(move |entry| entry.service == *service && entry.state == EndpointState::Live)
     }
 
-    /// Returns whether endpoints of several software versions serve, or have served in the last minute. A version that is
-    /// not known counts as another one.
-    pub fn has_several_versions(&self, service: &ServiceId, now: Time) -> bool {
-        let mut versions = self.versions(now).filter(|(of, _)| *of == service).map(|(_, version)| version);
-        let Some(first) = versions.next() else { return false };
-        versions.any(|version| version != first)
+    /// Returns how many software versions may have begun a stream of a service.
+    pub fn version_count(&self, service: &ServiceId, now: Time) -> VersionCount<'_> {
+        VersionCount::of(self.versions(now).filter(|(of, _)| *of == service).map(|(_, version)| version))
     }
 
-    /// Returns the services for which that is so.
+    /// Returns the services of which several versions may have begun a stream.
     pub fn services_with_several_versions(&self, now: Time) -> Vec<ServiceId> {
         let mut first: IndexMap<&ServiceId, &Option<SoftwareVersion>> = IndexMap::new();
         let mut several: IndexSet<&ServiceId> = IndexSet::new();
@@ -302,15 +298,36 @@
         several.into_iter().cloned().collect()
     }
 
+    /// Returns the versions of all services that serve or have served in the last minute.
+    pub fn served_versions(&self, now: Time) -> Vec<ServedVersion> {
+        let present: IndexSet<_> = self.iter().map(|entry| (&entry.service, &entry.version)).collect();
+        let past = self.version_history.iter(now);
+        let ended = past.filter(|(service, version, _)| !present.contains(&(*service, *version)));
+        let ended = ended.map(|(service, version, at)| (service, version, Some(now - at)));
+        let serving = present.iter().map(|(service, version)| (*service, *version, None));
+        let served = serving.chain(ended).map(|(service, version, age)| ServedVersion {
+            service: service.clone(),
+            version: version.clone(),
+            ended: age.map(|age| Millis(age.as_millis() as u64)),
+        });
+        served.collect()
+    }
+
+    /// Records the versions that another instance knew. One that served then may have ended only now.
+    pub fn record_served_versions(&mut self, served: Vec<ServedVersion>, now: Time) {
+        for ServedVersion { service, version, ended } in served {
+            let at = now - ended.map_or(Duration::ZERO, Millis::duration);
+            self.version_history.record_end(service, version, at, now);
+        }
+    }
+
     fn versions(&self, now: Time) -> impl Iterator<Item = (&ServiceId, &Option<SoftwareVersion>)> {
         let present = self.iter().map(|entry| (&entry.service, &entry.version));
-        let past = self.past_versions.iter().filter(move |(_, at)| now < **at + VERSION_MEMORY);
-        present.chain(past.map(|((service, version), _)| (service, version)))
+        present.chain(self.version_history.iter(now).map(|(service, version, _)| (service, version)))
     }
 
     fn record_end(&mut self, entry: &EndpointEntry, now: Time) {
-        self.past_versions.retain(|_, at| now < *at + VERSION_MEMORY);
-        self.past_versions.insert((entry.service.clone(), entry.version.clone()), now);
+        self.version_history.record_end(entry.service.clone(), entry.version.clone(), now, now);
     }
 
     fn update(&mut self, mut entry: EndpointEntry, now: Time) {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 mod token_bucket;
 mod token_issuer;
 mod trials;
+mod version_history;
 
 pub use crate::budget::RetryBudget;
 pub use crate::budget::RetryTerms;
@@ -147,3 +148,5 @@
 pub use token_issuer::TokenReply;
 pub use token_issuer::TokenRequest;
 pub use trials::TrialTable;
+pub use version_history::ServedVersion;
+pub use version_history::VersionCount;
--- a/crates/core/tests/stream_table.rs
+++ b/crates/core/tests/stream_table.rs
@@ -11,11 +11,13 @@
 use carobwick_core::gateway::EndpointEntry;
 use carobwick_core::gateway::EndpointTable;
 use carobwick_core::gateway::ResidentModels;
+use carobwick_core::gateway::ServedVersion;
 use carobwick_core::gateway::SoftwareVersion;
 use carobwick_core::gateway::StreamKey;
 use carobwick_core::gateway::StreamOrigin;
 use carobwick_core::gateway::StreamTable;
 use carobwick_core::gateway::VersionBinding;
+use carobwick_core::gateway::VersionCount;
 use endpoint_fixture::endpoint;
 
 fn at(millis: u64) -> Time {
@@ -49,7 +51,7 @@
 fn has_several_versions(table: &EndpointTable, now: Time) -> bool {
     let service = "s".parse().unwrap();
     let listed = table.services_with_several_versions(now).contains(&service);
-    assert_eq!(table.has_several_versions(&service, now), listed);
+    assert_eq!(table.version_count(&service, now) == VersionCount::Several, listed);
     listed
 }
 
@@ -143,3 +145,50 @@
     assert_ne!(version(&first), version(&second));
     assert_eq!(version(&first), version(&first));
 }
+
+/// Guards against an instance that takes the only version in the list for the only one that may have begun a stream, and
+/// against versions that count for another minute with each instance that reads them.
+#[test]
+fn versions_that_another_instance_has_written_count_for_the_rest_of_their_minute() {
+    let mut earlier = EndpointTable::default();
+    earlier.apply(entry("a", 1, "v1"), at(0));
+    earlier.apply(entry("b", 1, "v2"), at(0));
+    earlier.apply(EndpointChange::Removed("a".parse().unwrap()), at(1_000));
+    let written = earlier.served_versions(at(21_000));
+    let ended: Vec<_> = written.iter().map(|served| (served.version.clone(), served.ended)).collect();
+    assert_eq!(ended, [(Some(version("v2")), None), (Some(version("v1")), Some(Millis(20_000)))]);
+    // The clock of another instance.
+    let mut later = EndpointTable::default();
+    later.apply(entry("b", 1, "v2"), at(500_000));
+    assert!(!has_several_versions(&later, at(500_000)));
+    later.record_served_versions(written, at(500_000));
+    assert!(has_several_versions(&later, at(539_999)));
+    assert!(!has_several_versions(&later, at(540_000)));
+}
+
+/// Guards against a version whose endpoints end after it was written, and which the reader of the list never saw.
+#[test]
+fn a_version_that_served_when_it_was_written_counts_for_a_minute() {
+    let mut earlier = EndpointTable::default();
+    earlier.apply(entry("a", 1, "v1"), at(0));
+    let mut later = EndpointTable::default();
+    later.apply(entry("b", 1, "v2"), at(100_000));
+    later.record_served_versions(earlier.served_versions(at(0)), at(100_000));
+    assert!(has_several_versions(&later, at(159_999)));
+    assert!(!has_several_versions(&later, at(160_000)));
+}
+
+/// Guards against a write of the versions each second, as times since an end change, and against a change that is not
+/// written.
+#[test]
+fn only_a_version_that_begins_or_ends_changes_the_set() {
+    let mut table = EndpointTable::default();
+    table.apply(entry("a", 1, "v1"), at(0));
+    table.apply(entry("b", 1, "v2"), at(0));
+    let both = table.served_versions(at(0));
+    table.apply(EndpointChange::Removed("a".parse().unwrap()), at(1_000));
+    let one_ended = table.served_versions(at(1_000));
+    assert!(!ServedVersion::is_same_set(&both, &one_ended));
+    assert!(ServedVersion::is_same_set(&one_ended, &table.served_versions(at(60_999))));
+    assert!(!ServedVersion::is_same_set(&one_ended, &table.served_versions(at(61_000))));
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::meters::Meters;
 use crate::peers;
 use crate::quota;
+use crate::served_versions;
 use crate::state::State;
 use crate::status_pages;
 use crate::status_pages::StatusPage;
@@ -80,6 +81,8 @@
         tasks.spawn_local(reader.run());
         tasks.spawn_local(convictions::keep(Rc::clone(&state), Rc::clone(&store), convicted));
         tasks.spawn_local(quota::keep(Rc::clone(&state), Rc::clone(&coordinator), Rc::clone(&store)));
+        let kept = served_versions::keep(Rc::clone(&state), Rc::clone(&coordinator), Rc::clone(&store));
+        tasks.spawn_local(kept);
         tasks.spawn_local(Rc::clone(&election).run(Rc::clone(&shared_settings), store));
         tasks.spawn_local(peers::accept(Rc::clone(&coordinator), Rc::clone(&election), peers));
         tasks.spawn_local(peers::follow(Rc::clone(&state), Rc::clone(&coordinator), Rc::clone(&election)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod quota;
 mod request_intake;
 mod response;
+mod served_versions;
 mod settings;
 mod state;
 mod status_pages;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -26,6 +26,7 @@
 use crate::backoff::Backoff;
 use crate::coordinator::Coordinator;
 use crate::message::ListUpdate;
+use crate::served_versions;
 use crate::state::State;
 
 /// Fraction of the drain time within which the store must return the changes of the list.
@@ -44,6 +45,8 @@
     complete_revision: Option<Revision>,
     /// Era of the store at the last read of the whole list.
     era: Option<Era>,
+    /// Whether the versions that had served before this instance started have been read.
+    history_known: bool,
 }
 
 /// Response of the store.
@@ -75,6 +78,7 @@
             entries: IndexMap::new(),
             complete_revision: None,
             era: None,
+            history_known: false,
         }
     }
 
@@ -129,6 +133,11 @@
 
     /// Reads from the store, unless an update of the leader arrives first.
     async fn read(&mut self) -> Result<()> {
+        if !self.history_known {
+            // Before the list, without which the instance is not ready.
+            served_versions::load(&self.state, self.store.as_ref()).await?;
+            self.history_known = true;
+        }
         let (after, sent_at) = (self.cursor.revision(), now());
         let mut fetch = pin!(fetch(Rc::clone(&self.store), after, self.state.terms.get().drain));
         let fetched = loop {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -22,6 +22,7 @@
 use carobwick_core::gateway::PacedLoad;
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RouteTable;
+use carobwick_core::gateway::ServedVersion;
 use carobwick_derive::data;
 use futures_util::future::LocalBoxFuture;
 use http::HeaderMap;
@@ -223,6 +224,26 @@
         fractions: &'a IndexMap<TenantId, f64>,
     ) -> LocalBoxFuture<'a, Result<()>>;
 
+    /// Reads the software versions that were written last, with the revision of the write; empty if none were.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not respond.
+    fn served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<ServedVersion>>>>;
+
+    /// Writes the software versions that serve or have served lately in place of those of a revision; returns the revision
+    /// of the write.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the outcome is unknown, if another instance has written since that revision, or if the revision is of an
+    /// earlier era.
+    fn write_served_versions<'a>(
+        &'a self,
+        versions: &'a [ServedVersion],
+        replaced: Revision,
+    ) -> LocalBoxFuture<'a, Result<Revision>>;
+
     /// Creates a lease and returns its id.
     ///
     /// # Errors
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -7,6 +7,7 @@
 use carobwick_core::gateway::StreamKey;
 use carobwick_core::gateway::StreamOrigin;
 use carobwick_core::gateway::VersionBinding;
+use carobwick_core::gateway::VersionCount;
 use carobwick_runtime::now;
 use tokio::time::timeout;
 
@@ -35,7 +36,7 @@
 impl State {
     /// Returns whether endpoints of several software versions serve, or have served while a stream may have begun.
     pub fn has_several_versions(&self, service: &ServiceId) -> bool {
-        self.endpoints.borrow().has_several_versions(service, now())
+        self.endpoints.borrow().version_count(service, now()) == VersionCount::Several
     }
 
     /// Records a stream that this instance has begun, and tells the leader if other versions serve.
--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -32,6 +32,7 @@
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RetryTerms;
 use carobwick_core::gateway::RouteTable;
+use carobwick_core::gateway::ServedVersion;
 use carobwick_gateway::ClaimOutcome;
 use carobwick_gateway::EngineReport;
 use carobwick_gateway::ForwardedRequest;
@@ -150,6 +151,18 @@
         ready(Ok(())).boxed_local()
     }
 
+    fn served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<ServedVersion>>>> {
+        ready(Ok(Snapshot { value: Vec::new(), revision: Revision(0) })).boxed_local()
+    }
+
+    fn write_served_versions<'a>(
+        &'a self,
+        _versions: &'a [ServedVersion],
+        _replaced: Revision,
+    ) -> LocalBoxFuture<'a, Result<Revision>> {
+        ready(Ok(Revision(1))).boxed_local()
+    }
+
     fn grant(&self, _ttl: Duration) -> LocalBoxFuture<'_, Result<u64>> {
         if self.can_lead { ready(Ok(1)).boxed_local() } else { pending().boxed_local() }
     }
