An instance that is cut off takes no stream of an unknown version for one of its own

An instance without a leader and without the store knows one version; others have begun streams at a new one since. A caller takes such a stream up at the instance that is cut off, which passes it on to the version that it knows.

Cause: "one version serves" was decided by the last list, however old. `is_settled` was a flag that a process which was suspended still had when it went on, although its connection to the leader had ended meanwhile.

Ruled out: that a request is bound later: a stream of unknown origin has no binding until its first event.

Change: a stream of unknown origin goes on without word of it only if the list was confirmed within the drain time or a settled leader was heard in the last 2.5 s (its time replaces the flag). Otherwise it waits as it does while several versions serve, at most 4 s or half of its time, and gets 503. While the store is away for all, such a stream is refused although nothing may have changed: an instance can't tell that from being cut off alone.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -222,7 +222,7 @@
         followers.retain(|_, sender| !sender.is_closed());
         drop(followers);
         let instances = self.instance_count();
-        self.state.is_settled.set(instances.is_some());
+        self.state.settled.set(instances.map(|_| now()));
         if let Some(instances) = instances {
             self.state.set_instances(instances);
         }
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -125,6 +125,7 @@
         let range = RevisionRange { from: update.from, to: update.to, age: update.age.duration() };
         let is_accepted = self.cursor.accept(range, now());
         if is_accepted {
+            self.state.list_confirmed.set(Some(now() - range.age));
             let changes = self.filter_changes(&update.into_changes());
             self.apply(changes);
         }
@@ -152,6 +153,7 @@
                 }
             }
         };
+        self.state.list_confirmed.set(Some(sent_at));
         match fetched {
             Fetched::Full(list) => self.receive_entries(list, sent_at),
             Fetched::Changes { after, changes } => self.receive_changes(after, changes, sent_at),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -31,7 +31,7 @@
 /// Interval at which a follower reports its demand and the leader sends its heartbeat.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a message after which a connection between instances is closed.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay before the next attempt to connect to the leader.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -197,11 +197,11 @@
 fn handle_message(state: &State, election: &Election, message: LeaderMessage) {
     match message {
         LeaderMessage::InstanceCount(Some(instances)) => {
-            state.is_settled.set(true);
+            state.settled.set(Some(now()));
             state.set_instances(instances);
             election.set_instances(instances);
         }
-        LeaderMessage::InstanceCount(None) => state.is_settled.set(false),
+        LeaderMessage::InstanceCount(None) => state.settled.set(None),
         LeaderMessage::EngineModels { endpoint, incarnation, resident } => {
             state.endpoints.borrow_mut().set_resident(&endpoint, incarnation, &resident, now());
             state.endpoints_changed.notify_waiters();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -41,6 +41,7 @@
 use crate::message::ListUpdate;
 use crate::meters::Meters;
 use crate::meters::SendKind;
+use crate::peers::SILENCE_TIMEOUT;
 use crate::pending_replies::PendingReplies;
 use crate::pool::Pool;
 
@@ -79,8 +80,10 @@
     /// Cancelled shortly before a stopping instance aborts the requests in flight.
     pub stop_ending: CancellationToken,
     retry_budgets: RefCell<IndexMap<ServiceId, RetryBudget>>,
-    /// Whether there is a leader to which all instances had time to connect.
-    pub is_settled: Cell<bool>,
+    /// Time of the last heartbeat of a leader to which all instances had time to connect.
+    pub settled: Cell<Option<Time>>,
+    /// Time at which the list of endpoints was known to be complete.
+    pub list_confirmed: Cell<Option<Time>>,
     /// Number of instances that share the retry budget, once the leader has sent it.
     instances: Cell<Option<u32>>,
     demand: RefCell<IndexMap<(ServiceId, Weights), DemandSample>>,
@@ -147,7 +150,8 @@
             refusing: CancellationToken::new(),
             stop_ending: CancellationToken::new(),
             retry_budgets: RefCell::default(),
-            is_settled: Cell::new(false),
+            settled: Cell::default(),
+            list_confirmed: Cell::default(),
             instances: Cell::default(),
             demand: RefCell::default(),
             token_requests: PendingReplies::default(),
@@ -240,7 +244,7 @@
     pub fn set_leader_sender(&self, sender: Option<mpsc::UnboundedSender<FollowerMessage>>) {
         *self.leader_sender.borrow_mut() = sender;
         self.quotas.borrow_mut().discard_unreported(now());
-        self.is_settled.set(false);
+        self.settled.set(None);
         self.token_requests.clear();
         self.trial_requests.clear();
         self.balancer.borrow_mut().reset_shares(now());
@@ -252,6 +256,17 @@
         self.leader_sender.borrow().is_some()
     }
 
+    /// Returns whether there is a leader to which all instances had time to connect. A process that was suspended has not
+    /// noticed yet that its connection to the leader has ended.
+    pub fn is_settled(&self) -> bool {
+        self.settled.get().is_some_and(|at| now() - at < SILENCE_TIMEOUT)
+    }
+
+    /// Returns whether the list of endpoints has been confirmed within the time in which each change must be known.
+    pub fn is_list_current(&self) -> bool {
+        self.list_confirmed.get().is_some_and(|at| now() - at <= self.terms.get().drain)
+    }
+
     /// Passes an update of the leader to the reader of the list.
     pub fn receive_list_update(&self, update: ListUpdate) {
         // The reader ends only with the process.
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -39,6 +39,12 @@
         self.endpoints.borrow().version_count(service, now()) == VersionCount::Several
     }
 
+    /// Returns whether this instance knows of all versions that serve now. One that is cut off or was suspended may not know
+    /// a version that has begun streams at others since.
+    fn knows_versions(&self) -> bool {
+        self.is_settled() || self.is_list_current()
+    }
+
     /// Records a stream that this instance has begun, and tells the leader if other versions serve.
     pub fn record_stream(&self, origin: StreamOrigin) {
         let service = origin.service.clone();
@@ -99,11 +105,11 @@
                 self.binding = VersionBinding::Version(version);
                 return TakeUpStep::Send;
             }
-            if !state.has_several_versions(&self.service) {
+            if state.knows_versions() && !state.has_several_versions(&self.service) {
                 tracing::info!("gateway: request {request} takes up a stream, one version serves");
                 return TakeUpStep::Send;
             }
-            let is_settled = state.is_settled.get();
+            let is_settled = state.is_settled();
             settled_since = settled_since.filter(|_| is_settled).or(is_settled.then(now));
             let wait = self.origin_wait(started, settled_since);
             if wait.is_zero() {
