A stream that is taken up while one version serves is bound to that version

A caller takes up a stream of unknown origin while one version serves. The request waits, since its only endpoint has asked for a pause. An endpoint of another version comes meanwhile, and the stream goes on there.

Cause: what was known when the request was let go was not kept: its binding stayed "any version" until its first event.

Ruled out: a list that is not current: the new version was known, the choice of an endpoint had no reason to pass it over.

Change: the request is bound to the one version that may have begun its stream, and the stream is recorded at once, so that other instances are told if a second version serves. `KnownOrigin` names what an instance knows; the log names the version.

Test: a_stream_that_waits_for_its_only_version_does_not_go_on_at_a_later_one. Before: sent to v2.

--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -32,6 +32,18 @@
     Refuse,
 }
 
+/// What an instance knows of the version that began a stream.
+enum KnownOrigin {
+    /// The instance that began it has told its version.
+    Told(SoftwareVersion),
+    /// Only this version can have begun it. Another one may come before the request is sent.
+    Only(SoftwareVersion),
+    /// Endpoints name no version, or none has served lately.
+    Unnamed,
+    /// Several versions may have begun it.
+    Unknown,
+}
+
 /// Streams that callers may take up at any instance.
 impl State {
     /// Returns whether endpoints of several software versions serve, or have served while a stream may have begun.
@@ -84,8 +96,17 @@
         }
     }
 
-    fn stream_version(&self, key: StreamKey) -> Option<SoftwareVersion> {
-        self.streams.borrow().version(key, now()).cloned()
+    /// Returns what this instance knows of the version that began a stream.
+    fn known_origin(&self, key: StreamKey, service: &ServiceId) -> KnownOrigin {
+        if let Some(version) = self.streams.borrow().version(key, now()) {
+            return KnownOrigin::Told(version.clone());
+        }
+        match self.endpoints.borrow().version_count(service, now()) {
+            VersionCount::Several => KnownOrigin::Unknown,
+            _ if !self.knows_versions() => KnownOrigin::Unknown,
+            VersionCount::One(Some(version)) => KnownOrigin::Only(version.clone()),
+            VersionCount::One(None) | VersionCount::None => KnownOrigin::Unnamed,
+        }
     }
 }
 
@@ -100,14 +121,22 @@
         let mut settled_since = None;
         loop {
             let changed = state.streams_changed.notified();
-            if let Some(version) = state.stream_version(key) {
-                tracing::info!("gateway: request {request} takes up a stream that {version} began");
-                self.binding = VersionBinding::Version(version);
-                return TakeUpStep::Send;
-            }
-            if state.knows_versions() && !state.has_several_versions(&self.service) {
-                tracing::info!("gateway: request {request} takes up a stream, one version serves");
-                return TakeUpStep::Send;
+            match state.known_origin(key, &self.service) {
+                KnownOrigin::Told(version) => {
+                    tracing::info!("gateway: request {request} takes up a stream that {version} began");
+                    self.binding = VersionBinding::Version(version);
+                    return TakeUpStep::Send;
+                }
+                KnownOrigin::Only(version) => {
+                    tracing::info!("gateway: request {request} takes up a stream, only {version} serves");
+                    self.bind_to(Some(version));
+                    return TakeUpStep::Send;
+                }
+                KnownOrigin::Unnamed => {
+                    tracing::info!("gateway: request {request} takes up a stream, no version is named");
+                    return TakeUpStep::Send;
+                }
+                KnownOrigin::Unknown => {}
             }
             let is_settled = state.is_settled();
             settled_since = settled_since.filter(|_| is_settled).or(is_settled.then(now));
@@ -119,8 +148,7 @@
         }
     }
 
-    /// Records that the caller has received the first event of the stream, and binds the stream to the version of the
-    /// endpoint that wrote it.
+    /// Binds the stream to the version that has written its first event, and records it.
     pub fn bind_to(&mut self, version: Option<SoftwareVersion>) {
         if self.binding != VersionBinding::Any {
             return;
