Count connections of callers that end other than by a normal close, by cause

Three causes are possible: the kernel's time limit for unacknowledged data, the memory budget, and the endpoint. The memory budget has a metric; the other two could not be told apart from callers that leave, as the errors of callers' connections are logged at debug level only.

Change: carobwick_caller_connections_lost_total with the causes timed_out, broken_off and closed.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -1,4 +1,7 @@
 use std::convert::Infallible;
+use std::error::Error;
+use std::io;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +32,7 @@
 use crate::head_inspector::HeadInspector;
 use crate::head_inspector::InspectedStream;
 use crate::listener;
+use crate::meters::CallerLoss;
 use crate::meters::ShedCause;
 use crate::request_intake::check_head;
 use crate::request_intake::read_request;
@@ -88,8 +92,10 @@
     let (max_head, idle_timeout) = connection_limits(&state);
     let shed = connection.closing.clone();
     let connection = Rc::new(connection);
+    let shared_state = Rc::clone(&state);
     let service = service_fn(move |request| {
-        let (state, inspector, connection) = (Rc::clone(&state), inspector.clone(), Rc::clone(&connection));
+        let (state, inspector, connection) =
+            (Rc::clone(&shared_state), inspector.clone(), Rc::clone(&connection));
         async move { Ok::<_, Infallible>(serve_request(state, inspector, &connection, request).await) }
     });
     let served = http1::Builder::new()
@@ -100,11 +106,27 @@
         .serve_connection(io, service);
     match shed.run_until_cancelled(serve_until(served, &closing)).await {
         Some(Ok(())) => {}
-        Some(Err(err)) => tracing::debug!("gateway: caller {peer}: {err}"),
+        Some(Err(err)) => {
+            let loss = caller_loss(&err);
+            state.meters.record_caller_loss(loss);
+            tracing::debug!("gateway: caller {peer}: {loss:?}: {err}");
+        }
         None => tracing::debug!("gateway: caller {peer}: closed for lack of memory or descriptors"),
     }
 }
 
+/// Returns how an error has ended the connection of a caller.
+fn caller_loss(err: &hyper::Error) -> CallerLoss {
+    if err.is_user() {
+        return CallerLoss::BrokenOff;
+    }
+    let cause = err.source().and_then(|source| source.downcast_ref::<io::Error>());
+    match cause.map(io::Error::kind) {
+        Some(ErrorKind::TimedOut) => CallerLoss::TimedOut,
+        _ => CallerLoss::Closed,
+    }
+}
+
 /// Responds to one request, during which its connection is in use.
 async fn serve_request(
     state: Rc<State>,
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -39,6 +39,7 @@
     shed: Counter<u64>,
     buffer_bytes: Gauge<u64>,
     connections: Gauge<u64>,
+    lost_connections: Counter<u64>,
     quota_refused: Counter<u64>,
     over_quota: Gauge<u64>,
 }
@@ -65,6 +66,17 @@
     Connections,
 }
 
+/// How the connection of a caller ended other than by a normal close.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallerLoss {
+    /// The caller acknowledged or read nothing for too long.
+    TimedOut,
+    /// The response broke off.
+    BrokenOff,
+    /// The caller closed the connection within a request, or its bytes were no request.
+    Closed,
+}
+
 /// Kind of a message to an endpoint, as the metrics count it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SendKind {
@@ -108,6 +120,7 @@
         let shed = meter.u64_counter("carobwick_shed");
         let buffer_bytes = meter.u64_gauge("carobwick_buffer_bytes");
         let connections = meter.u64_gauge("carobwick_caller_connections");
+        let lost_connections = meter.u64_counter("carobwick_caller_connections_lost");
         let quota_refused = meter.u64_counter("carobwick_quota_refused");
         let over_quota = meter.u64_gauge("carobwick_tenants_over_quota");
         Ok(Self {
@@ -142,6 +155,9 @@
             shed: shed.with_description("Requests refused and connections closed, by cause").build(),
             buffer_bytes: buffer_bytes.with_description("Memory of callers' requests and responses").build(),
             connections: connections.with_description("Connections of callers").build(),
+            lost_connections: lost_connections
+                .with_description("Connections of callers that ended other than by a normal close, by cause")
+                .build(),
             quota_refused: quota_refused
                 .with_description("Requests refused since their tenant is over its quota")
                 .build(),
@@ -186,6 +202,16 @@
         self.shed.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a connection of a caller that ended other than by a normal close.
+    pub fn record_caller_loss(&self, loss: CallerLoss) {
+        let cause = match loss {
+            CallerLoss::TimedOut => "timed_out",
+            CallerLoss::BrokenOff => "broken_off",
+            CallerLoss::Closed => "closed",
+        };
+        self.lost_connections.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Sets the memory of callers' requests and the number of their connections.
     pub fn set_buffers(&self, bytes: usize, connections: usize) {
         self.buffer_bytes.record(bytes as u64, &[]);
