A stream that its caller does not read ends at its deadline

The instance closes the connection, and lets the endpoint go, 2 s after that, also if its deadline was long before.

Cause: a stream looks at its deadline when its next event is asked for. While the caller's window is closed nobody asks.

Ruled out: the memory budget sheds such streams only while memory is short, as it should.

Change: a timer of its own closes the connection 0.2 s after the deadline, if the stream has not ended by then. It counts as timed_out in carobwick_caller_connections_lost_total.

--- a/crates/gateway/src/caller_body.rs
+++ b/crates/gateway/src/caller_body.rs
@@ -5,6 +5,7 @@
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::caller_connections::ActiveRequest;
 use crate::response::BodyError;
@@ -15,11 +16,13 @@
 pub(crate) struct CallerBody {
     body: ResponseBody,
     _request: ActiveRequest,
+    /// Closes the connection of a caller that does not read its stream until its deadline.
+    _closing: Option<AbortOnDropHandle<()>>,
 }
 
 impl CallerBody {
-    pub fn new(body: ResponseBody, request: ActiveRequest) -> Self {
-        Self { body, _request: request }
+    pub fn new(body: ResponseBody, request: ActiveRequest, closing: Option<AbortOnDropHandle<()>>) -> Self {
+        Self { body, _request: request, _closing: closing }
     }
 }
 
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use carobwick_core::Time;
 use carobwick_runtime::now;
 use carobwick_runtime::serve_until;
 use http::HeaderValue;
@@ -23,6 +24,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 use tokio_util::task::TaskTracker;
 
 use crate::caller_body::CallerBody;
@@ -48,6 +50,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest request head while there is no configuration.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
+/// Time after the deadline of a stream within which it ends by itself if its caller reads it.
+const STREAM_END_MARGIN: Duration = Duration::from_millis(200);
 /// Smallest buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -111,7 +115,9 @@
             state.meters.record_caller_loss(loss);
             tracing::debug!("gateway: caller {peer}: {loss:?}: {err}");
         }
-        None => tracing::debug!("gateway: caller {peer}: closed for lack of memory or descriptors"),
+        None => tracing::debug!(
+            "gateway: caller {peer}: closed for lack of memory or descriptors, or as its stream was not read"
+        ),
     }
 }
 
@@ -135,13 +141,31 @@
     request: Request<Incoming>,
 ) -> Response<CallerBody> {
     let active = connection.begin_request();
-    let response = respond(state, inspector, request).await;
-    if let ResponseBody::Buffered(Some(held)) = response.body()
-        && let Some(share) = &held.share
-    {
-        share.begin_sending(connection.closing.clone());
-    }
-    response.map(|body| CallerBody::new(body, active))
+    let Answer { response, deadline } = respond(&state, inspector, request).await;
+    let closing = match response.body() {
+        ResponseBody::Buffered(held) => {
+            if let Some(share) = held.as_ref().and_then(|held| held.share.as_ref()) {
+                share.begin_sending(connection.closing.clone());
+            }
+            None
+        }
+        ResponseBody::Streamed(_) => {
+            deadline.map(|deadline| close_at(deadline + STREAM_END_MARGIN, state, connection.closing.clone()))
+        }
+    };
+    response.map(|body| CallerBody::new(body, active, closing))
+}
+
+/// Closes a connection at a time, unless the handle is dropped before.
+///
+/// A stream ends by itself at its deadline, but not while its caller does not read: then nobody asks for its next event, and
+/// its endpoint would run on.
+fn close_at(at: Time, state: Rc<State>, closing: CancellationToken) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::task::spawn_local(async move {
+        tokio::time::sleep(at - now()).await;
+        state.meters.record_caller_loss(CallerLoss::TimedOut);
+        closing.cancel();
+    }))
 }
 
 fn connection_limits(state: &State) -> (usize, Duration) {
@@ -151,13 +175,17 @@
     }
 }
 
+/// Response to one request.
+struct Answer {
+    response: Response<ResponseBody>,
+    /// Time at which the caller gives up, unless the request was rejected.
+    deadline: Option<Time>,
+}
+
 /// Responds to one request.
-async fn respond(
-    state: Rc<State>,
-    inspector: HeadInspector,
-    request: Request<Incoming>,
-) -> Response<ResponseBody> {
+async fn respond(state: &Rc<State>, inspector: HeadInspector, request: Request<Incoming>) -> Answer {
     let arrived = now();
+    let mut deadline = None;
     let check = inspector.take_result();
     let (parts, body) = request.into_parts();
     let is_chunked = parts.headers.contains_key(TRANSFER_ENCODING);
@@ -166,9 +194,12 @@
             .close_connection()
             .into_response(),
         HeadCheck::Unambiguous | HeadCheck::Unchecked => {
-            match check_head(&state, &parts, body.size_hint().exact()) {
-                Ok(checked) => match read_request(&state, &inspector, checked, parts, body, arrived).await {
-                    Ok(request) => request.run().await,
+            match check_head(state, &parts, body.size_hint().exact()) {
+                Ok(checked) => match read_request(state, &inspector, checked, parts, body, arrived).await {
+                    Ok(request) => {
+                        deadline = Some(request.deadline);
+                        request.run().await
+                    }
                     Err(local) => local.into_response(),
                 },
                 Err(local) => reject_head(local, body, inspector).await.into_response(),
@@ -180,5 +211,5 @@
     if is_unsafe || state.stopping.get() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    Answer { response, deadline }
 }
