An endpoint may pause while it reads a long body

The instance cuts it off after 2 s, counts it as lost, and a payment gets 502 although its endpoint is sound.

Ruled out: no limit on any connection to an endpoint. Requests on kept connections that went silent would wait for their deadlines.

Change: a body over 16 KiB, which an endpoint may have to read before it is whole there, gets a new connection without the limit, for this request only. Connecting has just shown that the endpoint is there. Smaller ones are sent as before.

Tests: an_endpoint_that_pauses_while_it_reads_gets_the_whole_body. After: 200 with the whole body, sent once. an_endpoint_that_vanishes_after_a_long_body_is_noticed passes before and after: 502 well before the deadline, by probes. 10 of 10 tests of uploads.rs pass.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -36,9 +36,19 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    purpose: ConnectionPurpose,
     _task: AbortOnDropHandle<()>,
 }
 
+/// What a connection is opened for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionPurpose {
+    /// Any number of requests.
+    Requests,
+    /// One request whose body exceeds what a peer receives without reading.
+    Upload,
+}
+
 /// Reason why no response head arrived for a request.
 #[derive(Debug)]
 pub enum SendError {
@@ -56,6 +66,21 @@
     /// Fails with [`Category::Unreachable`] if the attempt takes longer than `timeout`, and with
     /// [`Category::Connect`] if it fails otherwise, such as by a refused connection.
     pub async fn connect(addr: SocketAddr, timeout: Duration) -> Result<Self> {
+        Self::open(addr, timeout, ConnectionPurpose::Requests).await
+    }
+
+    /// Opens a connection to `addr` for one request whose body is long, and which the peer may pause to read.
+    ///
+    /// The peer was there just now, so a path that lost its state long ago is no concern, as it is on a connection from before.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::connect`] does.
+    pub async fn connect_for_upload(addr: SocketAddr, timeout: Duration) -> Result<Self> {
+        Self::open(addr, timeout, ConnectionPurpose::Upload).await
+    }
+
+    async fn open(addr: SocketAddr, timeout: Duration, purpose: ConnectionPurpose) -> Result<Self> {
         let failed = |err: String| Error::new(Category::Connect, format!("{addr}: {err}"));
         let stream = match tokio::time::timeout(timeout, TcpStream::connect(addr)).await {
             Ok(Ok(stream)) => stream,
@@ -65,7 +90,11 @@
                 return Err(Error::new(Category::Unreachable, message));
             }
         };
-        configure_socket(&stream).map_err(|err| failed(err.to_string()))?;
+        let configured = match purpose {
+            ConnectionPurpose::Requests => configure_socket(&stream),
+            ConnectionPurpose::Upload => configure_probes(&stream),
+        };
+        configured.map_err(|err| failed(err.to_string()))?;
         // After a normal close the kernel retransmits buffered data once a partition heals, so that an order
         // could arrive after those of the next leader. A reset discards it.
         let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
@@ -80,7 +109,7 @@
                 tracing::debug!("link: {addr}: {err}");
             }
         });
-        Ok(Self { sender, _task: AbortOnDropHandle::new(task) })
+        Ok(Self { sender, purpose, _task: AbortOnDropHandle::new(task) })
     }
 
     /// Returns whether the connection is closed.
@@ -88,6 +117,11 @@
         self.sender.is_closed()
     }
 
+    /// Returns whether the connection may carry another request.
+    pub fn is_reusable(&self) -> bool {
+        self.purpose == ConnectionPurpose::Requests && !self.is_closed()
+    }
+
     /// Waits until the previous response has ended; returns whether the connection can carry another request.
     pub async fn wait_ready(&mut self) -> bool {
         self.sender.ready().await.is_ok()
@@ -140,12 +174,17 @@
 /// Sets the socket options that close a connection whose peer no longer responds, and disables Nagle's
 /// algorithm.
 pub(crate) fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
+    configure_probes(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+}
+
+/// Sets the socket options that close a connection whose peer no longer responds while nothing is on its way to it, and
+/// disables Nagle's algorithm.
+fn configure_probes(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(MAX_KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&probes)
+    SockRef::from(stream).set_tcp_keepalive(&probes)
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -17,6 +17,8 @@
 /// Fraction of the endpoint's idle timeout for which a connection is reused. Later, the endpoint may already
 /// be closing it.
 const USABLE_IDLE_FRACTION: f64 = 0.6;
+/// Longest body that each endpoint receives without reading it. The receive buffers of common systems begin at 16 KiB.
+const MAX_UNREAD_BYTES: usize = 16 << 10;
 /// Idle connections kept for one incarnation of an endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -63,6 +65,24 @@
         Connection::connect(choice.addr, timeout).await
     }
 
+    /// Returns a connection for a request with a body of so many bytes: a new one if the endpoint may have to read in the middle
+    /// of it, which may take it longer than the time after which a peer counts as gone.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be opened within `timeout`.
+    pub async fn take_for_body(
+        &self,
+        choice: &Choice,
+        bytes: usize,
+        timeout: Duration,
+    ) -> Result<Connection> {
+        if bytes > MAX_UNREAD_BYTES {
+            return Connection::connect_for_upload(choice.addr, timeout).await;
+        }
+        self.take(choice, Purpose::Requests, timeout).await
+    }
+
     /// Returns a connection to the pool after its response has ended; `idle_timeout` is what the endpoint
     /// announced.
     ///
@@ -74,7 +94,7 @@
         connection: Connection,
         idle_timeout: Option<Duration>,
     ) {
-        if connection.is_closed() {
+        if !connection.is_reusable() {
             return;
         }
         let expires = now()
--- a/crates/gateway/src/proxied_request.rs
+++ b/crates/gateway/src/proxied_request.rs
@@ -46,7 +46,6 @@
 use crate::placement::Placement;
 use crate::placement::Unplaced;
 use crate::platform::ResponseKind;
-use crate::pool::Purpose;
 use crate::quota::QuotaUse;
 use crate::response::HeldBytes;
 use crate::response::LocalResponse;
@@ -220,7 +219,8 @@
         let mut attempt =
             EndpointRequest::start(&self.state, &self.service, &self.head, self.fingerprint, trial, choice);
         let Some(remaining) = self.remaining_time() else { return Err(SendFailure::Unsent) };
-        match self.state.pool.take(choice, Purpose::Requests, CONNECT_TIMEOUT.min(remaining)).await {
+        let (length, timeout) = (self.body.len(), CONNECT_TIMEOUT.min(remaining));
+        match self.state.pool.take_for_body(choice, length, timeout).await {
             Ok(connection) => attempt.connection = Some(connection),
             Err(err) => {
                 tracing::info!(
