An instance that starts reads the versions that have served from any copy of the store

Cause: the same read served a new leader, which needs the revision to write, and an instance that starts, which does not.

A new leader reads the latest one.

--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -224,13 +224,21 @@
         fractions: &'a IndexMap<TenantId, f64>,
     ) -> LocalBoxFuture<'a, Result<()>>;
 
-    /// Reads the software versions that were written last, with the revision of the write; empty if none were.
+    /// Reads the software versions that were written last, with the revision of the write; empty if none were. They may be
+    /// some seconds old.
     ///
     /// # Errors
     ///
     /// Fails if the store does not respond.
     fn served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<ServedVersion>>>>;
 
+    /// Like [`Self::served_versions`], but never stale.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not respond.
+    fn latest_served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<ServedVersion>>>>;
+
     /// Writes the software versions that serve or have served lately in place of those of a revision; returns the revision
     /// of the write.
     ///
--- a/crates/gateway/src/served_versions.rs
+++ b/crates/gateway/src/served_versions.rs
@@ -39,10 +39,10 @@
 }
 
 /// Adds the versions in the store to those that this instance knows.
-pub(crate) async fn load(state: &State, store: &dyn Store) -> Result<Snapshot<Vec<ServedVersion>>> {
+pub(crate) async fn load(state: &State, store: &dyn Store) -> Result<()> {
     let stored = store.served_versions().await?;
-    state.endpoints.borrow_mut().record_served_versions(stored.value.clone(), now());
-    Ok(stored)
+    state.endpoints.borrow_mut().record_served_versions(stored.value, now());
+    Ok(())
 }
 
 /// Writes the versions that this instance knows if they are others than those that were written last; returns what is
@@ -52,10 +52,13 @@
     store: &dyn Store,
     written: Option<Snapshot<Vec<ServedVersion>>>,
 ) -> Result<Snapshot<Vec<ServedVersion>>> {
-    let written = written.filter(|written| written.revision.era() == store.era());
-    let written = match written {
-        Some(written) => written,
-        None => load(state, store).await?,
+    let current = written.filter(|written| written.revision.era() == store.era());
+    let written = if let Some(current) = current {
+        current
+    } else {
+        let stored = store.latest_served_versions().await?;
+        state.endpoints.borrow_mut().record_served_versions(stored.value.clone(), now());
+        stored
     };
     let versions = state.endpoints.borrow().served_versions(now());
     if !state.endpoints_known.get() || ServedVersion::is_same_set(&versions, &written.value) {
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -107,6 +107,10 @@
         ready(Ok(Snapshot { value: Vec::new(), revision: Revision(0) })).boxed_local()
     }
 
+    fn latest_served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<ServedVersion>>>> {
+        self.served_versions()
+    }
+
     fn write_served_versions<'a>(
         &'a self,
         _versions: &'a [ServedVersion],
--- a/crates/gateway/tests/store_reads.rs
+++ b/crates/gateway/tests/store_reads.rs
@@ -155,6 +155,10 @@
         ready(Ok(Snapshot { value: Vec::new(), revision: Revision(0) })).boxed_local()
     }
 
+    fn latest_served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<ServedVersion>>>> {
+        self.served_versions()
+    }
+
     fn write_served_versions<'a>(
         &'a self,
         _versions: &'a [ServedVersion],
