Move what the leader tells the other instances out of the coordinator

A reader who looks for what a new follower is told had to pass over placement.

Change: add_follower, the broadcasts, the heartbeat and the encoding of frames are in coordinator/followers.rs, as they were. The tour of the crate names the modules that came with this change.

--- a/crates/gateway/src/coordinator/tokens.rs
+++ b/crates/gateway/src/coordinator/tokens.rs
@@ -18,8 +18,6 @@
 use carobwick_runtime::now;
 
 use crate::coordinator::Coordinator;
-use crate::coordinator::encode_message;
-use crate::coordinator::send_frame;
 use crate::message::LeaderMessage;
 use crate::permits::limit_text;
 
@@ -180,13 +178,4 @@
     pub(super) fn retain_limits(&self, exists: impl Fn(&EndpointId) -> bool) {
         self.with_issuer(|issuer| issuer.retain(exists));
     }
-
-    /// Sends a message to an instance, which may be this one.
-    pub(super) fn send_to(&self, instance: &InstanceId, message: LeaderMessage) {
-        if *instance == self.state.settings.instance {
-            self.state.receive_own_reply(message);
-        } else if let Some(sender) = self.followers.borrow().get(instance) {
-            send_frame(sender, encode_message(&message));
-        }
-    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,10 +8,11 @@
 //! request over a pooled [`Connection`], and returns the response whole or, for a stream, as its events
 //! arrive. `quota` takes the units of a request from the quota of its tenant. `take_up` binds a stream that a caller
 //! takes up again to the software version that began it. `buffer` limits the memory of all requests and responses
-//! together, and `caller_connections` the connections. `convictions` keeps in the store which requests crash
-//! endpoints. `config` keeps the routes up to date, `list` the endpoints, and `election`
-//! the lease of the region's leader. `coordinator` runs on the leader: it sends orders to engines, issues
-//! tokens and sends updates to the other instances, which connect to it through `peers`. The decisions are
+//! together, and `caller_connections` the connections; `caller_stream` lets a caller pause while it reads. `convictions`
+//! keeps in the store which requests crash endpoints, and `served_versions` which software versions have served lately.
+//! `config` keeps the routes up to date, `list` the endpoints, and `election` the lease of the region's leader.
+//! `coordinator` runs on the leader: it sends orders to engines, issues tokens and sends updates to the other instances
+//! (`coordinator::followers`), which connect to it through `peers`. The decisions are
 //! made by [`carobwick_core::gateway`], without I/O.
 //!
 //! Two traits hide the platform: [`WireFormat`] encodes and decodes requests, responses and orders, and
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,7 +17,7 @@
 use crate::Result;
 use crate::connection::configure_socket;
 use crate::coordinator::Coordinator;
-use crate::coordinator::Frame;
+use crate::coordinator::followers::Frame;
 use crate::election::Election;
 use crate::listener;
 use crate::message::FollowerMessage;
