--- a/crates/gateway/src/caller_body.rs
+++ b/crates/gateway/src/caller_body.rs
@@ -78,7 +78,7 @@
     type Data = HeldBytes;
     type Error = BodyError;
 
-    /// The HTTP library asks for the next events once it has room for them, which a caller makes that reads.
+    /// The HTTP library asks for more events only while it has room for them, so while the caller reads.
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -69,9 +69,9 @@
         Self::open(addr, timeout, ConnectionPurpose::Requests).await
     }
 
-    /// Opens a connection to `addr` for one request whose body is long, and which the peer may pause to read.
+    /// Opens a connection to `addr` for one request with a long body, during which the peer may pause while it reads.
     ///
-    /// The peer was there just now, so a path that lost its state long ago is no concern, as it is on a connection from before.
+    /// Connecting shows that the peer is there. That is not known of a connection from before, whose path may have lost its state.
     ///
     /// # Errors
     ///
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -65,8 +65,8 @@
         Connection::connect(choice.addr, timeout).await
     }
 
-    /// Returns a connection for a request with a body of so many bytes: a new one if the endpoint may have to read in the middle
-    /// of it, which may take it longer than the time after which a peer counts as gone.
+    /// Returns a connection for a request with a body of so many bytes: a new one if the endpoint must read before the whole body
+    /// has arrived, since it may pause then for longer than the time after which a peer counts as gone.
     ///
     /// # Errors
     ///
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -34,13 +34,13 @@
 
 /// What an instance knows of the version that began a stream.
 enum KnownOrigin {
-    /// The instance that began it has told its version.
-    Told(SoftwareVersion),
+    /// This version is on record for it.
+    Recorded(SoftwareVersion),
     /// Only this version can have begun it. Another one may come before the request is sent.
     Only(SoftwareVersion),
     /// Endpoints name no version, or none has served lately.
     Unnamed,
-    /// Several versions may have begun it.
+    /// Several versions may have begun it, or this instance does not know which ones serve now.
     Unknown,
 }
 
@@ -99,7 +99,7 @@
     /// Returns what this instance knows of the version that began a stream.
     fn known_origin(&self, key: StreamKey, service: &ServiceId) -> KnownOrigin {
         if let Some(version) = self.streams.borrow().version(key, now()) {
-            return KnownOrigin::Told(version.clone());
+            return KnownOrigin::Recorded(version.clone());
         }
         match self.endpoints.borrow().version_count(service, now()) {
             VersionCount::Several => KnownOrigin::Unknown,
@@ -122,7 +122,7 @@
         loop {
             let changed = state.streams_changed.notified();
             match state.known_origin(key, &self.service) {
-                KnownOrigin::Told(version) => {
+                KnownOrigin::Recorded(version) => {
                     tracing::info!("gateway: request {request} takes up a stream that {version} began");
                     self.binding = VersionBinding::Version(version);
                     return TakeUpStep::Send;
