--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -445,7 +445,7 @@
         Self { id: id.into(), service: service.into(), state: "ready".into(), version: "v1".into(), more: String::new() }
     }
 
-    fn json(&self, addr: SocketAddr, sequence: u64) -> String {
+    pub fn json(&self, addr: SocketAddr, sequence: u64) -> String {
         let Self { service, state, version, more, .. } = self;
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"fl-gent\",\"version\":\"{version}\",\"slots\":6,\
--- a/review/standins-3/crowd.rs
+++ b/review/standins-3/crowd.rs
@@ -113,7 +113,7 @@
         std::env::set_var("MEM", MEMORY_MB.to_string());
         std::env::set_var("FDS", MAX_FDS);
     }
-    let (record, dir) = (Record::open("13"), temp_dir("13"));
+    let (record, dir) = (Record::open("14"), temp_dir("14"));
     let (code, text) = run(&dir, &record);
     finish(&record, &dir, code, &text)
 }
