--- a/review/standins-3/crowd.rs
+++ b/review/standins-3/crowd.rs
@@ -14,7 +14,7 @@
 const MEMORY_MB: u64 = 120;
 const MAX_FDS: &str = "3075";
 const CALLERS: usize = 1_600;
-/// Headers of each request, and the bytes of each: together below the 16,384 bytes that a head may have.
+/// Headers of each request, and the bytes of each name: together below the 16,384 bytes that a head may have.
 const HEADERS: usize = 95;
 const HEADER_BYTES: usize = 150;
 /// Bytes of each body, of 4 MB that are legal.
@@ -72,7 +72,7 @@
     }
     let mut open = Vec::new();
     if trouble() {
-        let headers: String = (0..HEADERS).map(|n| format!("X-Note-{n:02}: {}\r\n", "a".repeat(HEADER_BYTES))).collect();
+        let headers: String = (0..HEADERS).map(|n| format!("X-Note-{n:02}-{}: a\r\n", "a".repeat(HEADER_BYTES))).collect();
         for number in 0..CALLERS {
             let Ok(mut stream) = TcpStream::connect(instance.callers) else { continue };
             let _ = stream.set_write_timeout(Some(Duration::from_secs(2)));
