--- a/review/standins-3/young_instance.rs
+++ b/review/standins-3/young_instance.rs
@@ -187,7 +187,7 @@
 }
 
 fn main() {
-    let (record, dir) = (Record::open("14"), temp_dir("14"));
+    let (record, dir) = (Record::open("15"), temp_dir("15"));
     let (code, text) = run(&dir, &record);
     finish(&record, &dir, code, &text)
 }
