--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -16,6 +16,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::Category;
@@ -31,6 +32,8 @@
 
 /// Fraction of the drain time within which the store must return the changes of the list.
 const READ_TIMEOUT_FRACTION: f64 = 0.25;
+/// Least time from a read to one that a request asks for. Callers decide how often requests ask.
+const REQUESTED_READ_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Keeps the list of endpoints up to date, from the leader's updates or from the store.
 pub(crate) struct ListReader {
@@ -45,6 +48,8 @@
     complete_revision: Option<Revision>,
     /// Era of the store at the last read of the whole list.
     era: Option<Era>,
+    /// Time of the last read.
+    last_read: Time,
     /// Whether the versions that had served before this instance started have been read.
     history_known: bool,
 }
@@ -78,6 +83,7 @@
             entries: IndexMap::new(),
             complete_revision: None,
             era: None,
+            last_read: Time::ZERO,
             history_known: false,
         }
     }
@@ -106,9 +112,18 @@
     }
 
     async fn next_action(&mut self) -> Action {
-        match timeout(self.cursor.wait(now()), self.updates.recv()).await {
-            Ok(Some(update)) if self.cursor.revision().is_some() => Action::Receive(update),
-            Ok(_) | Err(_) => Action::Read,
+        let state = Rc::clone(&self.state);
+        let next_requested = self.last_read + REQUESTED_READ_INTERVAL;
+        let requested = async {
+            state.list_requested.notified().await;
+            sleep(next_requested - now()).await;
+        };
+        tokio::select! {
+            update = timeout(self.cursor.wait(now()), self.updates.recv()) => match update {
+                Ok(Some(update)) if self.cursor.revision().is_some() => Action::Receive(update),
+                Ok(_) | Err(_) => Action::Read,
+            },
+            () = requested => Action::Read,
         }
     }
 
@@ -125,7 +140,6 @@
         let range = RevisionRange { from: update.from, to: update.to, age: update.age.duration() };
         let is_accepted = self.cursor.accept(range, now());
         if is_accepted {
-            self.state.list_confirmed.set(Some(now() - range.age));
             let changes = self.filter_changes(&update.into_changes());
             self.apply(changes);
         }
@@ -140,6 +154,7 @@
             self.history_known = true;
         }
         let (after, sent_at) = (self.cursor.revision(), now());
+        self.last_read = sent_at;
         let mut fetch = pin!(fetch(Rc::clone(&self.store), after, self.state.terms.get().drain));
         let fetched = loop {
             tokio::select! {
@@ -153,11 +168,12 @@
                 }
             }
         };
-        self.state.list_confirmed.set(Some(sent_at));
         match fetched {
             Fetched::Full(list) => self.receive_entries(list, sent_at),
             Fetched::Changes { after, changes } => self.receive_changes(after, changes, sent_at),
         }
+        self.state.list_read.set(Some(sent_at));
+        self.state.streams_changed.notify_waiters();
         Ok(())
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -82,8 +82,10 @@
     retry_budgets: RefCell<IndexMap<ServiceId, RetryBudget>>,
     /// Time of the last heartbeat of a leader to which all instances had time to connect.
     pub settled: Cell<Option<Time>>,
-    /// Time at which the list of endpoints was known to be complete.
-    pub list_confirmed: Cell<Option<Time>>,
+    /// Time at which the last successful read of the list of endpoints was sent to the store.
+    pub list_read: Cell<Option<Time>>,
+    /// Asks the reader of the list for a read.
+    pub list_requested: Notify,
     /// Number of instances that share the retry budget, once the leader has sent it.
     instances: Cell<Option<u32>>,
     demand: RefCell<IndexMap<(ServiceId, Weights), DemandSample>>,
@@ -151,7 +153,8 @@
             stop_ending: CancellationToken::new(),
             retry_budgets: RefCell::default(),
             settled: Cell::default(),
-            list_confirmed: Cell::default(),
+            list_read: Cell::default(),
+            list_requested: Notify::new(),
             instances: Cell::default(),
             demand: RefCell::default(),
             token_requests: PendingReplies::default(),
@@ -262,9 +265,9 @@
         self.settled.get().is_some_and(|at| now() - at < SILENCE_TIMEOUT)
     }
 
-    /// Returns whether the list of endpoints has been confirmed within the time in which each change must be known.
-    pub fn is_list_current(&self) -> bool {
-        self.list_confirmed.get().is_some_and(|at| now() - at <= self.terms.get().drain)
+    /// Returns whether the list of endpoints holds all that other instances can have read before `time`.
+    pub fn is_list_read_since(&self, time: Time) -> bool {
+        self.list_read.get().is_some_and(|at| at >= time)
     }
 
     /// Passes an update of the leader to the reader of the list.
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -18,10 +18,10 @@
 /// Time for which a request waits for a message of the leader on the stream that it takes up: the instance that began
 /// the stream may have told the leader only just now.
 const ORIGIN_WAIT: Duration = Duration::from_millis(300);
-/// Time for which it waits without a leader to which all instances had time to connect; a new one is there within 4 s, and
-/// the instances tell it what they know.
+/// Time for which it waits without a list that was read since it came, or without a leader to which all instances had time
+/// to connect; a new one is there within 4 s, and the instances tell it what they know.
 const UNSETTLED_WAIT: Duration = Duration::from_secs(4);
-/// Interval at which the wait looks at the connections to the leader.
+/// Interval at which the wait looks at the connections to the leader, and asks again for a read of the list.
 const SETTLED_POLL: Duration = Duration::from_millis(100);
 
 /// Whether a request that takes a stream up again may be sent.
@@ -40,8 +40,10 @@
     Only(SoftwareVersion),
     /// Endpoints name no version, or none has served lately.
     Unnamed,
-    /// Several versions may have begun it, or this instance does not know which ones serve now.
+    /// Several versions may have begun it.
     Unknown,
+    /// Other instances may know versions that this one does not.
+    Unconfirmed,
 }
 
 /// Streams that callers may take up at any instance.
@@ -51,12 +53,6 @@
         self.endpoints.borrow().version_count(service, now()) == VersionCount::Several
     }
 
-    /// Returns whether this instance knows of all versions that serve now. One that is cut off or was suspended may not know
-    /// a version that has begun streams at others since.
-    fn knows_versions(&self) -> bool {
-        self.is_settled() || self.is_list_current()
-    }
-
     /// Records a stream that this instance has begun, and tells the leader if other versions serve.
     pub fn record_stream(&self, origin: StreamOrigin) {
         let service = origin.service.clone();
@@ -96,14 +92,17 @@
         }
     }
 
-    /// Returns what this instance knows of the version that began a stream.
-    fn known_origin(&self, key: StreamKey, service: &ServiceId) -> KnownOrigin {
+    /// Returns what this instance knows of the version that began a stream which its caller takes up at `asked`.
+    ///
+    /// Each instance sends streams to a version as soon as it has read of it, and may end before it has told another one.
+    /// So this instance knows all versions that can have begun the stream only from a list that it has read since.
+    fn known_origin(&self, key: StreamKey, service: &ServiceId, asked: Time) -> KnownOrigin {
         if let Some(version) = self.streams.borrow().version(key, now()) {
             return KnownOrigin::Recorded(version.clone());
         }
         match self.endpoints.borrow().version_count(service, now()) {
             VersionCount::Several => KnownOrigin::Unknown,
-            _ if !self.knows_versions() => KnownOrigin::Unknown,
+            _ if !self.is_list_read_since(asked) => KnownOrigin::Unconfirmed,
             VersionCount::One(Some(version)) => KnownOrigin::Only(version.clone()),
             VersionCount::One(None) | VersionCount::None => KnownOrigin::Unnamed,
         }
@@ -121,7 +120,7 @@
         let mut settled_since = None;
         loop {
             let changed = state.streams_changed.notified();
-            match state.known_origin(key, &self.service) {
+            let is_confirmed = match state.known_origin(key, &self.service, started) {
                 KnownOrigin::Recorded(version) => {
                     tracing::info!("gateway: request {request} takes up a stream that {version} began");
                     self.binding = VersionBinding::Version(version);
@@ -136,9 +135,13 @@
                     tracing::info!("gateway: request {request} takes up a stream, no version is named");
                     return TakeUpStep::Send;
                 }
-                KnownOrigin::Unknown => {}
-            }
-            let is_settled = state.is_settled();
+                KnownOrigin::Unknown => true,
+                KnownOrigin::Unconfirmed => {
+                    state.list_requested.notify_one();
+                    false
+                }
+            };
+            let is_settled = is_confirmed && state.is_settled();
             settled_since = settled_since.filter(|_| is_settled).or(is_settled.then(now));
             let wait = self.origin_wait(started, settled_since);
             if wait.is_zero() {
