--- a/crates/core/src/gateway/stream_table.rs
+++ b/crates/core/src/gateway/stream_table.rs
@@ -48,8 +48,18 @@
     expires: Time,
     /// Whether this instance has begun the stream.
     own: bool,
-    /// Whether other instances have been told.
-    shared: bool,
+    sharing: Sharing,
+}
+
+/// Whether other instances know a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sharing {
+    /// Only this instance does.
+    Unshared,
+    /// The leader has been told, but may not have received it.
+    Sent,
+    /// Another instance does, so that the stream outlasts this one.
+    Confirmed,
 }
 
 impl StreamKey {
@@ -78,23 +88,38 @@
     /// Returns the streams of a service that this instance has begun and not shared yet, and marks them as shared.
     pub fn take_unshared(&mut self, service: &ServiceId, now: Time) -> Vec<StreamOrigin> {
         let unshared = self.streams.iter_mut().filter(|(_, stream)| {
-            stream.own && !stream.shared && stream.service == *service && now < stream.expires
+            let is_unshared = stream.own && stream.sharing == Sharing::Unshared;
+            is_unshared && stream.service == *service && now < stream.expires
         });
         let taken = unshared.map(|(key, stream)| {
-            stream.shared = true;
+            stream.sharing = Sharing::Sent;
             stream.origin(*key, now)
         });
         taken.collect()
     }
 
+    /// Records that other instances know these streams.
+    pub fn record_confirmed(&mut self, keys: &[StreamKey]) {
+        for key in keys {
+            if let Some(stream) = self.streams.get_mut(key) {
+                stream.sharing = Sharing::Confirmed;
+            }
+        }
+    }
+
+    /// Returns whether another instance knows a stream.
+    pub fn is_confirmed(&self, key: StreamKey) -> bool {
+        self.streams.get(&key).is_some_and(|stream| stream.sharing == Sharing::Confirmed)
+    }
+
     /// Returns the streams of this instance that a new leader may not know.
     pub fn own_shared(&self, now: Time) -> Vec<StreamOrigin> {
-        self.select(now, |stream| stream.own && stream.shared)
+        self.select(now, |stream| stream.own && stream.sharing != Sharing::Unshared)
     }
 
     /// Returns the streams that a new follower may not know.
     pub fn all_shared(&self, now: Time) -> Vec<StreamOrigin> {
-        self.select(now, |stream| stream.shared)
+        self.select(now, |stream| stream.sharing != Sharing::Unshared)
     }
 
     fn select(&self, now: Time, is_selected: impl Fn(&Stream) -> bool) -> Vec<StreamOrigin> {
@@ -110,7 +135,8 @@
             self.make_room(now);
         }
         let expires = now + origin.remaining.duration().min(MAX_LIFETIME);
-        let stream = Stream { service: origin.service, version: origin.version, expires, own, shared: !own };
+        let sharing = if own { Sharing::Unshared } else { Sharing::Confirmed };
+        let stream = Stream { service: origin.service, version: origin.version, expires, own, sharing };
         self.streams.insert(origin.key, stream);
         true
     }
--- a/crates/core/tests/stream_table.rs
+++ b/crates/core/tests/stream_table.rs
@@ -95,6 +95,21 @@
     assert_eq!(table.all_shared(at(1_000)).len(), 2);
 }
 
+/// Guards against a stream that counts as known to others before they have received it.
+#[test]
+fn a_stream_is_confirmed_once_another_instance_has_received_it() {
+    let mut table = StreamTable::default();
+    let (own, other) = (StreamKey::new("a"), StreamKey::new("b"));
+    table.record_begun(origin("a", "v1"), at(0));
+    table.record_shared(origin("b", "v1"), at(0));
+    assert!(!table.is_confirmed(own) && table.is_confirmed(other));
+    assert_eq!(table.take_unshared(&"s".parse().unwrap(), at(0)).len(), 1);
+    assert!(!table.is_confirmed(own), "it may not have arrived");
+    table.record_confirmed(&[own, StreamKey::new("c")]);
+    assert!(table.is_confirmed(own) && !table.is_confirmed(StreamKey::new("c")));
+    assert_eq!(table.own_shared(at(0)).len(), 1, "a new leader is told all the same");
+}
+
 /// Guards against a table that grows without bound, and against dropping the newest streams.
 #[test]
 fn the_oldest_streams_make_room() {
--- a/crates/gateway/src/coordinator/streams.rs
+++ b/crates/gateway/src/coordinator/streams.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use carobwick_core::InstanceId;
+use carobwick_core::gateway::StreamKey;
 use carobwick_core::gateway::StreamOrigin;
 use tokio::time::sleep;
 
@@ -14,9 +15,12 @@
 
 /// Streams that callers may take up at any instance.
 impl Coordinator {
-    /// Handles streams that an instance has begun.
-    pub(super) fn handle_streams(&self, from: &InstanceId, streams: Vec<StreamOrigin>) {
+    /// Handles streams that an instance has begun, and confirms them if it asks for it.
+    pub(super) fn handle_streams(&self, from: &InstanceId, streams: Vec<StreamOrigin>, confirm: bool) {
         let is_own = *from == self.state.settings.instance;
+        if confirm && !is_own {
+            self.send_to(from, LeaderMessage::StreamsReceived { keys: keys(&streams) });
+        }
         let new = if is_own { streams } else { self.state.receive_streams(streams) };
         if !new.is_empty() {
             self.new_streams.borrow_mut().extend(new);
@@ -31,7 +35,14 @@
             let followers = self.followers.borrow().len() as u32;
             sleep(GATHER_TIME * followers).await;
             let streams = std::mem::take(&mut *self.new_streams.borrow_mut());
+            let keys = keys(&streams);
             self.broadcast(&LeaderMessage::streams(streams));
+            // The leader's own streams are known to others from here on.
+            self.state.confirm_streams(&keys);
         }
     }
 }
+
+fn keys(streams: &[StreamOrigin]) -> Vec<StreamKey> {
+    streams.iter().map(|origin| origin.key).collect()
+}
--- a/crates/gateway/src/election.rs
+++ b/crates/gateway/src/election.rs
@@ -109,6 +109,11 @@
         self.leader.borrow().clone()
     }
 
+    /// Waits until there is another leader, or this instance is the leader.
+    pub async fn wait_changed(&self) {
+        self.changed.notified().await;
+    }
+
     /// Waits until the leader is not the given one any more, or this instance is the leader.
     pub async fn wait_leader_changed(&self, entry: &LeaderEntry) {
         loop {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,8 +6,8 @@
 //! `ProxiedRequest`, which chooses an endpoint (`placement`), takes a token if the endpoint limits its rate
 //! (`permits`), waits for a trial if its prompt is suspected of crashing endpoints (`suspicion`), sends the
 //! request over a pooled [`Connection`], and returns the response whole or, for a stream, as its events
-//! arrive. `quota` takes the units of a request from the quota of its tenant. `take_up` binds a stream that a caller
-//! takes up again to the software version that began it. `buffer` limits the memory of all requests and responses
+//! arrive. `quota` takes the units of a request from the quota of its tenant. `shared_streams` tells the other instances which
+//! software version began a stream, and `take_up` binds a stream that a caller takes up again to it. `buffer` limits the memory of all requests and responses
 //! together, and `caller_connections` the connections; `caller_stream` lets a caller pause while it reads. `convictions`
 //! keeps in the store which requests crash endpoints, and `served_versions` which software versions have served lately.
 //! `config` keeps the routes up to date, `list` the endpoints, and `election` the lease of the region's leader.
@@ -51,6 +51,7 @@
 mod response;
 mod served_versions;
 mod settings;
+mod shared_streams;
 mod state;
 mod status_pages;
 mod stream;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -264,7 +264,8 @@
     /// Updates everything that depends on the list and notifies waiting requests.
     fn notify_changed(&self) {
         let state = &self.state;
-        if !state.endpoints_known.replace(true) {
+        if state.list_known.get().is_none() {
+            state.list_known.set(Some(now()));
             tracing::info!("list: {} endpoints are known", state.endpoints.borrow().iter().count());
         }
         let endpoints = state.endpoints.borrow();
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -17,6 +17,7 @@
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::SharedLoad;
 use carobwick_core::gateway::SoftwareVersion;
+use carobwick_core::gateway::StreamKey;
 use carobwick_core::gateway::StreamOrigin;
 use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::Ticket;
@@ -48,14 +49,15 @@
     Hello { instance: InstanceId },
     /// Demand and endpoint loads since the last report; also serves as a heartbeat. The streams that the instance has
     /// begun do not wait for the next report. The paces are those of the endpoints, in the order of their loads. The
-    /// usage of tenants is there if a tenant has a quota. Instances of the version before neither send nor read
-    /// streams, paces and usage.
+    /// usage of tenants is there if a tenant has a quota. With `confirm` the leader responds that it has received the
+    /// streams. Instances of the version before neither send nor read streams, paces, usage and `confirm`.
     Report {
         demand: Vec<DemandSample>,
         loads: Vec<SharedLoad>,
         streams: Vec<StreamOrigin>,
         paces: Vec<Pace>,
         usage: Option<UsageReport>,
+        confirm: bool,
     },
     /// A request needs a model or adapter that is resident on no endpoint, or on none in the instance's zone.
     RequestWeights { service: ServiceId, weights: Weights, zone: ZoneId },
@@ -124,18 +126,21 @@
     Trial { number: u64, granted: bool },
     /// The leader's configuration, for an instance that can't read it from the store.
     Config(Box<RouteTable>),
+    /// The leader has received these streams of the instance. Sent only if the instance has asked for it.
+    StreamsReceived { keys: Vec<StreamKey> },
 }
 
 impl FollowerMessage {
-    /// Returns the message that tells the leader of streams.
+    /// Returns the message that tells the leader of streams and asks it to confirm them.
     pub fn streams(streams: Vec<StreamOrigin>) -> Self {
-        Self::Report { demand: Vec::new(), loads: Vec::new(), streams, paces: Vec::new(), usage: None }
+        let (demand, loads, paces) = (Vec::new(), Vec::new(), Vec::new());
+        Self::Report { demand, loads, streams, paces, usage: None, confirm: true }
     }
 
     /// Returns the message that tells the leader of the usage of tenants.
     pub fn usage(usage: UsageReport) -> Self {
         let (demand, loads, streams, paces) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-        Self::Report { demand, loads, streams, paces, usage: Some(usage) }
+        Self::Report { demand, loads, streams, paces, usage: Some(usage), confirm: false }
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -102,6 +102,10 @@
                 }
                 () = election.wait_leader_changed(&entry) => tracing::info!("peers: {leader} is no longer the leader"),
             }
+        } else {
+            // No delay here: until it is connected, nobody learns of the streams that this instance begins.
+            election.wait_changed().await;
+            continue;
         }
         if state.has_leader() {
             state.set_leader_sender(None);
@@ -233,6 +237,7 @@
             state.receive_loads(&SharedLoads { loads, paces });
             let _new = state.receive_streams(streams);
         }
+        LeaderMessage::StreamsReceived { keys } => state.confirm_streams(&keys),
         LeaderMessage::EndpointList(update) => state.receive_list_update(update),
         LeaderMessage::ConfigVersion { version, age } => state.set_leader_version(version, age.duration()),
     }
--- a/crates/gateway/src/served_versions.rs
+++ b/crates/gateway/src/served_versions.rs
@@ -61,7 +61,7 @@
         stored
     };
     let versions = state.endpoints.borrow().served_versions(now());
-    if !state.endpoints_known.get() || ServedVersion::is_same_set(&versions, &written.value) {
+    if state.list_known.get().is_none() || ServedVersion::is_same_set(&versions, &written.value) {
         return Ok(written);
     }
     let revision = store.write_served_versions(&versions, written.revision).await?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -49,6 +49,10 @@
 /// or at endpoints that limit their rate.
 const WEIGHTS_REQUEST_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Time for which an instance that has started waits for a leader before it is ready. Until it has one, the others do not
+/// know the streams that it begins.
+const JOIN_WAIT: Duration = Duration::from_secs(1);
+
 /// State shared by the tasks of one instance, all of which run on one thread.
 pub(crate) struct State {
     pub settings: Settings,
@@ -57,8 +61,8 @@
     pub wire: Box<dyn WireFormat>,
     pub route_table: RefCell<Option<Arc<RouteTable>>>,
     pub endpoints: RefCell<EndpointTable>,
-    /// Whether the list of endpoints has been read.
-    pub endpoints_known: Cell<bool>,
+    /// Time at which the list of endpoints was first known.
+    pub list_known: Cell<Option<Time>>,
     pub balancer: RefCell<Balancer>,
     pub suspects: RefCell<SuspectTable>,
     /// Sends convicted suspects to the task that writes them to the store.
@@ -102,6 +106,10 @@
     /// Usage of tenants with a quota.
     pub quotas: RefCell<QuotaMeter>,
     leader_sender: RefCell<Option<mpsc::UnboundedSender<FollowerMessage>>>,
+    /// Whether there has been a connection to a leader since the start.
+    has_joined: Cell<bool>,
+    /// Whether the leader confirms streams, as far as is known.
+    pub leader_confirms: Cell<bool>,
     /// Age of the configuration in force, by which it is decided when to read it again.
     pub freshness: RefCell<ConfigFreshness>,
     /// Version of the configuration that the leader has sent last.
@@ -138,7 +146,7 @@
             wire,
             route_table: RefCell::default(),
             endpoints: RefCell::default(),
-            endpoints_known: Cell::new(false),
+            list_known: Cell::default(),
             balancer: RefCell::new(balancer),
             suspects: RefCell::default(),
             convicted,
@@ -164,6 +172,8 @@
             streams_changed: Notify::new(),
             quotas: RefCell::default(),
             leader_sender: RefCell::default(),
+            has_joined: Cell::new(false),
+            leader_confirms: Cell::new(true),
             leader_version: Cell::default(),
             leader_version_changed: Notify::new(),
             list_updates,
@@ -173,7 +183,14 @@
 
     /// Returns whether the instance is ready to accept connections.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.endpoints_known.get() && self.route_table.borrow().is_some()
+        let is_known = self.list_known.get().is_some() && self.route_table.borrow().is_some();
+        !self.stopping.get() && is_known && !self.is_joining()
+    }
+
+    /// Returns whether this instance has started just now and is not connected to a leader yet.
+    pub fn is_joining(&self) -> bool {
+        let is_over = |known| now() >= known + JOIN_WAIT;
+        !self.has_joined.get() && !self.list_known.get().is_some_and(is_over)
     }
 
     /// Applies reloaded settings.
@@ -231,7 +248,8 @@
         self.streams.borrow_mut().remove_expired(now());
         let demand = std::mem::take(&mut *self.demand.borrow_mut()).into_values().collect();
         let SharedLoads { loads, paces } = self.balancer.borrow_mut().take_loads();
-        FollowerMessage::Report { demand, loads, streams: Vec::new(), paces, usage: self.take_usage() }
+        let usage = self.take_usage();
+        FollowerMessage::Report { demand, loads, streams: Vec::new(), paces, usage, confirm: false }
     }
 
     /// Applies loads that endpoints reported to other instances.
@@ -245,6 +263,8 @@
 
     /// Sets the channel for messages to the leader, or none without a connection to it.
     pub fn set_leader_sender(&self, sender: Option<mpsc::UnboundedSender<FollowerMessage>>) {
+        self.has_joined.set(self.has_joined.get() || sender.is_some());
+        self.leader_confirms.set(true);
         *self.leader_sender.borrow_mut() = sender;
         self.quotas.borrow_mut().discard_unreported(now());
         self.settled.set(None);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -204,7 +204,7 @@
                 if events.bytes.is_empty() {
                     continue;
                 }
-                resumable.record_shown();
+                resumable.record_shown().await;
                 resumable.last_event = events.last_id.or(resumable.last_event);
                 return Some((Ok(events.bytes), Some(resumable)));
             }
@@ -230,11 +230,14 @@
 }
 
 impl ResumableStream {
-    /// Records that events of the endpoint are forwarded; from the first one on, the stream is bound to its version.
-    fn record_shown(&mut self) {
+    /// Records that events of the endpoint are forwarded; from the first one on, the stream is bound to its version. The
+    /// first one is held until another instance knows that.
+    async fn record_shown(&mut self) {
         self.body.request.record_begun();
         self.proxied.progress.shown = true;
-        self.proxied.bind_to(self.body.request.choice.version.clone());
+        if self.proxied.bind_to(self.body.request.choice.version.clone()) {
+            self.proxied.wait_confirmed().await;
+        }
     }
 
     /// Returns whether a response holds the rest of the stream, and not the text of a failure.
