--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -33,6 +33,8 @@
 enum KnownOrigin {
     /// This version is on record for it.
     Recorded(SoftwareVersion),
+    /// This version is on record for it, and no endpoint of it in the list of endpoints, which may be old.
+    Unlisted(SoftwareVersion),
     /// Only this version can have begun it. Another one may come before the request is sent.
     Only(SoftwareVersion),
     /// Endpoints name no version, or none has served lately.
@@ -52,7 +54,9 @@
         let is_current = self.is_list_read_since(asked);
         let endpoints = self.endpoints.borrow();
         if let Some(version) = self.streams.borrow().version(key, now()) {
-            return KnownOrigin::Recorded(version.clone());
+            let is_listed = endpoints.live(service).any(|entry| entry.version.as_ref() == Some(version));
+            let known = if is_listed || is_current { KnownOrigin::Recorded } else { KnownOrigin::Unlisted };
+            return known(version.clone());
         }
         match endpoints.version_count(service, now()) {
             VersionCount::Several => KnownOrigin::Unknown,
@@ -76,6 +80,14 @@
             let changed = state.streams_changed.notified();
             let wait = match state.known_origin(key, &self.service, started) {
                 KnownOrigin::Recorded(version) => return self.bind_recorded(version),
+                KnownOrigin::Unlisted(version) => {
+                    let wait = self.origin_wait(started, Some(started));
+                    if wait.is_zero() {
+                        return self.bind_recorded(version);
+                    }
+                    state.list_requested.notify_one();
+                    wait
+                }
                 KnownOrigin::Only(version) => {
                     tracing::info!("gateway: request {request} takes up a stream, only {version} serves");
                     self.bind_to(Some(version));
