--- a/crates/core/src/gateway/stream_table.rs
+++ b/crates/core/src/gateway/stream_table.rs
@@ -35,7 +35,8 @@
 
 /// Streams that callers may take up again, with the software version that began each.
 ///
-/// An instance knows those that it has begun, and those that others have begun while endpoints of several versions served.
+/// An instance knows those that it has begun, and those that others have begun while endpoints of several versions served. The
+/// leader knows the others, too, from the instances' reports.
 #[derive(Debug, Default)]
 pub struct StreamTable {
     streams: IndexMap<StreamKey, Stream>,
@@ -51,14 +52,14 @@
     sharing: Sharing,
 }
 
-/// Whether other instances know a stream.
+/// Whether the instances that this one tells of streams know of one: the leader if it is a follower, all others if it leads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Sharing {
-    /// Only this instance does.
+    /// They have not been told.
     Unshared,
-    /// The leader has been told, but may not have received it.
+    /// They have been told, but may not have received it.
     Sent,
-    /// Another instance does, so that the stream outlasts this one.
+    /// They know it, so that it outlasts this instance.
     Confirmed,
 }
 
@@ -72,12 +73,17 @@
 impl StreamTable {
     /// Records a stream that this instance has begun. One that is known keeps its version.
     pub fn record_begun(&mut self, origin: StreamOrigin, now: Time) {
-        self.insert(origin, true, now);
+        self.insert(origin, true, Sharing::Unshared, now);
     }
 
-    /// Records a stream that another instance has begun; returns whether it was not known.
+    /// Records a stream that another instance has begun and that all have been told of; returns whether it was not known.
     pub fn record_shared(&mut self, origin: StreamOrigin, now: Time) -> bool {
-        self.insert(origin, false, now)
+        self.insert(origin, false, Sharing::Confirmed, now)
+    }
+
+    /// Records a stream that another instance has begun and has told only this one, the leader, of.
+    pub fn record_reported(&mut self, origin: StreamOrigin, now: Time) {
+        self.insert(origin, false, Sharing::Unshared, now);
     }
 
     /// Returns the version that began a stream, if it is known.
@@ -85,11 +91,25 @@
         self.streams.get(&key).filter(|stream| now < stream.expires).map(|stream| &stream.version)
     }
 
-    /// Returns the streams of a service that this instance has begun and not shared yet, and marks them as shared.
+    /// Returns what is known of a stream, as another instance is told it.
+    pub fn origin(&self, key: StreamKey, now: Time) -> Option<StreamOrigin> {
+        let stream = self.streams.get(&key).filter(|stream| now < stream.expires)?;
+        Some(stream.origin(key, now))
+    }
+
+    /// Returns the streams of a service that have not been shared yet, and marks them as shared.
     pub fn take_unshared(&mut self, service: &ServiceId, now: Time) -> Vec<StreamOrigin> {
+        self.take_where(now, |stream| stream.service == *service)
+    }
+
+    /// Returns the streams of all services that have not been shared yet, and marks them as shared.
+    pub fn take_all_unshared(&mut self, now: Time) -> Vec<StreamOrigin> {
+        self.take_where(now, |_| true)
+    }
+
+    fn take_where(&mut self, now: Time, is_selected: impl Fn(&Stream) -> bool) -> Vec<StreamOrigin> {
         let unshared = self.streams.iter_mut().filter(|(_, stream)| {
-            let is_unshared = stream.own && stream.sharing == Sharing::Unshared;
-            is_unshared && stream.service == *service && now < stream.expires
+            stream.sharing == Sharing::Unshared && now < stream.expires && is_selected(stream)
         });
         let taken = unshared.map(|(key, stream)| {
             stream.sharing = Sharing::Sent;
@@ -98,6 +118,13 @@
         taken.collect()
     }
 
+    /// Counts the streams as unshared that only a former leader may have been told of, since this instance leads now.
+    pub fn reset_sent(&mut self) {
+        for stream in self.streams.values_mut().filter(|stream| stream.sharing == Sharing::Sent) {
+            stream.sharing = Sharing::Unshared;
+        }
+    }
+
     /// Records that other instances know these streams.
     pub fn record_confirmed(&mut self, keys: &[StreamKey]) {
         for key in keys {
@@ -127,7 +154,7 @@
         selected.map(|(key, stream)| stream.origin(*key, now)).collect()
     }
 
-    fn insert(&mut self, origin: StreamOrigin, own: bool, now: Time) -> bool {
+    fn insert(&mut self, origin: StreamOrigin, own: bool, sharing: Sharing, now: Time) -> bool {
         if self.version(origin.key, now).is_some() {
             return false;
         }
@@ -135,7 +162,6 @@
             self.make_room(now);
         }
         let expires = now + origin.remaining.duration().min(MAX_LIFETIME);
-        let sharing = if own { Sharing::Unshared } else { Sharing::Confirmed };
         let stream = Stream { service: origin.service, version: origin.version, expires, own, sharing };
         self.streams.insert(origin.key, stream);
         true
--- a/crates/core/tests/stream_table.rs
+++ b/crates/core/tests/stream_table.rs
@@ -110,6 +110,23 @@
     assert_eq!(table.own_shared(at(0)).len(), 1, "a new leader is told all the same");
 }
 
+/// Guards against streams of a former leader's term that the new leader takes for known to all, and against telling the others
+/// of what one instance has reported before they need it.
+#[test]
+fn a_leader_shares_what_only_the_leader_before_was_told_and_what_is_reported_to_it() {
+    let mut table = StreamTable::default();
+    table.record_begun(origin("a", "v1"), at(0));
+    table.record_begun(origin("b", "v1"), at(0));
+    assert_eq!(table.take_all_unshared(at(0)).len(), 2);
+    table.record_confirmed(&[StreamKey::new("b")]);
+    table.reset_sent();
+    table.record_reported(origin("c", "v1"), at(0));
+    assert_eq!(table.all_shared(at(0)), [origin("b", "v1")]);
+    assert_eq!(table.origin(StreamKey::new("c"), at(0)), Some(origin("c", "v1")));
+    let shared = table.take_unshared(&"s".parse().unwrap(), at(0));
+    assert_eq!(shared, [origin("a", "v1"), origin("c", "v1")]);
+}
+
 /// Guards against a table that grows without bound, and against dropping the newest streams.
 #[test]
 fn the_oldest_streams_make_room() {
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -144,11 +144,12 @@
     pub fn handle_message(&self, from: &InstanceId, message: FollowerMessage) {
         match message {
             FollowerMessage::Hello { .. } => {}
-            FollowerMessage::Report { demand: samples, loads, streams, paces, usage, confirm } => {
+            FollowerMessage::Report { demand: samples, loads, streams, paces, usage, confirm, wanted } => {
                 if let Some(usage) = usage {
                     self.handle_usage(from, &usage);
                 }
                 self.handle_streams(from, streams, confirm);
+                self.send_streams(from, &wanted);
                 let mut demand = self.demand.borrow_mut();
                 for sample in &samples {
                     demand.add(sample, now());
--- a/crates/gateway/src/coordinator/streams.rs
+++ b/crates/gateway/src/coordinator/streams.rs
@@ -4,6 +4,7 @@
 use carobwick_core::InstanceId;
 use carobwick_core::gateway::StreamKey;
 use carobwick_core::gateway::StreamOrigin;
+use carobwick_runtime::now;
 use tokio::time::sleep;
 
 use crate::coordinator::Coordinator;
@@ -15,19 +16,30 @@
 
 /// Streams that callers may take up at any instance.
 impl Coordinator {
-    /// Handles streams that an instance has begun, and confirms them if it asks for it.
+    /// Handles streams that an instance has begun, and confirms them if it asks for it. The others are told at once where
+    /// several software versions serve, and otherwise with the first endpoint of a second one.
     pub(super) fn handle_streams(&self, from: &InstanceId, streams: Vec<StreamOrigin>, confirm: bool) {
         let is_own = *from == self.state.settings.instance;
         if confirm && !is_own {
             self.send_to(from, LeaderMessage::StreamsReceived { keys: keys(&streams) });
         }
-        let new = if is_own { streams } else { self.state.receive_streams(streams) };
+        let new = if is_own { streams } else { self.state.receive_reported(streams) };
         if !new.is_empty() {
             self.new_streams.borrow_mut().extend(new);
             self.streams_changed.notify_one();
         }
     }
 
+    /// Tells an instance what is known of streams that callers take up there.
+    pub(super) fn send_streams(&self, to: &InstanceId, keys: &[StreamKey]) {
+        let streams = self.state.streams.borrow();
+        let known: Vec<StreamOrigin> = keys.iter().filter_map(|key| streams.origin(*key, now())).collect();
+        drop(streams);
+        if !known.is_empty() {
+            self.send_to(to, LeaderMessage::streams(known));
+        }
+    }
+
     /// Tells the followers of new streams until the task is aborted.
     pub async fn share_streams(self: Rc<Self>) {
         loop {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -50,7 +50,8 @@
     /// Demand and endpoint loads since the last report; also serves as a heartbeat. The streams that the instance has
     /// begun do not wait for the next report. The paces are those of the endpoints, in the order of their loads. The
     /// usage of tenants is there if a tenant has a quota. With `confirm` the leader responds that it has received the
-    /// streams. Instances of the version before neither send nor read streams, paces, usage and `confirm`.
+    /// streams, and with what it knows of the `wanted` ones. Instances of the version before neither send nor read what
+    /// follows the loads.
     Report {
         demand: Vec<DemandSample>,
         loads: Vec<SharedLoad>,
@@ -58,6 +59,7 @@
         paces: Vec<Pace>,
         usage: Option<UsageReport>,
         confirm: bool,
+        wanted: Vec<StreamKey>,
     },
     /// A request needs a model or adapter that is resident on no endpoint, or on none in the instance's zone.
     RequestWeights { service: ServiceId, weights: Weights, zone: ZoneId },
@@ -134,13 +136,19 @@
     /// Returns the message that tells the leader of streams and asks it to confirm them.
     pub fn streams(streams: Vec<StreamOrigin>) -> Self {
         let (demand, loads, paces) = (Vec::new(), Vec::new(), Vec::new());
-        Self::Report { demand, loads, streams, paces, usage: None, confirm: true }
+        Self::Report { demand, loads, streams, paces, usage: None, confirm: true, wanted: Vec::new() }
+    }
+
+    /// Returns the message that asks the leader for what it knows of a stream.
+    pub fn want_stream(key: StreamKey) -> Self {
+        let (demand, loads, streams, paces) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        Self::Report { demand, loads, streams, paces, usage: None, confirm: false, wanted: vec![key] }
     }
 
     /// Returns the message that tells the leader of the usage of tenants.
     pub fn usage(usage: UsageReport) -> Self {
         let (demand, loads, streams, paces) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-        Self::Report { demand, loads, streams, paces, usage: Some(usage), confirm: false }
+        Self::Report { demand, loads, streams, paces, usage: Some(usage), confirm: false, wanted: Vec::new() }
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -120,6 +120,7 @@
 async fn receive_as_leader(state: &State, coordinator: &Coordinator, election: &Election) {
     let (sender, mut receiver) = mpsc::unbounded_channel();
     state.set_leader_sender(Some(sender));
+    state.streams.borrow_mut().reset_sent();
     state.share_streams();
     let mut next_report = now() + REPORT_INTERVAL;
     while election.leading_since().is_some() {
@@ -128,7 +129,7 @@
             Ok(None) => return,
             Err(_) => {
                 next_report = now() + REPORT_INTERVAL;
-                coordinator.handle_message(&state.settings.instance, state.take_report());
+                coordinator.handle_message(&state.settings.instance, state.take_report(Vec::new()));
                 coordinator.send_heartbeat();
             }
         }
@@ -181,7 +182,8 @@
                 Ok(None) => return Ok(()),
                 Err(_) => {
                     next_report = now() + REPORT_INTERVAL;
-                    write_message(&mut to, &state.take_report()).await?;
+                    let streams = state.streams.borrow_mut().take_all_unshared(now());
+                    write_message(&mut to, &state.take_report(streams)).await?;
                 }
             }
         }
@@ -235,7 +237,7 @@
                 state.receive_quotas(&update);
             }
             state.receive_loads(&SharedLoads { loads, paces });
-            let _new = state.receive_streams(streams);
+            state.receive_streams(streams);
         }
         LeaderMessage::StreamsReceived { keys } => state.confirm_streams(&keys),
         LeaderMessage::EndpointList(update) => state.receive_list_update(update),
--- a/crates/gateway/src/shared_streams.rs
+++ b/crates/gateway/src/shared_streams.rs
@@ -34,16 +34,31 @@
         }
     }
 
-    /// Records streams that other instances have begun; returns those that were not known.
-    pub fn receive_streams(&self, origins: Vec<StreamOrigin>) -> Vec<StreamOrigin> {
+    /// Records streams of which the leader has told this instance.
+    pub fn receive_streams(&self, origins: Vec<StreamOrigin>) {
         let mut streams = self.streams.borrow_mut();
-        let is_new = |origin: &StreamOrigin| streams.record_shared(origin.clone(), now());
-        let new: Vec<StreamOrigin> = origins.into_iter().filter(is_new).collect();
+        for origin in origins {
+            streams.record_shared(origin, now());
+        }
         drop(streams);
-        if !new.is_empty() {
-            self.streams_changed.notify_waiters();
+        self.streams_changed.notify_waiters();
+    }
+
+    /// Records streams that an instance has reported to this one, the leader; returns those of which the others must be told
+    /// now.
+    pub fn receive_reported(&self, origins: Vec<StreamOrigin>) -> Vec<StreamOrigin> {
+        let mut streams = self.streams.borrow_mut();
+        let mut urgent = Vec::new();
+        for origin in origins {
+            if !self.has_several_versions(&origin.service) {
+                streams.record_reported(origin, now());
+            } else if streams.record_shared(origin.clone(), now()) {
+                urgent.push(origin);
+            }
         }
-        new
+        drop(streams);
+        self.streams_changed.notify_waiters();
+        urgent
     }
 
     /// Tells the leader of the streams that began before endpoints of a second version were known.
@@ -64,6 +79,11 @@
         }
     }
 
+    /// Asks the leader for what it knows of a stream; returns whether there is a leader.
+    pub fn want_stream(&self, key: StreamKey) -> bool {
+        self.send_to_leader(FollowerMessage::want_stream(key))
+    }
+
     /// Records that the leader, or its followers if this instance leads, know these streams.
     pub fn confirm_streams(&self, keys: &[StreamKey]) {
         self.streams.borrow_mut().record_confirmed(keys);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,7 @@
 use carobwick_core::gateway::RetryBudget;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::SharedLoads;
+use carobwick_core::gateway::StreamOrigin;
 use carobwick_core::gateway::StreamTable;
 use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::SuspectTable;
@@ -242,14 +243,14 @@
         sample.work += head.work();
     }
 
-    /// Returns the demand, the endpoint loads and the usage of tenants since the last call as a report to the leader.
-    /// Forgets the streams whose callers have given up.
-    pub fn take_report(&self) -> FollowerMessage {
+    /// Returns the demand, the endpoint loads and the usage of tenants since the last call as a report to the leader, with
+    /// streams that it does not know. Forgets the streams whose callers have given up.
+    pub fn take_report(&self, streams: Vec<StreamOrigin>) -> FollowerMessage {
         self.streams.borrow_mut().remove_expired(now());
         let demand = std::mem::take(&mut *self.demand.borrow_mut()).into_values().collect();
         let SharedLoads { loads, paces } = self.balancer.borrow_mut().take_loads();
         let usage = self.take_usage();
-        FollowerMessage::Report { demand, loads, streams: Vec::new(), paces, usage, confirm: false }
+        FollowerMessage::Report { demand, loads, streams, paces, usage, confirm: false, wanted: Vec::new() }
     }
 
     /// Applies loads that endpoints reported to other instances.
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -75,7 +75,7 @@
         }
         let (request, key) = (self.head.attempt_id.clone(), self.stream_key());
         let (state, started) = (self.state.clone(), now());
-        let mut settled_since = None;
+        let (mut settled_since, mut is_asked) = (None, false);
         loop {
             let changed = state.streams_changed.notified();
             let wait = match state.known_origin(key, &self.service, started) {
@@ -98,6 +98,7 @@
                     return TakeUpStep::Send;
                 }
                 KnownOrigin::Unknown => {
+                    is_asked = state.has_leader() && (is_asked || state.want_stream(key));
                     let is_settled = state.is_settled();
                     settled_since = settled_since.filter(|_| is_settled).or(is_settled.then(now));
                     self.origin_wait(started, settled_since)
