--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -149,4 +149,6 @@
 pub use token_issuer::TokenRequest;
 pub use trials::TrialTable;
 pub use version_history::ServedVersion;
+pub use version_history::VERSION_MEMORY;
 pub use version_history::VersionCount;
+pub use version_history::VersionRecord;
--- a/crates/core/src/gateway/version_history.rs
+++ b/crates/core/src/gateway/version_history.rs
@@ -3,13 +3,14 @@
 use carobwick_derive::data;
 use indexmap::IndexMap;
 
+use crate::Era;
 use crate::Millis;
 use crate::ServiceId;
 use crate::Time;
 use crate::gateway::SoftwareVersion;
 
 /// Time for which the software version of an endpoint that has ended counts as one that may have begun a stream.
-const VERSION_MEMORY: Duration = Duration::from_mins(1);
+pub const VERSION_MEMORY: Duration = Duration::from_mins(1);
 
 /// Software version that serves a service or has served it lately, as the store keeps it for instances that start later.
 #[data]
@@ -22,6 +23,17 @@
     pub ended: Option<Millis>,
 }
 
+/// Software versions of all services, as the store keeps them.
+#[data]
+#[derive(Default)]
+pub struct VersionRecord {
+    /// The versions.
+    pub versions: Vec<ServedVersion>,
+    /// Era of the store in which they were written, or none if they never were. In a later era they may lack versions that
+    /// have served since.
+    pub era: Option<Era>,
+}
+
 /// How many software versions may have begun a stream of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum VersionCount<'a> {
@@ -40,6 +52,13 @@
     ended: IndexMap<(ServiceId, Option<SoftwareVersion>), Time>,
 }
 
+impl VersionRecord {
+    /// Returns whether the store cannot have lost versions that were written after these, by its present era.
+    pub fn is_complete(&self, era: Era) -> bool {
+        self.era.is_none_or(|written| written == era)
+    }
+}
+
 impl ServedVersion {
     /// Returns whether two lists name the same versions, those that serve and those that have served.
     pub fn is_same_set(one: &[Self], other: &[Self]) -> bool {
--- a/crates/gateway/src/coordinator/followers.rs
+++ b/crates/gateway/src/coordinator/followers.rs
@@ -94,7 +94,7 @@
         followers.retain(|_, sender| !sender.is_closed());
         drop(followers);
         let instances = self.instance_count();
-        self.state.settled.set(instances.map(|_| now()));
+        self.state.set_settled(instances.is_some());
         if let Some(instances) = instances {
             self.state.set_instances(instances);
         }
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -51,7 +51,7 @@
     /// Time of the last read.
     last_read: Time,
     /// Whether the versions that had served before this instance started have been read.
-    history_known: bool,
+    history_read: bool,
 }
 
 /// Response of the store.
@@ -64,6 +64,8 @@
 enum Action {
     Receive(ListUpdate),
     Read,
+    /// A read for requests that take streams up.
+    ReadRequested,
 }
 
 impl ListReader {
@@ -84,7 +86,7 @@
             complete_revision: None,
             era: None,
             last_read: Time::ZERO,
-            history_known: false,
+            history_read: false,
         }
     }
 
@@ -97,7 +99,7 @@
                 Action::Receive(update) => {
                     self.receive_update(update);
                 }
-                Action::Read => match self.read().await {
+                action => match self.read(matches!(action, Action::ReadRequested)).await {
                     Ok(()) => backoff.reset(),
                     Err(err) => {
                         tracing::info!("list: can't read from the store: {err}");
@@ -123,7 +125,7 @@
                 Ok(Some(update)) if self.cursor.revision().is_some() => Action::Receive(update),
                 Ok(_) | Err(_) => Action::Read,
             },
-            () = requested => Action::Read,
+            () = requested => Action::ReadRequested,
         }
     }
 
@@ -147,11 +149,13 @@
     }
 
     /// Reads from the store, unless an update of the leader arrives first.
-    async fn read(&mut self) -> Result<()> {
-        if !self.history_known {
+    async fn read(&mut self, is_requested: bool) -> Result<()> {
+        if !self.history_read {
             // Before the list, without which the instance is not ready.
             served_versions::load(&self.state, self.store.as_ref()).await?;
-            self.history_known = true;
+            self.history_read = true;
+        } else if is_requested && !self.state.knows_history() {
+            served_versions::reload(&self.state, self.store.as_ref()).await?;
         }
         let (after, sent_at) = (self.cursor.revision(), now());
         self.last_read = sent_at;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -203,11 +203,11 @@
 fn handle_message(state: &State, election: &Election, message: LeaderMessage) {
     match message {
         LeaderMessage::InstanceCount(Some(instances)) => {
-            state.settled.set(Some(now()));
+            state.set_settled(true);
             state.set_instances(instances);
             election.set_instances(instances);
         }
-        LeaderMessage::InstanceCount(None) => state.settled.set(None),
+        LeaderMessage::InstanceCount(None) => state.set_settled(false),
         LeaderMessage::EngineModels { endpoint, incarnation, resident } => {
             state.endpoints.borrow_mut().set_resident(&endpoint, incarnation, &resident, now());
             state.endpoints_changed.notify_waiters();
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -23,6 +23,7 @@
 use carobwick_core::gateway::RequestHead;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::ServedVersion;
+use carobwick_core::gateway::VersionRecord;
 use carobwick_derive::data;
 use futures_util::future::LocalBoxFuture;
 use http::HeaderMap;
@@ -230,14 +231,14 @@
     /// # Errors
     ///
     /// Fails if the store does not respond.
-    fn served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<ServedVersion>>>>;
+    fn served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<VersionRecord>>>;
 
     /// Like [`Self::served_versions`], but never stale.
     ///
     /// # Errors
     ///
     /// Fails if the store does not respond.
-    fn latest_served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<ServedVersion>>>>;
+    fn latest_served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<VersionRecord>>>;
 
     /// Writes the software versions that serve or have served lately in place of those of a revision; returns the revision
     /// of the write.
--- a/crates/gateway/src/served_versions.rs
+++ b/crates/gateway/src/served_versions.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use carobwick_core::gateway::ServedVersion;
+use carobwick_core::gateway::VersionRecord;
 use carobwick_runtime::now;
 use tokio::time::sleep;
 
@@ -38,33 +39,50 @@
     }
 }
 
-/// Adds the versions in the store to those that this instance knows.
+/// Adds the versions in the store to those that this instance knows, when it starts.
 pub(crate) async fn load(state: &State, store: &dyn Store) -> Result<()> {
     let stored = store.served_versions().await?;
-    state.endpoints.borrow_mut().record_served_versions(stored.value, now());
+    receive(state, stored);
     Ok(())
 }
 
-/// Writes the versions that this instance knows if they are others than those that were written last; returns what is
-/// written now.
+/// Reads the versions again, since those that were found at the start may lack some.
+pub(crate) async fn reload(state: &State, store: &dyn Store) -> Result<()> {
+    let stored = store.latest_served_versions().await?;
+    receive(state, stored);
+    Ok(())
+}
+
+fn receive(state: &State, stored: Snapshot<VersionRecord>) {
+    if stored.value.is_complete(stored.revision.era()) {
+        state.set_history_known();
+    }
+    state.endpoints.borrow_mut().record_served_versions(stored.value.versions, now());
+}
+
+/// Writes the versions that this instance knows if they are others than those that were written last, or if those were written
+/// before the store has returned from an older copy; returns what is written now.
 async fn save(
     state: &State,
     store: &dyn Store,
-    written: Option<Snapshot<Vec<ServedVersion>>>,
-) -> Result<Snapshot<Vec<ServedVersion>>> {
+    written: Option<Snapshot<VersionRecord>>,
+) -> Result<Snapshot<VersionRecord>> {
     let current = written.filter(|written| written.revision.era() == store.era());
     let written = if let Some(current) = current {
         current
     } else {
         let stored = store.latest_served_versions().await?;
-        state.endpoints.borrow_mut().record_served_versions(stored.value.clone(), now());
+        receive(state, stored.clone());
         stored
     };
+    let era = written.revision.era();
     let versions = state.endpoints.borrow().served_versions(now());
-    if state.list_known.get().is_none() || ServedVersion::is_same_set(&versions, &written.value) {
+    let is_written =
+        written.value.era == Some(era) && ServedVersion::is_same_set(&versions, &written.value.versions);
+    if state.list_known.get().is_none() || !state.knows_history() || is_written {
         return Ok(written);
     }
     let revision = store.write_served_versions(&versions, written.revision).await?;
     tracing::info!("leader: {} versions of endpoints are written to the store", versions.len());
-    Ok(Snapshot { value: versions, revision })
+    Ok(Snapshot { value: VersionRecord { versions, era: Some(era) }, revision })
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::SuspectTable;
 use carobwick_core::gateway::TokenReply;
+use carobwick_core::gateway::VERSION_MEMORY;
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::resolve_loads;
 use carobwick_runtime::now;
@@ -86,7 +87,9 @@
     pub stop_ending: CancellationToken,
     retry_budgets: RefCell<IndexMap<ServiceId, RetryBudget>>,
     /// Time of the last heartbeat of a leader to which all instances had time to connect.
-    pub settled: Cell<Option<Time>>,
+    settled: Cell<Option<Time>>,
+    /// Whether this instance learned which versions have served before it started.
+    history_known: Cell<bool>,
     /// Time at which the last successful read of the list of endpoints was sent to the store.
     pub list_read: Cell<Option<Time>>,
     /// Asks the reader of the list for a read.
@@ -162,6 +165,7 @@
             stop_ending: CancellationToken::new(),
             retry_budgets: RefCell::default(),
             settled: Cell::default(),
+            history_known: Cell::new(false),
             list_read: Cell::default(),
             list_requested: Notify::new(),
             instances: Cell::default(),
@@ -286,6 +290,26 @@
         self.settled.get().is_some_and(|at| now() - at < SILENCE_TIMEOUT)
     }
 
+    /// Sets whether there is a leader to which all instances had time to connect, by a heartbeat that has come just now.
+    /// They have told it of their streams then, and those of instances that ended before have few callers left.
+    pub fn set_settled(&self, is_settled: bool) {
+        self.settled.set(is_settled.then(now));
+        if is_settled {
+            self.set_history_known();
+        }
+    }
+
+    /// Records that this instance knows which versions have served in the last minute.
+    pub fn set_history_known(&self) {
+        self.history_known.set(true);
+    }
+
+    /// Returns whether this instance knows which versions have served in the last minute.
+    pub fn knows_history(&self) -> bool {
+        let is_past = |known| now() >= known + VERSION_MEMORY;
+        self.history_known.get() || self.list_known.get().is_some_and(is_past)
+    }
+
     /// Returns whether the list of endpoints holds all that other instances can have read before `time`.
     pub fn is_list_read_since(&self, time: Time) -> bool {
         self.list_read.get().is_some_and(|at| at >= time)
--- a/crates/gateway/src/take_up.rs
+++ b/crates/gateway/src/take_up.rs
@@ -49,7 +49,8 @@
     /// Returns what this instance knows of the version that began a stream which its caller takes up at `asked`.
     ///
     /// Each instance sends streams to a version as soon as it has read of it, and may end before it has told another one.
-    /// So this instance knows all versions that can have begun the stream only from a list that it has read since.
+    /// So this instance knows all versions that can have begun the stream only from a list that it has read since, and from
+    /// those that have served in the last minute.
     fn known_origin(&self, key: StreamKey, service: &ServiceId, asked: Time) -> KnownOrigin {
         let is_current = self.is_list_read_since(asked);
         let endpoints = self.endpoints.borrow();
@@ -60,7 +61,7 @@
         }
         match endpoints.version_count(service, now()) {
             VersionCount::Several => KnownOrigin::Unknown,
-            _ if !is_current => KnownOrigin::Unconfirmed,
+            _ if !is_current || !self.knows_history() => KnownOrigin::Unconfirmed,
             VersionCount::One(Some(version)) => KnownOrigin::Only(version.clone()),
             VersionCount::One(None) | VersionCount::None => KnownOrigin::Unnamed,
         }
--- a/crates/gateway/tests/election.rs
+++ b/crates/gateway/tests/election.rs
@@ -18,6 +18,7 @@
 use carobwick_core::gateway::RetryTerms;
 use carobwick_core::gateway::RouteTable;
 use carobwick_core::gateway::ServedVersion;
+use carobwick_core::gateway::VersionRecord;
 use carobwick_gateway::ClaimOutcome;
 use carobwick_gateway::Election;
 use carobwick_gateway::LeaderEntry;
@@ -103,11 +104,11 @@
         ready(Ok(())).boxed_local()
     }
 
-    fn served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<ServedVersion>>>> {
-        ready(Ok(Snapshot { value: Vec::new(), revision: Revision(0) })).boxed_local()
+    fn served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<VersionRecord>>> {
+        ready(Ok(Snapshot { value: VersionRecord::default(), revision: Revision(0) })).boxed_local()
     }
 
-    fn latest_served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<Vec<ServedVersion>>>> {
+    fn latest_served_versions(&self) -> LocalBoxFuture<'_, Result<Snapshot<VersionRecord>>> {
         self.served_versions()
     }
 
