--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,9 +11,9 @@
 //! together, and `caller_connections` the connections; `caller_stream` lets a caller pause while it reads. `convictions`
 //! keeps in the store which requests crash endpoints, and `served_versions` which software versions have served lately.
 //! `config` keeps the routes up to date, `list` the endpoints, and `election` the lease of the region's leader.
-//! `coordinator` runs on the leader: it sends orders to engines, issues tokens and sends updates to the other instances
-//! (`coordinator::followers`), which connect to it through `peers`. The decisions are
-//! made by [`carobwick_core::gateway`], without I/O.
+//! `coordinator` runs on the leader: it sends orders to engines (`coordinator::engine_calls`), issues tokens and sends
+//! updates to the other instances (`coordinator::followers`), which connect to it through `peers` and know by `leader_link`
+//! whether they are connected. The decisions are made by [`carobwick_core::gateway`], without I/O.
 //!
 //! Two traits hide the platform: [`WireFormat`] encodes and decodes requests, responses and orders, and
 //! [`Store`] gives access to the persistent data. All tasks of a process run on one thread.
@@ -34,6 +34,7 @@
 mod events;
 mod gateway;
 mod head_inspector;
+mod leader_link;
 mod list;
 mod listener;
 mod log_throttle;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,7 +25,6 @@
 use carobwick_core::gateway::Suspect;
 use carobwick_core::gateway::SuspectTable;
 use carobwick_core::gateway::TokenReply;
-use carobwick_core::gateway::VERSION_MEMORY;
 use carobwick_core::gateway::Weights;
 use carobwick_core::gateway::resolve_loads;
 use carobwick_runtime::now;
@@ -43,7 +42,6 @@
 use crate::message::ListUpdate;
 use crate::meters::Meters;
 use crate::meters::SendKind;
-use crate::peers::SILENCE_TIMEOUT;
 use crate::pending_replies::PendingReplies;
 use crate::pool::Pool;
 
@@ -51,10 +49,6 @@
 /// or at endpoints that limit their rate.
 const WEIGHTS_REQUEST_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Time for which an instance that has started waits for a leader before it is ready. Until it has one, the others do not
-/// know the streams that it begins.
-const JOIN_WAIT: Duration = Duration::from_secs(1);
-
 /// State shared by the tasks of one instance, all of which run on one thread.
 pub(crate) struct State {
     pub settings: Settings,
@@ -87,9 +81,9 @@
     pub stop_ending: CancellationToken,
     retry_budgets: RefCell<IndexMap<ServiceId, RetryBudget>>,
     /// Time of the last heartbeat of a leader to which all instances had time to connect.
-    settled: Cell<Option<Time>>,
-    /// Whether this instance learned which versions have served before it started.
-    history_known: Cell<bool>,
+    pub settled: Cell<Option<Time>>,
+    /// Whether this instance has learned which versions had served before it started.
+    pub history_known: Cell<bool>,
     /// Time at which the last successful read of the list of endpoints was sent to the store.
     pub list_read: Cell<Option<Time>>,
     /// Asks the reader of the list for a read.
@@ -109,9 +103,9 @@
     pub streams_changed: Notify,
     /// Usage of tenants with a quota.
     pub quotas: RefCell<QuotaMeter>,
-    leader_sender: RefCell<Option<mpsc::UnboundedSender<FollowerMessage>>>,
+    pub leader_sender: RefCell<Option<mpsc::UnboundedSender<FollowerMessage>>>,
     /// Whether there has been a connection to a leader since the start.
-    has_joined: Cell<bool>,
+    pub has_joined: Cell<bool>,
     /// Whether the leader confirms streams, as far as is known.
     pub leader_confirms: Cell<bool>,
     /// Age of the configuration in force, by which it is decided when to read it again.
@@ -192,12 +186,6 @@
         !self.stopping.get() && is_known && !self.is_joining()
     }
 
-    /// Returns whether this instance has started just now and is not connected to a leader yet.
-    pub fn is_joining(&self) -> bool {
-        let is_over = |known| now() >= known + JOIN_WAIT;
-        !self.has_joined.get() && !self.list_known.get().is_some_and(is_over)
-    }
-
     /// Applies reloaded settings.
     pub fn set_terms(&self, terms: Terms) {
         self.terms.set(terms);
@@ -266,50 +254,6 @@
         }
     }
 
-    /// Sets the channel for messages to the leader, or none without a connection to it.
-    pub fn set_leader_sender(&self, sender: Option<mpsc::UnboundedSender<FollowerMessage>>) {
-        self.has_joined.set(self.has_joined.get() || sender.is_some());
-        self.leader_confirms.set(true);
-        *self.leader_sender.borrow_mut() = sender;
-        self.quotas.borrow_mut().discard_unreported(now());
-        self.settled.set(None);
-        self.token_requests.clear();
-        self.trial_requests.clear();
-        self.balancer.borrow_mut().reset_shares(now());
-        self.endpoints_changed.notify_waiters();
-    }
-
-    /// Returns whether there is a connection to the leader.
-    pub fn has_leader(&self) -> bool {
-        self.leader_sender.borrow().is_some()
-    }
-
-    /// Returns whether there is a leader to which all instances had time to connect. A process that was suspended has not
-    /// noticed yet that its connection to the leader has ended.
-    pub fn is_settled(&self) -> bool {
-        self.settled.get().is_some_and(|at| now() - at < SILENCE_TIMEOUT)
-    }
-
-    /// Sets whether there is a leader to which all instances had time to connect, by a heartbeat that has come just now.
-    /// They have told it of their streams then, and those of instances that ended before have few callers left.
-    pub fn set_settled(&self, is_settled: bool) {
-        self.settled.set(is_settled.then(now));
-        if is_settled {
-            self.set_history_known();
-        }
-    }
-
-    /// Records that this instance knows which versions have served in the last minute.
-    pub fn set_history_known(&self) {
-        self.history_known.set(true);
-    }
-
-    /// Returns whether this instance knows which versions have served in the last minute.
-    pub fn knows_history(&self) -> bool {
-        let is_past = |known| now() >= known + VERSION_MEMORY;
-        self.history_known.get() || self.list_known.get().is_some_and(is_past)
-    }
-
     /// Returns whether the list of endpoints holds all that other instances can have read before `time`.
     pub fn is_list_read_since(&self, time: Time) -> bool {
         self.list_read.get().is_some_and(|at| at >= time)
@@ -368,12 +312,6 @@
         is_outdated
     }
 
-    /// Sends a message to the leader; returns whether there is one.
-    pub fn send_to_leader(&self, message: FollowerMessage) -> bool {
-        let leader = self.leader_sender.borrow();
-        leader.as_ref().is_some_and(|leader| leader.send(message).is_ok())
-    }
-
     /// Requests a model or adapter from the leader for this instance's zone.
     pub fn request_weights(&self, service: &ServiceId, weights: Weights) {
         let zone = self.settings.zone.clone();
