--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -102,7 +102,7 @@
                 }
                 () = election.wait_leader_changed(&entry) => tracing::info!("peers: {leader} is no longer the leader"),
             }
-        } else {
+        } else if !state.has_joined.get() {
             // No delay here: until it is connected, nobody learns of the streams that this instance begins.
             election.wait_changed().await;
             continue;
@@ -175,7 +175,8 @@
     election.set_connected(true);
     tracing::info!("peers: following {leader}");
     let writer = async {
-        let mut next_report = now() + REPORT_INTERVAL;
+        // Instances that find a leader at one moment do not report at one moment.
+        let mut next_report = now() + REPORT_INTERVAL.mul_f64(0.5 + rand::random::<f64>());
         loop {
             match timeout(next_report - now(), receiver.recv()).await {
                 Ok(Some(message)) => write_message(&mut to, &message).await?,
