--- a/crates/gateway/src/served_versions.rs
+++ b/crates/gateway/src/served_versions.rs
@@ -24,6 +24,7 @@
 pub(crate) async fn keep(state: Rc<State>, coordinator: Rc<Coordinator>, store: Rc<dyn Store>) {
     let mut written = None;
     loop {
+        state.wait_list_known().await;
         if !coordinator.is_leading() {
             coordinator.wait_leading().await;
             written = None;
@@ -79,7 +80,7 @@
     let versions = state.endpoints.borrow().served_versions(now());
     let is_written =
         written.value.era == Some(era) && ServedVersion::is_same_set(&versions, &written.value.versions);
-    if state.list_known.get().is_none() || !state.knows_history() || is_written {
+    if !state.knows_history() || is_written {
         return Ok(written);
     }
     let revision = store.write_served_versions(&versions, written.revision).await?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -254,6 +254,17 @@
         }
     }
 
+    /// Waits until the list of endpoints has been read.
+    pub async fn wait_list_known(&self) {
+        loop {
+            let changed = self.endpoints_changed.notified();
+            if self.list_known.get().is_some() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Returns whether the list of endpoints holds all that other instances can have read before `time`.
     pub fn is_list_read_since(&self, time: Time) -> bool {
         self.list_read.get().is_some_and(|at| at >= time)
